--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decisions and of the cost of control."""
--- /dev/null
+++ b/src/apricottrestle/queueing.py
@@ -0,0 +1,126 @@
+"""Order in which an agent starts its queued requests.
+
+A queue holds items only; the agent keeps the requests themselves. Times are
+monotonic seconds given by the caller, so a queue runs on a fake clock too.
+"""
+
+import abc
+import collections
+from typing import NamedTuple
+
+from apricottrestle import messages
+
+
+class QueueItem(NamedTuple):
+    """A queued request.
+
+    Attributes:
+        req_id: Request id.
+        team: Team name.
+        weight: Share weight of the team.
+        priority: Index into messages.PRIORITIES.
+        prompt_tokens: Prompt tokens that the engine has to compute.
+        max_tokens: Tokens to generate at most.
+        kv_tokens: KV cache that the request needs, in tokens.
+        enqueued: Time of arrival.
+        deadline: Time by which the request must have finished.
+    """
+
+    req_id: str
+    team: str
+    weight: float
+    priority: int
+    prompt_tokens: int
+    max_tokens: int
+    kv_tokens: int
+    enqueued: float
+    deadline: float
+
+
+class Capacity(NamedTuple):
+    """What the engine can take at this moment.
+
+    Attributes:
+        slots_free: Requests that may start.
+        kv_tokens_free: KV cache not allocated, in tokens.
+        prefill_tokens_left: Prompt tokens of running requests not computed.
+        prefill_tokens_per_s: Prefill rate of the engine.
+    """
+
+    slots_free: int
+    kv_tokens_free: int
+    prefill_tokens_left: int
+    prefill_tokens_per_s: float
+
+
+class RequestQueue(abc.ABC):
+    """Queue of one agent."""
+
+    @abc.abstractmethod
+    def push(self, item: QueueItem) -> None:
+        """Adds an item."""
+
+    @abc.abstractmethod
+    def pop(self, capacity: Capacity, now: float) -> QueueItem | None:
+        """Removes and returns the item to start now, or None when none fits."""
+
+    @abc.abstractmethod
+    def remove(self, req_id: str) -> QueueItem | None:
+        """Removes an item by request id; returns None when it isn't queued."""
+
+    @abc.abstractmethod
+    def queued_tokens(self) -> list[int]:
+        """Returns queued prompt tokens per priority class."""
+
+    @abc.abstractmethod
+    def expected_wait_s(self, item: QueueItem, capacity: Capacity) -> float:
+        """Returns the time until the item would start if it were pushed now."""
+
+    @abc.abstractmethod
+    def __len__(self) -> int:
+        """Returns the number of queued items."""
+
+
+class FifoQueue(RequestQueue):
+    """First in, first out, without classes or teams; the baseline."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._items: collections.OrderedDict[str, QueueItem] = (
+            collections.OrderedDict()
+        )
+
+    def push(self, item: QueueItem) -> None:
+        """Adds an item at the end."""
+        self._items[item.req_id] = item
+
+    def pop(self, capacity: Capacity, now: float) -> QueueItem | None:
+        """Returns the first item if it fits; a later one never overtakes."""
+        del now
+        if not self._items or capacity.slots_free < 1:
+            return None
+        first = next(iter(self._items.values()))
+        if first.kv_tokens > capacity.kv_tokens_free:
+            return None
+        return self._items.pop(first.req_id)
+
+    def remove(self, req_id: str) -> QueueItem | None:
+        """Removes an item by request id."""
+        return self._items.pop(req_id, None)
+
+    def queued_tokens(self) -> list[int]:
+        """Returns queued prompt tokens per priority class."""
+        totals = [0] * len(messages.PRIORITIES)
+        for item in self._items.values():
+            totals[item.priority] += item.prompt_tokens
+        return totals
+
+    def expected_wait_s(self, item: QueueItem, capacity: Capacity) -> float:
+        """Returns the prefill time of all that is queued and running."""
+        del item
+        ahead = sum(self.queued_tokens()) + capacity.prefill_tokens_left
+        return ahead / capacity.prefill_tokens_per_s
+
+    def __len__(self) -> int:
+        """Returns the number of queued items."""
+        return len(self._items)
--- /dev/null
+++ b/src/apricottrestle/upstream_table.py
@@ -0,0 +1,140 @@
+"""An entry's table of agents: last report of each, and own dispatches since.
+
+Invariant: `by_upstream` lists exactly the rows that can take new work, so that
+a routing decision never scans rows of other models or of draining agents.
+"""
+
+from typing import Final
+
+from apricottrestle import messages
+
+MAX_CACHED_BLOCKS: Final = 20_000
+"""Bound of the cache hints kept per agent; the oldest go first."""
+
+
+class UpstreamRow:
+    """One agent as its entry knows it.
+
+    Attributes:
+        agent_id: Agent id.
+        data_centre: Data centre of the agent.
+        report: Last load report.
+        report_time: Time at which it arrived, monotonic seconds.
+        incarnation: Incarnation of the agent.
+        outstanding: Own requests at this agent that have not ended.
+        sent: Own submits so far on this connection.
+        pending: Prompt tokens and priority class of own submits that the last
+            report does not cover, oldest first.
+        cached_blocks: Prefix blocks that the engine holds, as a hint; a dict
+            for its order.
+        usable: False when draining, lost or excluded.
+    """
+
+    __slots__ = (
+        "agent_id",
+        "cached_blocks",
+        "data_centre",
+        "incarnation",
+        "outstanding",
+        "pending",
+        "report",
+        "report_time",
+        "sent",
+        "usable",
+    )
+
+    def __init__(
+        self,
+        agent_id: str,
+        data_centre: str,
+        incarnation: str,
+        report: messages.LoadReport,
+        now: float,
+    ) -> None:
+        """Creates a usable row from the agent's first report."""
+        self.agent_id = agent_id
+        self.data_centre = data_centre
+        self.incarnation = incarnation
+        self.report = report
+        self.report_time = now
+        self.outstanding = 0
+        self.sent = 0
+        self.pending: list[tuple[int, int]] = []
+        self.cached_blocks: dict[int, None] = {}
+        self.usable = not report.draining
+
+
+class UpstreamTable:
+    """All rows, with an index of the usable ones by model or service."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.rows: dict[str, UpstreamRow] = {}
+        self._by_upstream: dict[str, list[UpstreamRow]] = {}
+
+    def by_upstream(self, upstream: str) -> list[UpstreamRow]:
+        """Returns the usable rows of a model or service; do not change it."""
+        return self._by_upstream.get(upstream, [])
+
+    def add(self, row: UpstreamRow) -> None:
+        """Adds a row, or replaces the one of an earlier incarnation."""
+        self.remove(row.agent_id)
+        self.rows[row.agent_id] = row
+        self._index(row)
+
+    def remove(self, agent_id: str) -> None:
+        """Removes a row if it is there."""
+        row = self.rows.pop(agent_id, None)
+        if row is not None:
+            self._unindex(row)
+
+    def apply_report(
+        self, agent_id: str, report: messages.LoadReport, now: float
+    ) -> None:
+        """Replaces the report; own submits that it covers are forgotten."""
+        row = self.rows[agent_id]
+        moved = (
+            report.upstream != row.report.upstream
+            or report.draining == row.usable
+        )
+        if moved:
+            self._unindex(row)
+        row.report = report
+        row.report_time = now
+        row.usable = not report.draining
+        uncovered = row.sent - report.received
+        row.pending = row.pending[-uncovered:] if uncovered > 0 else []
+        if moved:
+            self._index(row)
+
+    def set_usable(self, agent_id: str, usable: bool) -> None:
+        """Takes an agent out of routing, or back into it."""
+        row = self.rows[agent_id]
+        if row.usable != usable:
+            self._unindex(row)
+            row.usable = usable
+            self._index(row)
+
+    def dispatched(
+        self, agent_id: str, prompt_tokens: int, priority: int
+    ) -> None:
+        """Counts an own submit until a report covers it."""
+        row = self.rows[agent_id]
+        row.outstanding += 1
+        row.sent += 1
+        row.pending.append((prompt_tokens, priority))
+
+    def ended(self, agent_id: str) -> None:
+        """Counts the end of an own request at the agent."""
+        row = self.rows.get(agent_id)
+        if row is not None and row.outstanding > 0:
+            row.outstanding -= 1
+
+    def _index(self, row: UpstreamRow) -> None:
+        if row.usable:
+            self._by_upstream.setdefault(row.report.upstream, []).append(row)
+
+    def _unindex(self, row: UpstreamRow) -> None:
+        rows = self._by_upstream.get(row.report.upstream, [])
+        if row in rows:
+            rows.remove(row)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package and its stand-ins."""
