--- /dev/null
+++ b/src/apricottrestle/audit.py
@@ -0,0 +1,173 @@
+"""Audit rows of a process, in numbered batches with an exact count of losses.
+
+Invariant: rows added = rows in confirmed batches + rows still held + rows
+counted in the `dropped` fields of batches. A batch keeps its number and its
+content until it is confirmed, so that a retried append is recognised.
+"""
+
+import collections
+from typing import Final, Literal, NamedTuple
+
+import msgspec
+
+from apricottrestle import metrics, platform_log
+
+DEFAULT_LIMIT_ROWS: Final = 100_000
+ENTRY_BATCH_ROWS: Final = 512
+ENTRY_INTERVAL_S: Final = 5.0
+AGENT_INTERVAL_S: Final = 60.0
+_MAX_BATCH_ROWS: Final = 2_048
+
+Role = Literal["entry", "agent"]
+
+
+class AuditRow(NamedTuple):
+    """What one process did for one attempt of a request or call.
+
+    Attributes:
+        req_id: Request id.
+        attempt: Attempt number, from 1.
+        team: Team name.
+        priority: Priority class name.
+        upstream: Model or service name.
+        version: Model version; empty for a service.
+        config_rev: Configuration revision under which the request was admitted
+            (entry) or accepted (agent).
+        peer: Agent that served it (entry's row) or entry that sent it (agent's
+            row); empty when none was involved.
+        start: Start, Unix seconds by the writer's clock.
+        end: End, Unix seconds by the writer's clock.
+        outcome: "completed", "not_run" or "unknown".
+        tokens: Tokens delivered (entry) or generated (agent).
+    """
+
+    req_id: str
+    attempt: int
+    team: str
+    priority: str
+    upstream: str
+    version: str
+    config_rev: int
+    peer: str
+    start: float
+    end: float
+    outcome: str
+    tokens: int
+
+
+class AuditBatch(NamedTuple):
+    """One record of the audit stream.
+
+    Attributes:
+        writer: Instance id.
+        role: Role of the writer.
+        incarnation: Incarnation of the writer.
+        seq: Number within the incarnation, from 1 without gaps.
+        dropped: Rows dropped since the previous batch, lost for good.
+        final: True on the last batch of a clean stop.
+        rows: Rows in the order in which they were added.
+    """
+
+    writer: str
+    role: Role
+    incarnation: str
+    seq: int
+    dropped: int
+    final: bool
+    rows: list[AuditRow]
+
+
+class AuditBuffer:
+    """Rows not yet on the log; bounded, because the log may be down."""
+
+    def __init__(
+        self,
+        writer: str,
+        role: Role,
+        incarnation: str,
+        limit_rows: int = DEFAULT_LIMIT_ROWS,
+    ) -> None:
+        """Starts empty; beyond `limit_rows` new rows are dropped."""
+        self._writer = writer
+        self._role: Role = role
+        self._incarnation = incarnation
+        self._limit_rows = limit_rows
+        self._rows: collections.deque[AuditRow] = collections.deque()
+        self._dropped = 0
+        self._seq = 0
+        self._closed = False
+        self._pending: AuditBatch | None = None
+
+    def __len__(self) -> int:
+        """Returns the number of rows held, those of an open batch included."""
+        pending = len(self._pending.rows) if self._pending else 0
+        return len(self._rows) + pending
+
+    def add(self, row: AuditRow) -> None:
+        """Adds a row, or counts it as dropped when the buffer is full."""
+        if len(self) >= self._limit_rows:
+            self._dropped += 1
+            metrics.AUDIT_ROWS_DROPPED.inc()
+            return
+        self._rows.append(row)
+
+    def close(self) -> None:
+        """Marks the next batch that empties the buffer as the final one."""
+        self._closed = True
+
+    def take_batch(self, max_rows: int = _MAX_BATCH_ROWS) -> AuditBatch | None:
+        """Returns the batch to append, or None when there is none.
+
+        The same batch is returned until `confirm` is called with its number.
+        """
+        if self._pending is None and self._has_news():
+            self._pending = self._make_batch(max_rows)
+        return self._pending
+
+    def confirm(self, seq: int) -> None:
+        """Forgets the open batch once the log has acknowledged it."""
+        if self._pending is None or self._pending.seq != seq:
+            return
+        if self._pending.final:
+            self._closed = False
+        self._pending = None
+
+    def _has_news(self) -> bool:
+        return bool(self._rows or self._dropped or self._closed)
+
+    def _make_batch(self, max_rows: int) -> AuditBatch:
+        count = min(max_rows, len(self._rows))
+        rows = [self._rows.popleft() for _ in range(count)]
+        dropped, self._dropped = self._dropped, 0
+        self._seq += 1
+        return AuditBatch(
+            self._writer,
+            self._role,
+            self._incarnation,
+            self._seq,
+            dropped,
+            self._closed and not self._rows,
+            rows,
+        )
+
+
+def encode(batch: AuditBatch) -> str:
+    """Returns the batch as data of a log record."""
+    return msgspec.json.encode(batch).decode()
+
+
+def record_id(batch: AuditBatch) -> str:
+    """Returns the id of the batch's log record."""
+    return f"{batch.writer}/{batch.incarnation}/{batch.seq}"
+
+
+async def append(log: platform_log.LogService, batch: AuditBatch) -> int:
+    """Appends a batch to the audit stream and returns its offset.
+
+    Raises:
+        PlatformError: As LogService.append; the caller keeps the batch and
+            tries again later.
+    """
+    return await log.append(
+        platform_log.AUDIT_STREAM, record_id(batch), encode(batch)
+    )
--- /dev/null
+++ b/src/apricottrestle/cli.py
@@ -0,0 +1,87 @@
+"""Command line: the daemons and the operators' commands.
+
+Exit codes: 0 ok, 1 failed or rejected, 2 bad input or settings, 3 outcome
+unknown, 4 platform not reachable. Results go to stdout, errors to stderr.
+"""
+
+import argparse
+import importlib
+import sys
+from typing import Any
+
+from apricottrestle import cli_output, errors, settings
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs one command and returns the exit code.
+
+    Args:
+        argv: Arguments without the program name; those of the process when
+            None.
+    """
+    args = _parser().parse_args(argv)
+    try:
+        code: int = args.run(args)
+    except errors.ApricottrestleError as exc:
+        return cli_output.report_error(exc, as_json=args.json)
+    return code
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="apricottrestle",
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    _add_daemon(commands, "entry", _run_entry)
+    _add_daemon(commands, "agent", _run_agent)
+    _add_settings(commands)
+    return parser
+
+
+def _add_daemon(commands: Any, name: str, run: Any) -> None:
+    parser = commands.add_parser(name, help=f"run an {name}")
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    parser.set_defaults(run=run, json=False)
+
+
+def _add_settings(commands: Any) -> None:
+    group = commands.add_parser("settings", help="settings files")
+    actions = group.add_subparsers(required=True, metavar="ACTION")
+    parser = actions.add_parser("check", help="check a settings file")
+    parser.add_argument("file", metavar="FILE")
+    parser.add_argument("--json", action="store_true", help="write JSON")
+    parser.set_defaults(run=_run_settings_check)
+
+
+# The daemons are imported late: a command must not pay for loading them, and
+# an entry must not load the agent.
+
+
+def _run_entry(args: argparse.Namespace) -> int:
+    cfg = settings.load_entry(args.settings)
+    importlib.import_module("apricottrestle.entry_daemon").run(cfg)
+    return cli_output.EXIT_OK
+
+
+def _run_agent(args: argparse.Namespace) -> int:
+    cfg = settings.load_agent(args.settings)
+    importlib.import_module("apricottrestle.agent_daemon").run(cfg)
+    return cli_output.EXIT_OK
+
+
+def _run_settings_check(args: argparse.Namespace) -> int:
+    role = settings.role_of(args.file)
+    load = settings.load_agent if role == "agent" else settings.load_entry
+    cfg = load(args.file)
+    cli_output.report(
+        {"ok": True, "role": role, "instance_id": cfg.instance_id},
+        [f"{args.file}: settings of {role} {cfg.instance_id} are valid"],
+        as_json=args.json,
+    )
+    return cli_output.EXIT_OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/apricottrestle/cli_output.py
@@ -0,0 +1,92 @@
+"""Exit codes and output of the operators' commands.
+
+Invariant: results go to stdout, errors to stderr; with `--json` both are one
+JSON object.
+"""
+
+import sys
+from collections.abc import Sequence
+from typing import Any, Final
+
+import msgspec
+
+from apricottrestle import errors
+
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+EXIT_BAD_INPUT: Final = 2
+EXIT_UNKNOWN: Final = 3
+EXIT_UNREACHABLE: Final = 4
+
+
+def report(
+    result: dict[str, Any], lines: Sequence[str], *, as_json: bool
+) -> None:
+    """Writes a result to stdout.
+
+    Args:
+        result: Result for `--json`.
+        lines: Result as text.
+        as_json: Whether `--json` was given.
+    """
+    if as_json:
+        print(msgspec.json.encode(result).decode())
+        return
+    for line in lines:
+        print(line)
+
+
+def report_error(
+    exc: errors.ApricottrestleError,
+    *,
+    as_json: bool,
+    advice: str = "",
+) -> int:
+    """Writes an error to stderr and returns the exit code that fits it.
+
+    Args:
+        exc: The error.
+        as_json: Whether `--json` was given.
+        advice: What to do; chosen by the kind of error when empty.
+    """
+    problems = getattr(exc, "problems", [exc.message])
+    advice = advice or _advice(exc)
+    if as_json:
+        error = {
+            "problems": problems,
+            "advice": advice,
+            "step": exc.step,
+            "peer": exc.peer,
+        }
+        print(msgspec.json.encode({"error": error}).decode(), file=sys.stderr)
+        return _exit_code(exc)
+    for problem in problems:
+        print(f"error: {problem}", file=sys.stderr)
+    print(f"(step {exc.step}, peer {exc.peer}) {advice}", file=sys.stderr)
+    return _exit_code(exc)
+
+
+def _exit_code(exc: errors.ApricottrestleError) -> int:
+    if isinstance(exc, errors.SettingsError):
+        return EXIT_BAD_INPUT
+    if isinstance(exc, errors.ReleaseError):
+        return EXIT_BAD_INPUT if exc.step == "parse" else EXIT_FAILED
+    if isinstance(exc, errors.AppendUnknownError):
+        return EXIT_UNKNOWN
+    if isinstance(exc, errors.PlatformError):
+        return EXIT_UNREACHABLE
+    return EXIT_FAILED
+
+
+def _advice(exc: errors.ApricottrestleError) -> str:
+    if isinstance(exc, errors.SettingsError):
+        return "Correct the file and run `apricottrestle settings check`."
+    if isinstance(exc, errors.ReleaseError):
+        return "Correct the note and run `apricottrestle release check`."
+    if isinstance(exc, errors.RateLimitedError):
+        return f"Try again in {exc.retry_after_s:g} s."
+    if isinstance(exc, errors.AppendUnknownError):
+        return "The record may be stored; find out before you try again."
+    if isinstance(exc, errors.PlatformError):
+        return "Check the platform's address and state, then try again."
+    return "See the daemon's log."
--- /dev/null
+++ b/src/apricottrestle/ops_http.py
@@ -0,0 +1,84 @@
+"""Health, readiness and metrics of a daemon over HTTP."""
+
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any, Self
+
+import prometheus_client
+from tornado import httpserver, netutil, web
+
+NotReady = Callable[[], list[str]]
+"""Returns the reasons why the daemon isn't ready; none when it is."""
+
+
+class _HealthHandler(web.RequestHandler):
+    def get(self) -> None:
+        self.write({"healthy": True})
+
+
+class _ReadyHandler(web.RequestHandler):
+    def initialize(self, not_ready: NotReady) -> None:
+        self._not_ready = not_ready
+
+    def get(self) -> None:
+        reasons = self._not_ready()
+        self.set_status(503 if reasons else 200)
+        self.write({"ready": not reasons, "reasons": reasons})
+
+
+class _MetricsHandler(web.RequestHandler):
+    def get(self) -> None:
+        self.set_header("Content-Type", prometheus_client.CONTENT_TYPE_LATEST)
+        self.write(prometheus_client.generate_latest())
+
+
+def handlers(not_ready: NotReady) -> list[Any]:
+    """Returns the tornado routes of /healthz, /readyz and /metrics."""
+    return [
+        ("/healthz", _HealthHandler),
+        ("/readyz", _ReadyHandler, {"not_ready": not_ready}),
+        ("/metrics", _MetricsHandler),
+    ]
+
+
+class OpsServer:
+    """HTTP server of a daemon's operators. A context manager that owns it.
+
+    Attributes:
+        port: Port in use while open; tells the one chosen for port 0.
+    """
+
+    def __init__(self, address: str, not_ready: NotReady) -> None:
+        """Prepares the server.
+
+        Args:
+            address: "ip:port" to listen on.
+            not_ready: See NotReady.
+        """
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self.port = int(port)
+        self._app = web.Application(
+            handlers(not_ready), log_function=lambda _handler: None
+        )
+
+    def __enter__(self) -> Self:
+        """Starts to listen.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        sockets = netutil.bind_sockets(self.port, self._host)
+        self.port = sockets[0].getsockname()[1]
+        self._server = httpserver.HTTPServer(self._app)
+        self._server.add_sockets(sockets)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops listening."""
+        self._server.stop()
--- /dev/null
+++ b/src/apricottrestle/platform_instances.py
@@ -0,0 +1,113 @@
+"""The platform's instance list: who is where. Late or wrong at times."""
+
+import abc
+import urllib.parse
+from typing import Final, Literal, NamedTuple
+
+import msgspec
+
+from apricottrestle import platform_http
+
+Role = Literal["entry", "agent"]
+InstanceState = Literal["live", "leaving", "gone"]
+
+_PEER: Final = "instances"
+
+
+class InstanceRow(NamedTuple):
+    """A process as the instance list knows it.
+
+    Attributes:
+        instance_id: Id from the process's settings.
+        role: "entry" or "agent".
+        data_centre: Data centre.
+        control: "ip:port" of an agent's control socket, else "".
+        bulk: "ip:port" of an agent's bulk socket, else "".
+        http: "ip:port" of an entry's caller API, or of an agent's health
+            endpoint.
+        state: "live", "leaving" or "gone".
+    """
+
+    instance_id: str
+    role: Role
+    data_centre: str
+    control: str
+    bulk: str
+    http: str
+    state: InstanceState = "live"
+
+
+class InstanceChanges(NamedTuple):
+    """Rows that changed after the version asked for, and the new version."""
+
+    version: int
+    rows: list[InstanceRow]
+
+
+class InstanceList(abc.ABC):
+    """Directory of instances."""
+
+    @abc.abstractmethod
+    async def changes(self, after: int, data_centre: str) -> InstanceChanges:
+        """Returns the rows of a data centre changed after a version.
+
+        Args:
+            after: Version of the last answer, 0 at first.
+            data_centre: Data centre, or "" for all.
+
+        Raises:
+            PlatformError: The list is not reachable or broke its protocol.
+        """
+
+    @abc.abstractmethod
+    async def register(self, row: InstanceRow) -> None:
+        """Adds or replaces the row of an instance.
+
+        Raises:
+            PlatformError: The list is not reachable or refused the row.
+        """
+
+
+class _Row(msgspec.Struct):
+    id: str
+    role: Role
+    data_centre: str
+    control: str
+    bulk: str
+    http: str
+    state: InstanceState
+
+
+class _Changes(msgspec.Struct):
+    version: int
+    rows: list[_Row]
+
+
+class HttpInstanceList(InstanceList):
+    """HTTP client of the instance list."""
+
+    def __init__(self, url: str, *, timeout_s: float = 5.0) -> None:
+        """Prepares the client; `url` is "http://<ip>:<port>"."""
+        self._http = platform_http.PlatformHttp(url, _PEER, timeout_s)
+
+    async def changes(self, after: int, data_centre: str) -> InstanceChanges:
+        """See InstanceList.changes."""
+        query = urllib.parse.urlencode(
+            {"after": after, "data_centre": data_centre}
+        )
+        answer = await self._http.call("GET", f"/instances?{query}", "list")
+        got = platform_http.decode(answer, _Changes, "list", _PEER)
+        rows = [InstanceRow(*msgspec.structs.astuple(row)) for row in got.rows]
+        return InstanceChanges(got.version, rows)
+
+    async def register(self, row: InstanceRow) -> None:
+        """See InstanceList.register."""
+        body = msgspec.json.encode(_Row(*row))
+        name = urllib.parse.quote(row.instance_id, safe="")
+        await self._http.call(
+            "PUT", f"/instances/{name}", "register", body=body
+        )
+
+    def close(self) -> None:
+        """Closes the client's connections."""
+        self._http.close()
--- /dev/null
+++ b/src/apricottrestle/platform_log.py
@@ -0,0 +1,131 @@
+"""The platform's append-only log: interface and HTTP client.
+
+Invariant: `append` raises AppendUnknownError whenever the record may have been
+stored. Any other PlatformError means that it was not stored.
+"""
+
+import abc
+import urllib.parse
+from typing import Final, NamedTuple
+
+import msgspec
+
+from apricottrestle import platform_http
+
+RELEASE_STREAM: Final = "release"
+DRAINS_STREAM: Final = "drains"
+AUDIT_STREAM: Final = "audit"
+
+_PEER: Final = "log"
+
+
+class LogRecord(NamedTuple):
+    """A record of a stream.
+
+    Attributes:
+        offset: Position in the stream, from 1, ascending.
+        time: Time of the append by the log's clock, Unix seconds.
+        record_id: Id chosen by the writer; the log doesn't check it.
+        data: Content.
+    """
+
+    offset: int
+    time: float
+    record_id: str
+    data: str
+
+
+class ReadResult(NamedTuple):
+    """Answer to a read.
+
+    Attributes:
+        first: First offset that the log still retains.
+        next_offset: Offset that the next append will get, or that follows the
+            last record returned when the limit cut the answer.
+        records: Records in ascending order of offset.
+    """
+
+    first: int
+    next_offset: int
+    records: list[LogRecord]
+
+
+class LogService(abc.ABC):
+    """Append-only streams with a limited retention."""
+
+    @abc.abstractmethod
+    async def append(self, stream: str, record_id: str, data: str) -> int:
+        """Appends a record and returns its offset.
+
+        Raises:
+            AppendUnknownError: The answer was lost; the record may be stored.
+            RateLimitedError: Over the append limit; not stored.
+            PlatformError: Not stored.
+        """
+
+    @abc.abstractmethod
+    async def read(self, stream: str, after: int, limit: int) -> ReadResult:
+        """Returns at most `limit` records with offsets above `after`.
+
+        Raises:
+            RateLimitedError: Over the read limit.
+            PlatformError: The log is not reachable or broke its protocol.
+        """
+
+
+class _Appended(msgspec.Struct):
+    offset: int
+
+
+class _Record(msgspec.Struct):
+    offset: int
+    time: float
+    id: str
+    data: str
+
+
+class _Read(msgspec.Struct):
+    first: int
+    next: int
+    records: list[_Record]
+
+
+class HttpLogService(LogService):
+    """HTTP client of the log service."""
+
+    def __init__(self, url: str, *, timeout_s: float = 2.0) -> None:
+        """Prepares the client; it connects at first use.
+
+        Args:
+            url: Base URL, "http://<ip>:<port>".
+            timeout_s: Time limit of one call in seconds.
+        """
+        self._http = platform_http.PlatformHttp(url, _PEER, timeout_s)
+
+    async def append(self, stream: str, record_id: str, data: str) -> int:
+        """See LogService.append."""
+        body = msgspec.json.encode({"id": record_id, "data": data})
+        answer = await self._http.call(
+            "POST", _path(stream), "append", body=body, appends=True
+        )
+        return platform_http.decode_stored(answer, _Appended, _PEER).offset
+
+    async def read(self, stream: str, after: int, limit: int) -> ReadResult:
+        """See LogService.read."""
+        answer = await self._http.call(
+            "GET", f"{_path(stream)}?after={after}&limit={limit}", "read"
+        )
+        got = platform_http.decode(answer, _Read, "read", _PEER)
+        records = [
+            LogRecord(rec.offset, rec.time, rec.id, rec.data)
+            for rec in got.records
+        ]
+        return ReadResult(got.first, got.next, records)
+
+    def close(self) -> None:
+        """Closes the client's connections."""
+        self._http.close()
+
+
+def _path(stream: str) -> str:
+    return f"/streams/{urllib.parse.quote(stream, safe='/')}"
--- /dev/null
+++ b/src/apricottrestle/settings.py
@@ -0,0 +1,449 @@
+"""Settings of a daemon: a TOML file, checked as a whole before anything starts.
+
+Invariant: all problems of a file are reported at once, each with file, key,
+found and expected value; a daemon never starts on a partly checked file.
+"""
+
+import ipaddress
+import math
+import pathlib
+import re
+import tomllib
+from collections.abc import Callable, Mapping
+from typing import Any, Final, Literal, NamedTuple
+from urllib import parse as urllib_parse
+
+from apricottrestle import errors, transport
+
+UpstreamKind = Literal["engine", "service"]
+
+_NAME: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+_Z85_KEY: Final = re.compile(r"[0-9A-Za-z.\-:+=^!/*?&<>()\[\]{}@%$#]{40}")
+_MIN_SECRET_BYTES: Final = 16
+_MISSING: Final = object()
+
+
+class PlatformSettings(NamedTuple):
+    """Where the platform's services are.
+
+    Attributes:
+        log: Base URL of the log.
+        weights: Base URL of the weight store.
+        instances: Base URL of the instance list.
+        log_retention_s: Time for which the log retains a record, in seconds.
+    """
+
+    log: str
+    weights: str
+    instances: str
+    log_retention_s: float
+
+
+class EntrySettings(NamedTuple):
+    """Settings of an entry.
+
+    Attributes:
+        instance_id: Id of this instance, unique in the fleet.
+        data_centre: Data centre of this instance.
+        data_centres: Data centres to use, nearest first; the first is its own.
+        callers: "ip:port" of the caller API.
+        ops: "ip:port" of health, readiness and metrics.
+        fleet_key: CURVE key pair of the fleet.
+        hmac_secret: Secret that authenticates issued idempotency keys.
+        platform: Where the platform's services are.
+        grace_s: Time that a drain leaves running streams, in seconds.
+        max_requests: Requests open at the same time.
+        audit_rows: Audit rows held while the log is down.
+    """
+
+    instance_id: str
+    data_centre: str
+    data_centres: tuple[str, ...]
+    callers: str
+    ops: str
+    fleet_key: transport.FleetKey
+    hmac_secret: bytes
+    platform: PlatformSettings
+    grace_s: float
+    max_requests: int
+    audit_rows: int
+
+
+class UpstreamSettings(NamedTuple):
+    """The upstream beside an agent.
+
+    Attributes:
+        kind: "engine" or "service".
+        url: Base URL.
+        service: Service name; empty for an engine, whose model the placement
+            chooses.
+        slots: Requests that run at the same time.
+        prefill_tokens_per_s: Prefill rate of an engine; 0 for a service.
+    """
+
+    kind: UpstreamKind
+    url: str
+    service: str
+    slots: int
+    prefill_tokens_per_s: float
+
+
+class AgentSettings(NamedTuple):
+    """Settings of an agent.
+
+    Attributes:
+        instance_id: Id of this instance, unique in the fleet.
+        data_centre: Data centre of this instance.
+        data_centres: Data centres to use, nearest first; the first is its own.
+        control: "ip:port" of the control socket.
+        bulk: "ip:port" of the bulk socket.
+        ops: "ip:port" of health, readiness and metrics.
+        fleet_key: CURVE key pair of the fleet.
+        hmac_secret: Secret that authenticates issued idempotency keys.
+        platform: Where the platform's services are.
+        upstream: The upstream of this agent.
+        grace_s: Time that a drain leaves running requests, in seconds.
+        max_queued: Requests queued at the same time.
+        audit_rows: Audit rows held while the log is down.
+    """
+
+    instance_id: str
+    data_centre: str
+    data_centres: tuple[str, ...]
+    control: str
+    bulk: str
+    ops: str
+    fleet_key: transport.FleetKey
+    hmac_secret: bytes
+    platform: PlatformSettings
+    upstream: UpstreamSettings
+    grace_s: float
+    max_queued: int
+    audit_rows: int
+
+
+def load_entry(path: str) -> EntrySettings:
+    """Loads and checks the settings file of an entry.
+
+    Raises:
+        SettingsError: With all problems of the file.
+    """
+    reader = _open(path)
+    got = EntrySettings(
+        *_common(reader),
+        callers=reader.text("addresses.callers", _address),
+        ops=reader.text("addresses.ops", _address),
+        fleet_key=_fleet_key(reader),
+        hmac_secret=_secret(reader),
+        platform=_platform(reader),
+        grace_s=reader.number("grace_s", 30.0, low=0.0, high=3600.0),
+        max_requests=reader.count("limits.max_requests", 20_000),
+        audit_rows=reader.count("limits.audit_rows", 50_000),
+    )
+    _check_data_centres(reader, got.data_centre, got.data_centres)
+    _check_distinct(reader, "addresses.callers", "addresses.ops")
+    reader.finish()
+    return got
+
+
+def load_agent(path: str) -> AgentSettings:
+    """Loads and checks the settings file of an agent.
+
+    Raises:
+        SettingsError: With all problems of the file.
+    """
+    reader = _open(path)
+    got = AgentSettings(
+        *_common(reader),
+        control=reader.text("addresses.control", _address),
+        bulk=reader.text("addresses.bulk", _address),
+        ops=reader.text("addresses.ops", _address),
+        fleet_key=_fleet_key(reader),
+        hmac_secret=_secret(reader),
+        platform=_platform(reader),
+        upstream=_upstream(reader),
+        grace_s=reader.number("grace_s", 30.0, low=0.0, high=3600.0),
+        max_queued=reader.count("limits.max_queued", 4_096),
+        audit_rows=reader.count("limits.audit_rows", 20_000),
+    )
+    _check_data_centres(reader, got.data_centre, got.data_centres)
+    _check_distinct(
+        reader, "addresses.control", "addresses.bulk", "addresses.ops"
+    )
+    reader.finish()
+    return got
+
+
+def role_of(path: str) -> Literal["entry", "agent"]:
+    """Tells for which daemon a settings file is: only agents have an upstream.
+
+    Raises:
+        SettingsError: The file can't be read or isn't TOML.
+    """
+    return "agent" if "upstream" in _load(path) else "entry"
+
+
+Rule = Callable[[str], str]
+"""Returns what was expected of a text when it doesn't fit, else ""."""
+
+
+class _Reader:
+    """Takes values out of the file's tables and collects the problems."""
+
+    def __init__(self, path: str, tables: Mapping[str, Any]) -> None:
+        self._path = path
+        self._tables = tables
+        self._used: set[str] = set()
+        self._problems: list[str] = []
+
+    def problem(self, key: str, found: object, expected: str) -> None:
+        shown = "nothing" if found is _MISSING else repr(found)
+        self._problems.append(
+            f"{self._path}: {key}: found {shown}, expected {expected}"
+        )
+
+    def value(self, key: str) -> Any:
+        self._used.add(key)
+        node: Any = self._tables
+        for part in key.split("."):
+            if not isinstance(node, dict) or part not in node:
+                return _MISSING
+            node = node[part]
+        return node
+
+    def text(self, key: str, rule: Rule, default: str | None = None) -> str:
+        found = self.value(key)
+        if found is _MISSING and default is not None:
+            return default
+        if not isinstance(found, str):
+            self.problem(key, found, rule("") or "a string")
+            return ""
+        expected = rule(found)
+        if expected:
+            self.problem(key, found, expected)
+        return found
+
+    def secret_text(self, key: str, fits: Callable[[str], bool]) -> bool:
+        """Checks a secret without ever quoting it; returns whether it fits."""
+        found = self.value(key)
+        return isinstance(found, str) and fits(found)
+
+    def number(
+        self,
+        key: str,
+        default: float | None,
+        *,
+        low: float,
+        high: float = math.inf,
+    ) -> float:
+        found = self.value(key)
+        if found is _MISSING and default is not None:
+            return default
+        is_number = isinstance(found, int | float) and not isinstance(
+            found, bool
+        )
+        if not is_number or not low <= found <= high or math.isinf(found):
+            self.problem(key, found, f"a number from {low:g} to {high:g}")
+            return low
+        return float(found)
+
+    def count(self, key: str, default: int) -> int:
+        found = self.value(key)
+        if found is _MISSING:
+            return default
+        if type(found) is not int or found < 1:
+            self.problem(key, found, "an integer of at least 1")
+            return default
+        return found
+
+    def names(self, key: str) -> tuple[str, ...]:
+        found = self.value(key)
+        fits = (
+            isinstance(found, list)
+            and bool(found)
+            and all(isinstance(name, str) and not _name(name) for name in found)
+        )
+        if not fits:
+            self.problem(key, found, "a list of one or more names")
+            return ()
+        return tuple(found)
+
+    def finish(self) -> None:
+        """Adds unknown keys to the problems and raises if there are any."""
+        for key, found in _leaves("", self._tables):
+            if key not in self._used:
+                self.problem(key, found, f"no such key{self._similar(key)}")
+        if self._problems:
+            raise errors.SettingsError(self._problems)
+
+    def _similar(self, key: str) -> str:
+        last = key.rpartition(".")[2]
+        for known in sorted(self._used):
+            if known.rpartition(".")[2] == last:
+                return f"; did you mean {known}?"
+        return ""
+
+
+def _open(path: str) -> _Reader:
+    return _Reader(path, _load(path))
+
+
+def _load(path: str) -> dict[str, Any]:
+    try:
+        return tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    except OSError as exc:
+        problem = f"{path}: can't be read: {exc.strerror}"
+    except UnicodeDecodeError:
+        problem = f"{path}: found bytes that aren't UTF-8, expected TOML"
+    except tomllib.TOMLDecodeError as exc:
+        problem = f"{path}: found no valid TOML: {exc}"
+    raise errors.SettingsError([problem])
+
+
+def _leaves(prefix: str, table: Mapping[str, Any]) -> list[tuple[str, object]]:
+    found: list[tuple[str, object]] = []
+    for key, value in table.items():
+        if isinstance(value, dict) and value:
+            found.extend(_leaves(f"{prefix}{key}.", value))
+        else:
+            shown = "a value" if _is_secret(prefix + key) else value
+            found.append((prefix + key, shown))
+    return found
+
+
+def _is_secret(key: str) -> bool:
+    return key.startswith("fleet.") or "secret" in key
+
+
+def _name(text: str) -> str:
+    if _NAME.fullmatch(text):
+        return ""
+    return "a name of 1 to 64 letters, digits, '.', '_', '-'"
+
+
+def _address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        fits = port.isascii() and port.isdigit() and 1 <= int(port) <= 65535
+    except ValueError:
+        fits = False
+    return "" if fits else "'<numeric IP>:<port>'"
+
+
+def _url(text: str) -> str:
+    try:
+        parts = urllib_parse.urlsplit(text)
+        plain = parts.scheme == "http" and not parts.query
+        fits = plain and not _address(f"{parts.hostname}:{parts.port}")
+    except ValueError:
+        fits = False
+    return "" if fits else "'http://<numeric IP>:<port>'"
+
+
+def _kind(text: str) -> str:
+    return "" if text in ("engine", "service") else "'engine' or 'service'"
+
+
+def _common(reader: _Reader) -> tuple[str, str, tuple[str, ...]]:
+    return (
+        reader.text("instance_id", _name),
+        reader.text("data_centre", _name),
+        reader.names("data_centres"),
+    )
+
+
+def _fleet_key(reader: _Reader) -> transport.FleetKey:
+    fits = {
+        key: reader.secret_text(
+            key, lambda text: bool(_Z85_KEY.fullmatch(text))
+        )
+        for key in ("fleet.public_key", "fleet.secret_key")
+    }
+    for key, key_fits in fits.items():
+        if not key_fits:
+            reader.problem(key, _MISSING, "a CURVE key as 40 characters of Z85")
+    if not all(fits.values()):
+        return transport.FleetKey("", "")
+    return transport.FleetKey(
+        reader.value("fleet.public_key"), reader.value("fleet.secret_key")
+    )
+
+
+def _secret(reader: _Reader) -> bytes:
+    key = "fleet.hmac_secret"
+    if not reader.secret_text(key, _is_hex_secret):
+        reader.problem(
+            key, _MISSING, f"at least {_MIN_SECRET_BYTES} bytes in hexadecimal"
+        )
+        return b""
+    return bytes.fromhex(reader.value(key))
+
+
+def _is_hex_secret(text: str) -> bool:
+    try:
+        return len(bytes.fromhex(text)) >= _MIN_SECRET_BYTES
+    except ValueError:
+        return False
+
+
+def _platform(reader: _Reader) -> PlatformSettings:
+    return PlatformSettings(
+        log=reader.text("platform.log", _url),
+        weights=reader.text("platform.weights", _url),
+        instances=reader.text("platform.instances", _url),
+        log_retention_s=reader.number(
+            "platform.log_retention_s", None, low=60.0
+        ),
+    )
+
+
+def _upstream(reader: _Reader) -> UpstreamSettings:
+    kind = reader.text("upstream.kind", _kind)
+    service = reader.text("upstream.service", _name, default="")
+    rate = reader.number("upstream.prefill_tokens_per_s", 0.0, low=0.0)
+    if kind == "service" and not service:
+        reader.problem(
+            "upstream.service", _MISSING, "a name when kind is 'service'"
+        )
+    if kind == "engine" and service:
+        reader.problem(
+            "upstream.service", service, "no service when kind is 'engine'"
+        )
+    if kind == "engine" and rate == 0:
+        reader.problem(
+            "upstream.prefill_tokens_per_s",
+            rate,
+            "more than 0 when kind is 'engine'",
+        )
+    return UpstreamSettings(
+        kind="service" if kind == "service" else "engine",
+        url=reader.text("upstream.url", _url),
+        service=service,
+        slots=reader.count("upstream.slots", 8),
+        prefill_tokens_per_s=rate,
+    )
+
+
+def _check_data_centres(
+    reader: _Reader, own: str, used: tuple[str, ...]
+) -> None:
+    if used and own and used[0] != own:
+        reader.problem(
+            "data_centres", list(used), f"its own data centre {own!r} first"
+        )
+    if len(set(used)) != len(used):
+        reader.problem("data_centres", list(used), "each name once")
+
+
+def _check_distinct(reader: _Reader, *keys: str) -> None:
+    seen: dict[object, str] = {}
+    for key in keys:
+        found = reader.value(key)
+        if found is _MISSING:
+            continue
+        if found in seen:
+            reader.problem(
+                key, found, f"another address than that of {seen[found]}"
+            )
+        seen[found] = key
