Add the operators' commands, publish and the audit export

Cause: operators control the fleet by release notes and planned stops only, and the audit must state its gaps. Conclusion: all commands have a path; tests follow.

--- a/src/apricottrestle/cli.py
+++ b/src/apricottrestle/cli.py
@@ -9,7 +9,14 @@
 import sys
 from typing import Any
 
-from apricottrestle import cli_output, errors, settings
+from apricottrestle import (
+    cli_audit,
+    cli_drain,
+    cli_output,
+    cli_release,
+    errors,
+    settings,
+)
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -37,6 +44,9 @@
     _add_daemon(commands, "entry", _run_entry)
     _add_daemon(commands, "agent", _run_agent)
     _add_settings(commands)
+    cli_release.add_parsers(commands)
+    cli_drain.add_parser(commands)
+    cli_audit.add_parsers(commands)
     return parser
 
 
@@ -73,8 +83,7 @@
 
 def _run_settings_check(args: argparse.Namespace) -> int:
     role = settings.role_of(args.file)
-    load = settings.load_agent if role == "agent" else settings.load_entry
-    cfg = load(args.file)
+    cfg = settings.load(args.file)
     cli_output.report(
         {"ok": True, "role": role, "instance_id": cfg.instance_id},
         [f"{args.file}: settings of {role} {cfg.instance_id} are valid"],
--- /dev/null
+++ b/src/apricottrestle/cli_audit.py
@@ -0,0 +1,162 @@
+"""Command `audit export`: what was served, when, and under which revision."""
+
+import argparse
+import asyncio
+import datetime
+import sys
+from typing import Any, Final
+
+import msgspec
+
+from apricottrestle import audit_export, cli_output, cli_platform
+
+_HEADER: Final = (
+    "start",
+    "end",
+    "req_id",
+    "attempt",
+    "team",
+    "priority",
+    "upstream",
+    "version",
+    "config_rev",
+    "entry",
+    "agent",
+    "outcome",
+    "tokens",
+    "missing",
+)
+
+
+def add_parsers(commands: Any) -> None:
+    """Adds the command to argparse's subparsers."""
+    group = commands.add_parser("audit", help="audit records")
+    actions = group.add_subparsers(required=True, metavar="ACTION")
+    parser = actions.add_parser(
+        "export", help="join the records of entries and agents, list gaps"
+    )
+    parser.add_argument(
+        "--from",
+        dest="since",
+        type=_time,
+        required=True,
+        metavar="TIME",
+        help="ISO 8601 with time zone, or Unix seconds; inclusive",
+    )
+    parser.add_argument(
+        "--to",
+        dest="until",
+        type=_time,
+        required=True,
+        metavar="TIME",
+        help="exclusive",
+    )
+    parser.add_argument(
+        "--part",
+        type=_part,
+        default=(0, 1),
+        metavar="K/N",
+        help="export the K-th of N parts of the requests, to save memory",
+    )
+    cli_platform.add_log_options(parser)
+    parser.set_defaults(run=_run)
+
+
+def _run(args: argparse.Namespace) -> int:
+    part, parts = args.part
+    selection = audit_export.Selection(args.since, args.until, part, parts)
+    result = asyncio.run(_export(args, selection))
+    if args.json:
+        sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
+    else:
+        for line in _lines(result):
+            sys.stdout.write(line + "\n")
+    return cli_output.EXIT_OK
+
+
+async def _export(
+    args: argparse.Namespace, selection: audit_export.Selection
+) -> audit_export.Export:
+    with cli_platform.open_log(args) as log:
+        return await audit_export.export(log, selection)
+
+
+def _lines(result: audit_export.Export) -> list[str]:
+    lines = ["\t".join(_HEADER)]
+    lines += ["\t".join(_fields(joined)) for joined in result.requests]
+    lines.append(f"gaps: {len(result.gaps)}")
+    lines += [_gap_line(gap) for gap in result.gaps]
+    return lines
+
+
+def _fields(joined: audit_export.JoinedRequest) -> list[str]:
+    # The last entry that had the request saw its end; without an entry row the
+    # agent's record stands in.
+    written = (joined.entries or joined.agents)[-1]
+    row = written.row
+    return [
+        _iso(row.start),
+        _iso(row.end),
+        row.req_id,
+        str(row.attempt),
+        row.team,
+        row.priority,
+        row.upstream,
+        row.version,
+        str(row.config_rev),
+        written.writer if joined.entries else row.peer,
+        joined.agent_id,
+        row.outcome,
+        str(row.tokens),
+        joined.missing or "-",
+    ]
+
+
+def _gap_line(gap: audit_export.Gap) -> str:
+    rows = "unknown number of" if gap.rows < 0 else str(gap.rows)
+    batches = f"{gap.first_seq}-{gap.last_seq or ''}"
+    since = _iso(gap.since) if gap.since else "start"
+    until = _iso(gap.until) if gap.until else "now"
+    return "\t".join(
+        (
+            gap.kind,
+            gap.writer or "all writers",
+            gap.incarnation or "-",
+            f"batches {batches}",
+            f"{rows} rows",
+            f"{since} to {until}",
+        )
+    )
+
+
+def _iso(seconds: float) -> str:
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.isoformat(timespec="milliseconds")
+
+
+def _time(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        pass
+    try:
+        moment = datetime.datetime.fromisoformat(text)
+    except ValueError as exc:
+        raise argparse.ArgumentTypeError(
+            f"found {text!r}, expected ISO 8601 or Unix seconds"
+        ) from exc
+    if moment.tzinfo is None:
+        raise argparse.ArgumentTypeError(
+            f"found {text!r} without a time zone, expected e.g. {text}+00:00"
+        )
+    return moment.timestamp()
+
+
+def _part(text: str) -> tuple[int, int]:
+    part, _, parts = text.partition("/")
+    fits = part.isdecimal() and parts.isdecimal()
+    if not fits or not 1 <= int(part) <= int(parts):
+        raise argparse.ArgumentTypeError(
+            f"found {text!r}, expected K/N with 1 <= K <= N"
+        )
+    return int(part) - 1, int(parts)
--- a/src/apricottrestle/cli_output.py
+++ b/src/apricottrestle/cli_output.py
@@ -36,6 +36,13 @@
         print(line)
 
 
+def complain(problems: Sequence[str], advice: str) -> None:
+    """Writes problems, and what to do about them, to stderr."""
+    for problem in problems:
+        print(f"error: {problem}", file=sys.stderr)
+    print(advice, file=sys.stderr)
+
+
 def report_error(
     exc: errors.ApricottrestleError,
     *,
@@ -60,9 +67,7 @@
         }
         print(msgspec.json.encode({"error": error}).decode(), file=sys.stderr)
         return _exit_code(exc)
-    for problem in problems:
-        print(f"error: {problem}", file=sys.stderr)
-    print(f"(step {exc.step}, peer {exc.peer}) {advice}", file=sys.stderr)
+    complain(problems, f"(step {exc.step}, peer {exc.peer}) {advice}")
     return _exit_code(exc)
 
 
--- a/src/apricottrestle/config_sync.py
+++ b/src/apricottrestle/config_sync.py
@@ -106,7 +106,9 @@
         applied: list[Applied] = []
         for record in result.records:
             applied += self._apply_record(record)
-        if self.read_after + 1 >= result.next_offset and not self.has_hole:
+        # Only an empty answer shows the end of the stream: the log may cut an
+        # answer at a smaller limit than the one asked for.
+        if not result.records and not self.has_hole:
             self.ready = True
         return applied
 
@@ -300,6 +302,32 @@
         return None
 
 
+async def catch_up(
+    log: platform_log.LogService, sync: ConfigSync
+) -> list[Applied]:
+    """Reads the release stream to its end.
+
+    Args:
+        log: The log.
+        sync: Folds what was read.
+
+    Returns:
+        The note records folded, with their verdicts.
+
+    Raises:
+        PlatformError: The log is not reachable; what was read before stays
+            folded.
+    """
+    applied: list[Applied] = []
+    while True:
+        result = await log.read(
+            platform_log.RELEASE_STREAM, sync.read_after, READ_LIMIT_RECORDS
+        )
+        applied += sync.apply_records(result)
+        if not result.records:
+            return applied
+
+
 class _RecordMemory:
     """The newest records, bounded in bytes and number.
 
--- a/src/apricottrestle/platform_log.py
+++ b/src/apricottrestle/platform_log.py
@@ -40,8 +40,8 @@
 
     Attributes:
         first: First offset that the log still retains.
-        next_offset: Offset that the next append will get, or that follows the
-            last record returned when the limit cut the answer.
+        next_offset: The log's `next`: an offset above all records returned. An
+            answer without records, not this number, shows the end.
         records: Records in ascending order of offset.
     """
 
--- a/src/apricottrestle/settings.py
+++ b/src/apricottrestle/settings.py
@@ -174,6 +174,15 @@
     return got
 
 
+def load(path: str) -> EntrySettings | AgentSettings:
+    """Loads and checks a settings file of either daemon.
+
+    Raises:
+        SettingsError: With all problems of the file.
+    """
+    return load_agent(path) if role_of(path) == "agent" else load_entry(path)
+
+
 def role_of(path: str) -> Literal["entry", "agent"]:
     """Tells for which daemon a settings file is: only agents have an upstream.
 
