--- a/src/apricottrestle/platform_http.py
+++ b/src/apricottrestle/platform_http.py
@@ -75,10 +75,9 @@
         )
         try:
             answer = await self._get_client().fetch(req, raise_error=False)
-        except OSError as exc:
-            raise errors.PlatformError(
-                f"the call failed: {exc}", step=step, peer=self._peer
-            ) from exc
+        except httpclient.HTTPError as exc:
+            # Without an answer: curl failed, or the client gave up waiting.
+            raise self._error(exc, step, appends and _was_sent(exc)) from exc
         self._raise_for(answer, step, appends)
         return answer.body
 
@@ -108,13 +107,16 @@
                 peer=self._peer,
                 retry_after_s=_retry_after_s(answer),
             )
-        kind = errors.PlatformError
-        if appends and _may_have_acted(answer):
-            kind = errors.AppendUnknownError
-        reason = str(answer.error or f"HTTP {answer.code}")
-        raise kind(
-            f"the call failed: {reason}", step=step, peer=self._peer
-        ) from answer.error
+        # 503 is the published answer of an outage; another 5xx may come from a
+        # gateway that lost the service's answer.
+        unknown = answer.code >= 500 and answer.code != _UNAVAILABLE
+        raise self._error(f"HTTP {answer.code}", step, appends and unknown)
+
+    def _error(
+        self, reason: object, step: str, unknown: bool
+    ) -> errors.PlatformError:
+        kind = errors.AppendUnknownError if unknown else errors.PlatformError
+        return kind(f"the call failed: {reason}", step=step, peer=self._peer)
 
 
 def decode(body: bytes, kind: type[_T], step: str, peer: str) -> _T:
@@ -145,13 +147,10 @@
         ) from exc
 
 
-def _may_have_acted(answer: httpclient.HTTPResponse) -> bool:
-    exc = answer.error
+def _was_sent(exc: httpclient.HTTPError) -> bool:
     if isinstance(exc, curl_httpclient.CurlError):
         return exc.errno not in _NOT_SENT
-    # 503 is the published answer of an outage; another 5xx may come from a
-    # gateway that lost the service's answer.
-    return answer.code >= 500 and answer.code != _UNAVAILABLE
+    return True
 
 
 def _retry_after_s(answer: httpclient.HTTPResponse) -> float:
--- a/src/apricottrestle/release_note.py
+++ b/src/apricottrestle/release_note.py
@@ -208,7 +208,10 @@
             return ()
         for name in names:
             self._check_name(section, verb, name)
-        return tuple(str(name) for name in names)
+        texts = tuple(str(name) for name in names)
+        if len(set(texts)) < len(texts):
+            self._add(f"{section}.{verb}", names, "each name once")
+        return tuple(dict.fromkeys(texts))
 
     def _check_name(self, section: Section, verb: str, name: object) -> None:
         pattern = _VERSION if section == "versions" else _NAME
--- a/src/apricottrestle/settings.py
+++ b/src/apricottrestle/settings.py
@@ -196,6 +196,18 @@
 """Returns what was expected of a text when it doesn't fit, else ""."""
 
 
+class _Hidden:
+    """Stands for a secret in messages: its type and length only."""
+
+    def __init__(self, found: object) -> None:
+        self._shown = type(found).__name__
+        if isinstance(found, str):
+            self._shown = f"{len(found)} characters (hidden)"
+
+    def __repr__(self) -> str:
+        return self._shown
+
+
 class _Reader:
     """Takes values out of the file's tables and collects the problems."""
 
@@ -232,10 +244,17 @@
             self.problem(key, found, expected)
         return found
 
-    def secret_text(self, key: str, fits: Callable[[str], bool]) -> bool:
-        """Checks a secret without ever quoting it; returns whether it fits."""
+    def secret_text(
+        self, key: str, fits: Callable[[str], bool], expected: str
+    ) -> str:
+        """Returns a secret, or "" with a problem that doesn't quote it."""
         found = self.value(key)
-        return isinstance(found, str) and fits(found)
+        if isinstance(found, str) and fits(found):
+            return found
+        if found is not _MISSING:
+            found = _Hidden(found)
+        self.problem(key, found, expected)
+        return ""
 
     def number(
         self,
@@ -315,15 +334,12 @@
         if isinstance(value, dict) and value:
             found.extend(_leaves(f"{prefix}{key}.", value))
         else:
-            shown = "a value" if _is_secret(prefix + key) else value
+            is_secret = "secret" in key or prefix == "fleet."
+            shown = _Hidden(value) if is_secret else value
             found.append((prefix + key, shown))
     return found
 
 
-def _is_secret(key: str) -> bool:
-    return key.startswith("fleet.") or "secret" in key
-
-
 def _name(text: str) -> str:
     if _NAME.fullmatch(text):
         return ""
@@ -363,30 +379,27 @@
 
 
 def _fleet_key(reader: _Reader) -> transport.FleetKey:
-    fits = {
-        key: reader.secret_text(
-            key, lambda text: bool(_Z85_KEY.fullmatch(text))
-        )
-        for key in ("fleet.public_key", "fleet.secret_key")
-    }
-    for key, key_fits in fits.items():
-        if not key_fits:
-            reader.problem(key, _MISSING, "a CURVE key as 40 characters of Z85")
-    if not all(fits.values()):
-        return transport.FleetKey("", "")
     return transport.FleetKey(
-        reader.value("fleet.public_key"), reader.value("fleet.secret_key")
+        _curve_key(reader, "fleet.public_key"),
+        _curve_key(reader, "fleet.secret_key"),
+    )
+
+
+def _curve_key(reader: _Reader, key: str) -> str:
+    return reader.secret_text(
+        key,
+        lambda text: bool(_Z85_KEY.fullmatch(text)),
+        "a CURVE key as 40 characters of Z85",
     )
 
 
 def _secret(reader: _Reader) -> bytes:
-    key = "fleet.hmac_secret"
-    if not reader.secret_text(key, _is_hex_secret):
-        reader.problem(
-            key, _MISSING, f"at least {_MIN_SECRET_BYTES} bytes in hexadecimal"
-        )
-        return b""
-    return bytes.fromhex(reader.value(key))
+    text = reader.secret_text(
+        "fleet.hmac_secret",
+        _is_hex_secret,
+        f"at least {_MIN_SECRET_BYTES} bytes in hexadecimal",
+    )
+    return bytes.fromhex(text)
 
 
 def _is_hex_secret(text: str) -> bool:
--- /dev/null
+++ b/tests/fake_log.py
@@ -0,0 +1,102 @@
+"""A log in memory with outages, lost answers, late appends and retention."""
+
+import collections
+
+from apricottrestle import errors, platform_log
+
+STORED = "stored, answer lost"
+LATE = "stored late, answer lost"
+NEVER = "never stored, answer lost"
+LIMITED = "over the append limit"
+
+
+class FakeLog(platform_log.LogService):
+    """Keeps all records, so that a test can compare with the whole stream.
+
+    Attributes:
+        now: Time given to appended records, Unix seconds.
+        down: Every call fails.
+        reads_down: Reads fail.
+        faults: Faults of the next appends, "" for none.
+        max_answer: Records in one answer at most, whatever limit is asked.
+    """
+
+    def __init__(self) -> None:
+        self.now = 1_000_000.0
+        self.down = False
+        self.reads_down = False
+        self.faults: list[str] = []
+        self.max_answer = 1_000
+        self.streams: dict[str, list[platform_log.LogRecord]] = (
+            collections.defaultdict(list)
+        )
+        self.first: dict[str, int] = collections.defaultdict(lambda: 1)
+        self._late: list[tuple[str, str, str]] = []
+
+    def store(self, stream: str, record_id: str, data: str) -> int:
+        records = self.streams[stream]
+        offset = len(records) + 1
+        records.append(
+            platform_log.LogRecord(offset, self.now, record_id, data)
+        )
+        return offset
+
+    def deliver_late(self) -> None:
+        """Stores the appends that were held back."""
+        late, self._late = self._late, []
+        for stream, record_id, data in late:
+            self.store(stream, record_id, data)
+
+    def read_now(
+        self, stream: str, after: int, limit: int
+    ) -> platform_log.ReadResult:
+        records = self.streams[stream]
+        start = max(after, self.first[stream] - 1)
+        found = records[start : start + min(limit, self.max_answer)]
+        next_offset = found[-1].offset + 1 if found else len(records) + 1
+        return platform_log.ReadResult(
+            self.first[stream], next_offset, list(found)
+        )
+
+    async def append(self, stream: str, record_id: str, data: str) -> int:
+        if self.down:
+            raise errors.PlatformError("down", step="append", peer="log")
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == LIMITED:
+            raise errors.RateLimitedError(
+                "limit", step="append", peer="log", retry_after_s=3.0
+            )
+        if fault == LATE:
+            self._late.append((stream, record_id, data))
+        if fault in (LATE, NEVER):
+            raise errors.AppendUnknownError("cut", step="append", peer="log")
+        offset = self.store(stream, record_id, data)
+        if fault == STORED:
+            raise errors.AppendUnknownError("cut", step="append", peer="log")
+        return offset
+
+    async def read(
+        self, stream: str, after: int, limit: int
+    ) -> platform_log.ReadResult:
+        if self.down or self.reads_down:
+            raise errors.PlatformError("down", step="read", peer="log")
+        return self.read_now(stream, after, limit)
+
+
+class FakeTime:
+    """Monotonic clock whose sleep advances it and runs what is planned."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.planned: list[tuple[float, object]] = []
+
+    def clock(self) -> float:
+        return self.now
+
+    async def sleep(self, seconds: float) -> None:
+        self.now += seconds
+        due = [act for when, act in self.planned if when <= self.now]
+        self.planned = [item for item in self.planned if item[0] > self.now]
+        for act in due:
+            assert callable(act)
+            act()
