Keep the verdict of a note when a later read fails

Cause: a publish whose read-back was cut after the page with its own note reported 'rejected', because the folded records were lost with the exception.

--- a/src/apricottrestle/config_sync.py
+++ b/src/apricottrestle/config_sync.py
@@ -303,22 +303,26 @@
 
 
 async def catch_up(
-    log: platform_log.LogService, sync: ConfigSync
+    log: platform_log.LogService,
+    sync: ConfigSync,
+    applied: list[Applied] | None = None,
 ) -> list[Applied]:
     """Reads the release stream to its end.
 
     Args:
         log: The log.
         sync: Folds what was read.
+        applied: Receives the note records folded; keeps them when a later read
+            fails.
 
     Returns:
-        The note records folded, with their verdicts.
+        The note records folded, after those that `applied` held before.
 
     Raises:
         PlatformError: The log is not reachable; what was read before stays
             folded.
     """
-    applied: list[Applied] = []
+    applied = [] if applied is None else applied
     while True:
         result = await log.read(
             platform_log.RELEASE_STREAM, sync.read_after, READ_LIMIT_RECORDS
--- a/src/apricottrestle/release_publish.py
+++ b/src/apricottrestle/release_publish.py
@@ -143,9 +143,10 @@
     sleep: Sleep,
 ) -> PublishResult:
     deadline = clock() + RESOLVE_S
+    applied: list[config_sync.Applied] = []
     while True:
         try:
-            applied = await config_sync.catch_up(log, sync)
+            await config_sync.catch_up(log, sync, applied)
             result = _verdict(applied, sync, note, text, offset)
             if result is not None:
                 return result
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -1,8 +1,16 @@
 """A log in memory with outages, lost answers, late appends and retention."""
 
+import asyncio
 import collections
+from collections.abc import Callable
 
-from apricottrestle import errors, platform_log
+from apricottrestle import (
+    config_state,
+    errors,
+    messages,
+    platform_log,
+    release_fold,
+)
 
 STORED = "stored, answer lost"
 LATE = "stored late, answer lost"
@@ -18,6 +26,7 @@
         down: Every call fails.
         reads_down: Reads fail.
         faults: Faults of the next appends, "" for none.
+        read_faults: Whether each of the next reads fails.
         max_answer: Records in one answer at most, whatever limit is asked.
     """
 
@@ -26,6 +35,7 @@
         self.down = False
         self.reads_down = False
         self.faults: list[str] = []
+        self.read_faults: list[bool] = []
         self.max_answer = 1_000
         self.streams: dict[str, list[platform_log.LogRecord]] = (
             collections.defaultdict(list)
@@ -41,6 +51,25 @@
         )
         return offset
 
+    def notes(self) -> list[messages.NoteRecord]:
+        """Returns all notes of the release stream, retained or not."""
+        return [
+            messages.NoteRecord(rec.offset, rec.record_id, rec.data)
+            for rec in self.streams[platform_log.RELEASE_STREAM]
+            if not release_fold.is_snapshot(rec.record_id)
+        ]
+
+    def store_snapshot(self, state: config_state.ConfigState) -> None:
+        """Stores a snapshot of the stream's whole fold."""
+        stream = platform_log.RELEASE_STREAM
+        position = len(self.streams[stream])
+        snapshot = release_fold.Snapshot(position, self.now, state)
+        self.store(
+            stream,
+            f"{release_fold.SNAPSHOT_PREFIX}{position}",
+            release_fold.encode_snapshot(snapshot),
+        )
+
     def deliver_late(self) -> None:
         """Stores the appends that were held back."""
         late, self._late = self._late, []
@@ -59,6 +88,7 @@
         )
 
     async def append(self, stream: str, record_id: str, data: str) -> int:
+        await asyncio.sleep(0)
         if self.down:
             raise errors.PlatformError("down", step="append", peer="log")
         fault = self.faults.pop(0) if self.faults else ""
@@ -78,7 +108,9 @@
     async def read(
         self, stream: str, after: int, limit: int
     ) -> platform_log.ReadResult:
-        if self.down or self.reads_down:
+        await asyncio.sleep(0)
+        fault = self.read_faults.pop(0) if self.read_faults else False
+        if self.down or self.reads_down or fault:
             raise errors.PlatformError("down", step="read", peer="log")
         return self.read_now(stream, after, limit)
 
@@ -88,15 +120,15 @@
 
     def __init__(self) -> None:
         self.now = 0.0
-        self.planned: list[tuple[float, object]] = []
+        self.planned: list[tuple[float, Callable[[], None]]] = []
 
     def clock(self) -> float:
         return self.now
 
     async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(0)
         self.now += seconds
         due = [act for when, act in self.planned if when <= self.now]
         self.planned = [item for item in self.planned if item[0] > self.now]
         for act in due:
-            assert callable(act)
             act()
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -30,13 +30,7 @@
 
 
 def _reference(log: fake_log.FakeLog) -> config_state.ConfigState:
-    return notes.fold_all(
-        [
-            messages.NoteRecord(rec.offset, rec.record_id, rec.data)
-            for rec in log.streams[_STREAM]
-            if not release_fold.is_snapshot(rec.record_id)
-        ]
-    )
+    return notes.fold_all(log.notes())
 
 
 def _sync() -> config_sync.ConfigSync:
