Add a state machine of racing operators, outages and retention

Cause: no fixed test covers the orders in which faults meet. Change: a fleet of two entries and two agents around a log in memory; a hypothesis machine with racing publishes, lost and late appends, updates out of order and duplicated, restarts, freezes, outages and retention.

--- a/src/apricottrestle/config_sync.py
+++ b/src/apricottrestle/config_sync.py
@@ -174,7 +174,11 @@
         return record_id, self._encoded_snapshot()
 
     def _snapshot_needed(self, now: float) -> bool:
-        if not self.ready or self.revision == 0 or self._needed_since is None:
+        # A snapshot with a hole behind it would stand in the way of a whole
+        # one, because it makes the other entries wait.
+        if not self.ready or self.has_hole or self.revision == 0:
+            return False
+        if self._needed_since is None:
             return False
         old = now - self._needed_since > self._retention_s / 3
         return old or self._notes_since_snapshot >= SNAPSHOT_RECORDS
@@ -189,15 +193,16 @@
         )
 
     def _note_hole(self, first: int) -> None:
-        if first > self.read_after + 1:
-            self._hole_until = first - 1
-            self._held.clear()
-            logs.decision(
-                _LOG,
-                "release records lost",
-                position=self.position,
-                first=first,
-            )
+        if first <= self.read_after + 1 or first - 1 == self._hole_until:
+            return
+        self._hole_until = first - 1
+        self._held.clear()
+        logs.decision(
+            _LOG,
+            "release records lost",
+            position=self.position,
+            first=first,
+        )
 
     def _apply_record(self, record: platform_log.LogRecord) -> list[Applied]:
         if record.offset <= self.read_after:
--- /dev/null
+++ b/tests/release_fleet.py
@@ -0,0 +1,166 @@
+"""Entries and agents around a log in memory, with messages in flight."""
+
+import asyncio
+import random
+
+from apricottrestle import (
+    config_state,
+    config_sync,
+    errors,
+    messages,
+    platform_log,
+    release_fold,
+    release_publish,
+)
+from tests import fake_log, notes
+
+STREAM = platform_log.RELEASE_STREAM
+RETENTION_S = 9_000.0
+
+
+class Fleet:
+    """Processes by name, "e0".. for entries and "a0".. for agents.
+
+    Attributes:
+        log: The log.
+        syncs: Configuration of each process that lives.
+        frozen: Processes that do nothing for now.
+        in_flight: Updates on their way, with their receivers.
+    """
+
+    def __init__(self, entries: int = 2, agents: int = 2) -> None:
+        self.log = fake_log.FakeLog()
+        self.entries = [f"e{number}" for number in range(entries)]
+        self.agents = [f"a{number}" for number in range(agents)]
+        self.syncs: dict[str, config_sync.ConfigSync] = {}
+        self.frozen: set[str] = set()
+        self.in_flight: list[tuple[str, messages.ConfigUpdate]] = []
+        self._seed = 0
+        self._lowest: dict[str, int] = {}
+        for name in [*self.entries, *self.agents]:
+            self.restart(name)
+
+    def restart(self, name: str) -> None:
+        """Replaces a process by a new one that knows nothing."""
+        self._seed += 1
+        self.syncs[name] = config_sync.ConfigSync(
+            RETENTION_S, random.Random(self._seed)
+        )
+        self._lowest[name] = 0
+        self.in_flight = [item for item in self.in_flight if item[0] != name]
+
+    def poll(self, name: str) -> None:
+        """An entry reads the log, and appends a snapshot that is due."""
+        if name in self.frozen:
+            return
+        asyncio.run(self._poll(name))
+
+    async def _poll(self, name: str) -> None:
+        sync = self.syncs[name]
+        try:
+            await config_sync.catch_up(self.log, sync)
+            due = sync.snapshot_due(self.log.now)
+            if due is not None:
+                await self.log.append(STREAM, *due)
+        except errors.PlatformError:
+            pass
+
+    def ask(self, name: str, peer: str) -> None:
+        """A process asks a peer; the answer is in flight afterwards."""
+        if {name, peer} & self.frozen:
+            return
+        request = messages.ConfigRequest(self.syncs[name].revision)
+        self.in_flight.append((name, self.syncs[peer].answer(request)))
+
+    def deliver(self, index: int, *, keep: bool = False) -> None:
+        """Delivers an update out of order; `keep` leaves a duplicate."""
+        name, update = self.in_flight[index]
+        if not keep:
+            del self.in_flight[index]
+        if name not in self.frozen:
+            self.syncs[name].apply_update(update)
+
+    def gossip(self) -> None:
+        """Each agent asks each entry, and each entry each agent."""
+        for first, second in (
+            (self.agents, self.entries),
+            (self.entries, self.agents),
+        ):
+            for name in first:
+                for peer in second:
+                    self.ask(name, peer)
+                    while self.in_flight:
+                        self.deliver(0)
+
+    def settle(self) -> None:
+        """Faults are over; some polls and exchanges later."""
+        self.log.down = self.log.reads_down = False
+        self.log.faults.clear()
+        self.log.read_faults.clear()
+        self.frozen.clear()
+        for _ in range(2):
+            for name in self.entries:
+                self.poll(name)
+            self.gossip()
+
+    def publish(self, *texts: str) -> list[release_publish.PublishResult]:
+        """Operators publish at the same time.
+
+        A call that fails before the append counts as rejected.
+        """
+        time = fake_log.FakeTime()
+
+        async def one(text: str) -> release_publish.PublishResult:
+            try:
+                return await release_publish.publish(
+                    self.log, text, clock=time.clock, sleep=time.sleep
+                )
+            except errors.PlatformError as exc:
+                return release_publish.PublishResult(
+                    "rejected", 0, [exc.message]
+                )
+
+        async def run() -> list[release_publish.PublishResult]:
+            return await asyncio.gather(*(one(text) for text in texts))
+
+        return asyncio.run(run())
+
+    def expire(self) -> None:
+        """The log drops the records that are past retention."""
+        records = self.log.streams[STREAM]
+        oldest = self.log.now - RETENTION_S
+        kept = [rec.offset for rec in records if rec.time >= oldest]
+        self.log.first[STREAM] = kept[0] if kept else len(records) + 1
+
+    def reference(self) -> dict[int, config_state.ConfigState]:
+        """Returns the state at each revision of the whole stream's fold."""
+        state = config_state.EMPTY
+        states = {0: state}
+        for record in self.log.notes():
+            state = release_fold.fold_note(state, record).state
+            states[state.revision] = state
+        return states
+
+    def check(self) -> None:
+        """Every state is one of the fold's, and none has gone back."""
+        states = self.reference()
+        for name, sync in self.syncs.items():
+            assert sync.state == states[sync.revision], name
+            assert sync.revision >= self._lowest[name], name
+            self._lowest[name] = sync.revision
+            assert sync.revision <= sync.position
+
+    def check_settled(self) -> None:
+        """Everyone runs the newest accepted note."""
+        newest = max(self.reference())
+        found = {name: sync.revision for name, sync in self.syncs.items()}
+        assert found == dict.fromkeys(self.syncs, newest)
+        assert all(sync.ready for sync in self.syncs.values())
+
+
+def publish_first(fleet: Fleet) -> None:
+    """Publishes the first note and brings it to all processes."""
+    result = fleet.publish(notes.FIRST)[0]
+    assert result.verdict == "accepted"
+    fleet.settle()
+    fleet.check_settled()
--- /dev/null
+++ b/tests/test_machine_release.py
@@ -0,0 +1,124 @@
+"""Random sequences of faults around the release stream.
+
+Guards against any order of racing operators, lost answers, outages, retention,
+restarts and reordered updates in which a process reverts, holds a state that
+the stream's fold never had, or is told a verdict that the fold doesn't share.
+"""
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from tests import fake_log, notes, release_fleet
+
+_NAMES = ("e0", "e1", "a0", "a1")
+_FAULTS = st.sampled_from(
+    ["", fake_log.STORED, fake_log.LATE, fake_log.NEVER, fake_log.LIMITED]
+)
+
+
+class ReleaseMachine(stateful.RuleBasedStateMachine):
+    """Two entries and two agents around a log."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = release_fleet.Fleet()
+        release_fleet.publish_first(self.fleet)
+        self.count = 0
+        self.accepted: list[tuple[int, str]] = []
+        self.rejected: list[str] = []
+
+    def _text(self, lag: int) -> str:
+        self.count += 1
+        revisions = sorted(self.fleet.reference())
+        base = revisions[max(0, len(revisions) - 1 - lag)]
+        return notes.share_note(f"n{self.count}", base, self.count)
+
+    @stateful.rule(
+        lags=st.lists(st.integers(0, 1), min_size=1, max_size=3),
+        faults=st.lists(_FAULTS, max_size=3),
+    )
+    def publish(self, lags: list[int], faults: list[str]) -> None:
+        self.fleet.log.faults = list(faults)
+        texts = [self._text(lag) for lag in lags]
+        results = self.fleet.publish(*texts)
+        self.fleet.log.faults.clear()
+        for text, result in zip(texts, results, strict=True):
+            if result.verdict == "accepted":
+                self.accepted.append((result.offset, text))
+            elif result.verdict == "rejected":
+                self.rejected.append(text)
+
+    @stateful.rule()
+    def deliver_late_appends(self) -> None:
+        self.fleet.log.deliver_late()
+
+    @stateful.rule(name=st.sampled_from(("e0", "e1")), page=st.integers(1, 9))
+    def poll(self, name: str, page: int) -> None:
+        self.fleet.log.max_answer = page
+        self.fleet.poll(name)
+
+    @stateful.rule(name=st.sampled_from(_NAMES), peer=st.sampled_from(_NAMES))
+    def ask(self, name: str, peer: str) -> None:
+        self.fleet.ask(name, peer)
+
+    @stateful.precondition(lambda self: self.fleet.in_flight)
+    @stateful.rule(data=st.data(), keep=st.booleans())
+    def deliver(self, data: st.DataObject, keep: bool) -> None:
+        count = len(self.fleet.in_flight)
+        index = data.draw(st.integers(0, count - 1))
+        self.fleet.deliver(index, keep=keep)
+
+    @stateful.rule(name=st.sampled_from(_NAMES))
+    def restart(self, name: str) -> None:
+        self.fleet.restart(name)
+
+    @stateful.rule(name=st.sampled_from(_NAMES))
+    def freeze_or_thaw(self, name: str) -> None:
+        self.fleet.frozen ^= {name}
+
+    @stateful.rule(down=st.booleans())
+    def log_goes_down_or_up(self, down: bool) -> None:
+        self.fleet.log.down = down
+
+    @stateful.rule(hours=st.sampled_from([0.01, 0.2, 0.9]))
+    def time_passes(self, hours: float) -> None:
+        """Retention is two and a half hours."""
+        self.fleet.log.now += hours * 3600
+        for name in self.fleet.entries:
+            self.fleet.poll(name)
+        self.fleet.log.now += 30.0
+        for name in self.fleet.entries:
+            self.fleet.poll(name)
+        self.fleet.expire()
+
+    @stateful.invariant()
+    def nobody_reverts(self) -> None:
+        self.fleet.check()
+
+    @stateful.invariant()
+    def verdicts_agree_with_the_fold(self) -> None:
+        states = self.fleet.reference()
+        records = {rec.offset: rec for rec in self.fleet.log.notes()}
+        for offset, text in self.accepted:
+            assert records[offset].data == text
+            assert offset in states
+        in_force = {records[rev].data for rev in states if rev}
+        for text in self.rejected:
+            assert text not in in_force
+
+    def teardown(self) -> None:
+        self.fleet.settle()
+        self.fleet.check()
+        best = max(sync.revision for sync in self.fleet.syncs.values())
+        whole = [
+            name
+            for name in self.fleet.entries
+            if not self.fleet.syncs[name].has_hole
+        ]
+        if whole:
+            best = max(self.fleet.reference())
+        for name, sync in self.fleet.syncs.items():
+            assert sync.revision == best, name
+
+
+TestReleaseMachine = ReleaseMachine.TestCase
