--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed-dev
 BENCH_STAMP := $(VENV)/.installed-bench
 
-.PHONY: demo test lint types unit fuzz bench bench-capacity matrix clean
+.PHONY: demo test lint types unit fuzz bench bench-capacity matrix mutations clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -40,6 +40,9 @@
 bench-capacity: $(BENCH_STAMP)
 	$(BIN)/python -m bench.capacity
 
+mutations: $(STAMP)
+	$(BIN)/python -m tests.mutations
+
 matrix: $(STAMP)
 	$(BIN)/python -m tests.matrix_page
 
