--- a/src/apricottrestle/queueing.py
+++ b/src/apricottrestle/queueing.py
@@ -6,10 +6,13 @@
 
 import abc
 import collections
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from apricottrestle import messages
 
+LONG_PROMPT_TOKENS: Final = 32_768
+"""Prompts above this count as long: about 1.5 s of prefill on one engine."""
+
 
 class QueueItem(NamedTuple):
     """A queued request.
@@ -45,12 +48,16 @@
         kv_tokens_free: KV cache not allocated, in tokens.
         prefill_tokens_left: Prompt tokens of running requests not computed.
         prefill_tokens_per_s: Prefill rate of the engine.
+        prefills: Running requests without a first token.
+        long_prefills: Those of them with more than LONG_PROMPT_TOKENS.
     """
 
     slots_free: int
     kv_tokens_free: int
     prefill_tokens_left: int
     prefill_tokens_per_s: float
+    prefills: int = 0
+    long_prefills: int = 0
 
 
 class RequestQueue(abc.ABC):
--- /dev/null
+++ b/src/apricottrestle/queueing_fair.py
@@ -0,0 +1,320 @@
+"""The shipped queue: priority classes with floors, and fair team shares.
+
+Order of choice: class, then team, then item.
+
+- The most urgent class goes first. A class that has received less than its
+  floor of the tokens started while it was waiting goes before it.
+- Within a class the team with the least tokens started per weight goes first
+  (start-time fair queueing). A team that was idle gets no credit for it.
+- Within a team an item is due at its arrival plus a patience in proportion to
+  its prompt, and the earliest due goes first. Short requests overtake long
+  ones, and waiting long ones still come up.
+
+Long prompts have a place of their own: at most `max_long_prefills` run at a
+time, and short requests pass a long one that has to wait for it.
+
+Invariant: an item is in exactly one team queue, and `queued_tokens` is the sum
+over these items.
+"""
+
+import heapq
+from typing import Final, NamedTuple
+
+from apricottrestle import messages, queueing
+
+CLASSES: Final = len(messages.PRIORITIES)
+
+PATIENCE_S_PER_TOKEN: Final = 0.0005
+"""Due time per prompt token, about ten times the prefill time of a token."""
+
+FLOOR_BURST_TOKENS: Final = 32_768
+"""A class uses its floor at once for items up to this size; for longer ones it
+goes into debt, so that a 1M-token item doesn't wait until 1M tokens of credit
+have gathered."""
+
+MAX_DEBTS: Final = 256
+"""Idle teams remembered before those without a debt are dropped."""
+
+
+class QueueSettings(NamedTuple):
+    """Settings of the queue. The flags exist for the ablation in the bench.
+
+    Attributes:
+        floors: Least share of the started tokens per class, 0 to 1.
+        by_priority: Serve classes in order of urgency.
+        by_team: Share between teams by weight.
+        short_first: Let short requests overtake long ones.
+        max_prefills: An item of each class starts only while fewer requests
+            are in prefill.
+        max_long_prefills: Long requests in prefill at a time.
+        headroom_slots: Slots that an item of each class leaves free.
+        headroom_kv_tokens: KV cache that an item of each class leaves free.
+    """
+
+    floors: tuple[float, ...] = (0.0, 0.1, 0.05)
+    by_priority: bool = True
+    by_team: bool = True
+    short_first: bool = True
+    max_prefills: tuple[int, ...] = (4, 3, 2)
+    max_long_prefills: int = 1
+    headroom_slots: tuple[int, ...] = (0, 2, 4)
+    headroom_kv_tokens: tuple[int, ...] = (0, 0, 0)
+
+
+class _Entry(NamedTuple):
+    """Heap entry; `item` is never compared, because `seq` is unique."""
+
+    due: float
+    seq: int
+    item: queueing.QueueItem
+
+
+class _Team:
+    """Items of one team in one class."""
+
+    __slots__ = ("long", "queued_tokens", "served", "short", "weight")
+
+    def __init__(self, weight: float) -> None:
+        self.weight = weight
+        self.served = 0.0
+        self.queued_tokens = 0
+        self.short: list[_Entry] = []
+        self.long: list[_Entry] = []
+
+
+class _Class:
+    """Teams of one class, and the tokens that its floor still owes it."""
+
+    __slots__ = ("credit", "debts", "queued_tokens", "served", "teams")
+
+    def __init__(self) -> None:
+        self.teams: dict[str, _Team] = {}
+        self.debts: dict[str, float] = {}
+        self.queued_tokens = 0
+        self.served = 0.0
+        self.credit = 0.0
+
+
+def cost_tokens(item: queueing.QueueItem) -> int:
+    """Returns the tokens that an item is charged for."""
+    return max(1, item.prompt_tokens + item.max_tokens)
+
+
+class PriorityFairQueue(queueing.RequestQueue):
+    """Priority classes with floors, fair between teams, short ones first."""
+
+    def __init__(self, settings: QueueSettings | None = None) -> None:
+        """Starts empty."""
+        self._settings = settings or QueueSettings()
+        self._classes = [_Class() for _ in range(CLASSES)]
+        self._items: dict[str, queueing.QueueItem] = {}
+        self._seq = 0
+
+    def set_floors(self, floors: tuple[float, ...]) -> None:
+        """Replaces the floors of the classes, 0 to 1 each, most urgent first.
+
+        Raises:
+            ValueError: Not one floor per class, or their sum is over 1.
+        """
+        if len(floors) != CLASSES or min(floors) < 0 or sum(floors) > 1:
+            raise ValueError(
+                f"floors {floors}: expected {CLASSES} shares of at least 0 "
+                "with a sum of at most 1"
+            )
+        self._settings = self._settings._replace(floors=floors)
+
+    def push(self, item: queueing.QueueItem) -> None:
+        """Adds an item; one of the same request id is replaced."""
+        self.remove(item.req_id)
+        group = self._classes[self._class_of(item)]
+        name = item.team if self._settings.by_team else ""
+        team = group.teams.get(name)
+        if team is None:
+            team = group.teams[name] = _Team(max(item.weight, 1e-6))
+            team.served = max(group.served, group.debts.pop(name, 0.0))
+        team.weight = max(item.weight, 1e-6)
+        self._seq += 1
+        patience = PATIENCE_S_PER_TOKEN if self._settings.short_first else 0.0
+        due = item.enqueued + patience * item.prompt_tokens
+        heap = team.long if self._is_long(item) else team.short
+        heapq.heappush(heap, _Entry(due, self._seq, item))
+        team.queued_tokens += item.prompt_tokens
+        group.queued_tokens += item.prompt_tokens
+        self._items[item.req_id] = item
+
+    def pop(
+        self, capacity: queueing.Capacity, now: float
+    ) -> queueing.QueueItem | None:
+        """Removes and returns the item to start now, or None when none fits.
+
+        An item that is due and lacks memory holds back its own and all less
+        urgent classes; otherwise smaller items would take the memory for ever.
+        """
+        for index in self._class_order():
+            item, blocked = self._pick(index, capacity, now)
+            if item is not None:
+                self._charge(index, item)
+                self.remove(item.req_id)
+                return item
+            if blocked:
+                return None
+        return None
+
+    def remove(self, req_id: str) -> queueing.QueueItem | None:
+        """Removes an item by request id; returns None when it isn't queued."""
+        item = self._items.pop(req_id, None)
+        if item is None:
+            return None
+        group = self._classes[self._class_of(item)]
+        name = item.team if self._settings.by_team else ""
+        team = group.teams[name]
+        team.queued_tokens -= item.prompt_tokens
+        group.queued_tokens -= item.prompt_tokens
+        self._trim(team.short)
+        self._trim(team.long)
+        if not team.short and not team.long:
+            self._forget_team(group, name)
+        if not group.teams:
+            group.credit = min(group.credit, 0.0)
+        return item
+
+    def queued_tokens(self) -> list[int]:
+        """Returns queued prompt tokens per priority class."""
+        totals = [0] * CLASSES
+        if self._settings.by_priority:
+            return [group.queued_tokens for group in self._classes]
+        for item in self._items.values():
+            totals[item.priority] += item.prompt_tokens
+        return totals
+
+    def expected_wait_s(
+        self, item: queueing.QueueItem, capacity: queueing.Capacity
+    ) -> float:
+        """Returns the time until the item would start if it were pushed now.
+
+        Other teams of the class count only as far as their share lets them go
+        ahead, and more urgent classes only as far as the floor of the item's
+        class lets them.
+        """
+        index = self._class_of(item)
+        rate = capacity.prefill_tokens_per_s
+        own_class = self._fair_ahead(index, item)
+        higher = sum(g.queued_tokens for g in self._classes[:index])
+        running = capacity.prefill_tokens_left
+        wait_s = (own_class + higher + running) / rate
+        floor = self._settings.floors[index]
+        if floor > 0 and higher:
+            wait_s = min(wait_s, (own_class + running) / (rate * floor))
+        return wait_s
+
+    def __len__(self) -> int:
+        """Returns the number of queued items."""
+        return len(self._items)
+
+    def _class_of(self, item: queueing.QueueItem) -> int:
+        return item.priority if self._settings.by_priority else 0
+
+    def _is_long(self, item: queueing.QueueItem) -> bool:
+        return (
+            self._settings.short_first
+            and item.prompt_tokens > queueing.LONG_PROMPT_TOKENS
+        )
+
+    def _fair_ahead(self, index: int, item: queueing.QueueItem) -> float:
+        """Returns tokens of the class that start before the item."""
+        group = self._classes[index]
+        if not self._settings.by_team:
+            return group.queued_tokens
+        own = group.teams.get(item.team)
+        own_tokens = own.queued_tokens if own else 0
+        per_weight = (own_tokens + item.prompt_tokens) / max(item.weight, 1e-6)
+        ahead = float(own_tokens)
+        for name, team in group.teams.items():
+            if name != item.team:
+                ahead += min(team.queued_tokens, per_weight * team.weight)
+        return ahead
+
+    def _class_order(self) -> list[int]:
+        """Returns classes with items: those owed their floor, then by rank."""
+        waiting = [i for i in range(CLASSES) if self._classes[i].teams]
+        owed = [
+            i for i in waiting if self._classes[i].credit >= self._head_cost(i)
+        ]
+        return owed + [i for i in waiting if i not in owed]
+
+    def _head_cost(self, index: int) -> int:
+        """Returns the credit that the class needs before it goes first."""
+        teams = self._classes[index].teams
+        team = min(teams.values(), key=lambda t: t.served)
+        heads = [h[0] for h in (team.short, team.long) if h]
+        head = min(heads, key=lambda entry: (entry.due, entry.seq))
+        return min(cost_tokens(head.item), FLOOR_BURST_TOKENS)
+
+    def _pick(
+        self, index: int, capacity: queueing.Capacity, now: float
+    ) -> tuple[queueing.QueueItem | None, bool]:
+        """Returns the item to start, and whether a due one lacks memory."""
+        settings = self._settings
+        if capacity.slots_free <= settings.headroom_slots[index]:
+            return None, False
+        if capacity.prefills >= settings.max_prefills[index]:
+            return None, False
+        kv_free = capacity.kv_tokens_free - settings.headroom_kv_tokens[index]
+        long_open = capacity.long_prefills < settings.max_long_prefills
+        teams = self._classes[index].teams.values()
+        for team in sorted(teams, key=lambda t: t.served):
+            for entry in _heads(team, long_open):
+                if entry.item.kv_tokens <= kv_free:
+                    return entry.item, False
+                if now >= entry.due:
+                    return None, True
+        return None, False
+
+    def _charge(self, index: int, item: queueing.QueueItem) -> None:
+        cost = cost_tokens(item)
+        group = self._classes[index]
+        name = item.team if self._settings.by_team else ""
+        team = group.teams[name]
+        group.served = max(group.served, team.served)
+        team.served += cost / team.weight
+        if any(higher.teams for higher in self._classes[:index]):
+            group.credit -= cost
+        else:
+            group.credit = max(min(group.credit, 0.0), group.credit - cost)
+        for other, floor in zip(
+            self._classes, self._settings.floors, strict=True
+        ):
+            if other.teams:
+                other.credit += cost * floor
+
+    def _forget_team(self, group: _Class, name: str) -> None:
+        """Drops an idle team, but not what it received ahead of its share.
+
+        Otherwise a team that queues one request at a time would never fall
+        behind the others.
+        """
+        served = group.teams.pop(name).served
+        if served > group.served:
+            group.debts[name] = served
+        if len(group.debts) > MAX_DEBTS:
+            group.debts = {
+                team: debt
+                for team, debt in group.debts.items()
+                if debt > group.served
+            }
+
+    def _trim(self, heap: list[_Entry]) -> None:
+        """Drops removed entries from the head of a heap."""
+        while heap:
+            item = heap[0].item
+            if self._items.get(item.req_id) is item:
+                return
+            heapq.heappop(heap)
+
+
+def _heads(team: _Team, long_open: bool) -> list[_Entry]:
+    """Returns the team's candidates to start, earliest due first."""
+    heads = [team.short[0]] if team.short else []
+    if team.long and long_open:
+        heads.append(team.long[0])
+    return sorted(heads, key=lambda entry: (entry.due, entry.seq))
--- a/src/apricottrestle/routing.py
+++ b/src/apricottrestle/routing.py
@@ -2,7 +2,7 @@
 
 import abc
 import random
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from apricottrestle import upstream_table
 
@@ -58,6 +58,9 @@
     candidates: list[ScoredCandidate]
 
 
+NO_CANDIDATE: Final = RouteDecision("", "no_candidate", [])
+
+
 class Router(abc.ABC):
     """Routing policy. Holds no table of its own."""
 
@@ -82,6 +85,13 @@
     )
 
 
+def _chosen(row: upstream_table.UpstreamRow, reason: str) -> RouteDecision:
+    """Returns the decision of a baseline, which computes no estimate."""
+    return RouteDecision(
+        row.agent_id, reason, [ScoredCandidate(row.agent_id, 0.0)]
+    )
+
+
 class LeastOutstandingRouter(Router):
     """Sends to the agent with the fewest own requests; a baseline."""
 
@@ -99,10 +109,49 @@
         del now
         rows = [r for r in table.by_upstream(req.model) if serves(r, req)]
         if not rows:
-            return RouteDecision("", "no_candidate", [])
+            return NO_CANDIDATE
         best = min(rows, key=lambda r: (r.outstanding, self._rng.random()))
-        return RouteDecision(
-            best.agent_id,
-            "least_outstanding",
-            [ScoredCandidate(best.agent_id, 0.0)],
-        )
+        return _chosen(best, "least_outstanding")
+
+
+class RandomRouter(Router):
+    """Sends to any agent that serves the request; a baseline."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Stores the source of the choice."""
+        self._rng = rng
+
+    def choose(
+        self,
+        req: RouteRequest,
+        table: upstream_table.UpstreamTable,
+        now: float,
+    ) -> RouteDecision:
+        """Chooses an agent at random."""
+        del now
+        rows = [r for r in table.by_upstream(req.model) if serves(r, req)]
+        if not rows:
+            return NO_CANDIDATE
+        return _chosen(self._rng.choice(rows), "random")
+
+
+class RoundRobinRouter(Router):
+    """Sends to the agents in turn; a baseline."""
+
+    def __init__(self) -> None:
+        """Starts with the first agent."""
+        self._turn = 0
+
+    def choose(
+        self,
+        req: RouteRequest,
+        table: upstream_table.UpstreamTable,
+        now: float,
+    ) -> RouteDecision:
+        """Chooses the next agent."""
+        del now
+        rows = [r for r in table.by_upstream(req.model) if serves(r, req)]
+        if not rows:
+            return NO_CANDIDATE
+        self._turn += 1
+        return _chosen(rows[self._turn % len(rows)], "round_robin")
--- a/src/apricottrestle/upstream_table.py
+++ b/src/apricottrestle/upstream_table.py
@@ -4,6 +4,8 @@
 a routing decision never scans rows of other models or of draining agents.
 """
 
+import itertools
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 from apricottrestle import messages
@@ -25,8 +27,8 @@
         sent: Own submits so far on this connection.
         pending: Prompt tokens and priority class of own submits that the last
             report does not cover, oldest first.
-        cached_blocks: Prefix blocks that the engine holds, as a hint; a dict
-            for its order.
+        cached_blocks: Prefix blocks that the engine holds, as a hint, oldest
+            first; changed only through the table, which indexes them.
         usable: False when draining, lost or excluded.
     """
 
@@ -71,6 +73,7 @@
         """Starts empty."""
         self.rows: dict[str, UpstreamRow] = {}
         self._by_upstream: dict[str, list[UpstreamRow]] = {}
+        self._holders: dict[int, dict[str, None]] = {}
 
     def by_upstream(self, upstream: str) -> list[UpstreamRow]:
         """Returns the usable rows of a model or service; do not change it."""
@@ -84,9 +87,11 @@
 
     def remove(self, agent_id: str) -> None:
         """Removes a row if it is there."""
-        row = self.rows.pop(agent_id, None)
+        row = self.rows.get(agent_id)
         if row is not None:
+            self.clear_cached(agent_id)
             self._unindex(row)
+            del self.rows[agent_id]
 
     def apply_report(
         self, agent_id: str, report: messages.LoadReport, now: float
@@ -130,6 +135,53 @@
         if row is not None and row.outstanding > 0:
             row.outstanding -= 1
 
+    def add_cached(self, agent_id: str, blocks: Iterable[int]) -> None:
+        """Notes prefix blocks that the engine holds; the oldest go first."""
+        row = self.rows[agent_id]
+        for block in blocks:
+            row.cached_blocks.pop(block, None)
+            row.cached_blocks[block] = None
+            self._holders.setdefault(block, {})[agent_id] = None
+        excess = len(row.cached_blocks) - MAX_CACHED_BLOCKS
+        if excess > 0:
+            oldest = list(itertools.islice(row.cached_blocks, excess))
+            self.remove_cached(agent_id, oldest)
+
+    def remove_cached(self, agent_id: str, blocks: Iterable[int]) -> None:
+        """Forgets prefix blocks that the engine no longer holds."""
+        row = self.rows[agent_id]
+        for block in blocks:
+            row.cached_blocks.pop(block, None)
+            holders = self._holders.get(block)
+            if holders is not None:
+                holders.pop(agent_id, None)
+                if not holders:
+                    del self._holders[block]
+
+    def clear_cached(self, agent_id: str) -> None:
+        """Forgets all prefix blocks of an agent, e.g. after a gap."""
+        self.remove_cached(agent_id, list(self.rows[agent_id].cached_blocks))
+
+    def cached_at(self, blocks: Sequence[int], limit: int) -> list[str]:
+        """Returns up to `limit` agents with the longest cached prefix.
+
+        Args:
+            blocks: Hashes of the prompt's first blocks.
+            limit: Number of agents at most.
+        """
+        agents: list[str] = []
+        low, high = 0, len(blocks)
+        while low < high:
+            middle = (low + high + 1) // 2
+            if blocks[middle - 1] in self._holders:
+                low = middle
+            else:
+                high = middle - 1
+        if low and limit > 0:
+            holders = self._holders[blocks[low - 1]]
+            agents = list(itertools.islice(holders, limit))
+        return agents
+
     def _index(self, row: UpstreamRow) -> None:
         if row.usable:
             self._by_upstream.setdefault(row.report.upstream, []).append(row)
