--- /dev/null
+++ b/src/apricottrestle/agent_calls.py
@@ -0,0 +1,431 @@
+"""Calls to a plain service: issued keys, at-most-once runs, results.
+
+Invariants: a key runs only in the incarnation that issued it, and at most once;
+a key answered `not_run` never runs later; a key forgotten or of another
+incarnation is answered `unknown` and never runs.
+"""
+
+from typing import Final
+
+from apricottrestle import (
+    agent_events,
+    agent_tables,
+    call_keys,
+    call_log,
+    errors,
+    messages,
+    metrics,
+)
+
+KEYS_PER_REQUEST: Final = 64
+KEY_MEMORY_S: Final = 600.0
+"""How long a key and its result are remembered after the last change."""
+
+MAX_KEYS: Final = 20_000
+MAX_ANSWER_BYTES: Final = 3 * 1024 * 1024
+"""Below the frame limit of the transport."""
+
+HELD_ANSWER_BYTES: Final = 16 * 1024 * 1024
+MAX_QUEUED: Final = 1_000
+LATE_ANSWER_S: Final = 30.0
+"""After its deadline a call is waited for so long, to record its result."""
+
+Commands = list[agent_events.Command]
+State = agent_tables.CallState
+_FINAL: Final = {State.COMPLETED, State.NOT_RUN, State.UNKNOWN}
+
+
+def on_key_request(
+    tables: agent_tables.Tables,
+    routing_id: bytes,
+    msg: messages.KeyRequest,
+    now: float,
+    out: Commands,
+) -> None:
+    """Issues keys; none while draining or for another service."""
+    params = tables.params
+    amount = min(max(msg.amount, 0), KEYS_PER_REQUEST)
+    if (
+        tables.drain.active
+        or params.kind != "service"
+        or msg.service != params.service
+    ):
+        amount = 0
+    keys = [_issue(tables, now) for _ in range(amount)]
+    issued = messages.KeyIssued(msg.req_id, keys)
+    out.append(agent_events.Send(routing_id, issued))
+
+
+def _issue(tables: agent_tables.Tables, now: float) -> str:
+    params = tables.params
+    key = call_keys.IssuedKey(
+        params.service,
+        params.agent_id,
+        params.incarnation,
+        tables.next_key,
+        tables.call_log.position,
+        tables.call_log.up,
+    )
+    tables.next_key += 1
+    text = call_keys.issue(key, params.secret)
+    call = agent_tables.Call(
+        call_log.key_id(key), key.seq, text, key.logged, now
+    )
+    tables.calls[call.call_id] = call
+    tables.keys[key.seq] = call
+    return text
+
+
+def on_submit(
+    tables: agent_tables.Tables,
+    routing_id: bytes,
+    got: messages.Received,
+    msg: messages.CallSubmit,
+    now: float,
+    out: Commands,
+) -> None:
+    """Runs a call, joins a running one, or answers a settled one."""
+    tables.peers[routing_id].received += 1
+    if msg.key:
+        call = _find(tables, msg.key, msg.req_id)
+    else:
+        call = _repeatable(tables, msg, now)
+    if isinstance(call, messages.CallResult):
+        out.append(agent_events.Send(routing_id, call))
+        return
+    if call.state is not State.ISSUED:
+        _join(call, routing_id, msg.req_id, out)
+        return
+    call.msg = msg
+    call.sender = got.sender
+    call.body = got.body
+    call.started = call.touched = now
+    call.deadline = now + tables.remaining_s(msg.remaining_ms, now)
+    call.waiters.append((routing_id, msg.req_id))
+    reason = _refusal(tables, call, msg, now)
+    if reason:
+        settle(tables, call, State.NOT_RUN, reason, now, out)
+    elif call.logged:
+        call.state = State.APPENDING
+        tables.call_log.intents.append(call.seq)
+    else:
+        enqueue(tables, call, now)
+
+
+def _find(
+    tables: agent_tables.Tables, text: str, req_id: str
+) -> agent_tables.Call | messages.CallResult:
+    """Returns the call of a key, or the answer when there is none."""
+
+    def result(outcome: str, reason: str) -> messages.CallResult:
+        return messages.CallResult(req_id, text, outcome, 0, [], reason)
+
+    params = tables.params
+    try:
+        key = call_keys.parse(text, params.secret)
+    except errors.RequestError as exc:
+        return result("not_run", exc.code)
+    if key.service != params.service or key.agent_id != params.agent_id:
+        return result("unknown", "wrong_agent")
+    if key.incarnation != params.incarnation:
+        return result("unknown", "incarnation_gone")
+    return tables.keys.get(key.seq) or result("unknown", "key_forgotten")
+
+
+def _repeatable(
+    tables: agent_tables.Tables, msg: messages.CallSubmit, now: float
+) -> agent_tables.Call | messages.CallResult:
+    """Returns the row of a call without key.
+
+    A refused request id stays refused, so that a late duplicate doesn't make
+    the answer `not_run` wrong.
+    """
+    known = tables.calls.get(msg.req_id)
+    if known is not None:
+        return known
+    ended = tables.ended.get(msg.req_id)
+    if ended is not None:
+        return messages.CallResult(
+            msg.req_id, "", "not_run", 0, [], ended.reason
+        )
+    call = agent_tables.Call(msg.req_id, 0, "", False, now)
+    tables.calls[call.call_id] = call
+    return call
+
+
+def _refusal(
+    tables: agent_tables.Tables,
+    call: agent_tables.Call,
+    msg: messages.CallSubmit,
+    now: float,
+) -> str:
+    """Returns why the call can't run, or ""."""
+    params = tables.params
+    if tables.drain.active:
+        return "draining"
+    if params.kind != "service" or msg.service != params.service:
+        return "wrong_upstream"
+    if not call.key and _needs_key(tables, msg):
+        return "key_required"
+    if call.deadline <= now:
+        return "deadline"
+    if len(tables.call_queue) >= MAX_QUEUED:
+        return "queue_full"
+    return ""
+
+
+def _needs_key(tables: agent_tables.Tables, msg: messages.CallSubmit) -> bool:
+    spec = tables.config.services.get(msg.service)
+    if spec is None:
+        return False
+    target = f"{msg.method} {msg.path}"
+    return any(target.startswith(rule) for rule in spec.not_repeatable)
+
+
+def _join(
+    call: agent_tables.Call, routing_id: bytes, req_id: str, out: Commands
+) -> None:
+    if call.state in _FINAL:
+        out.append(answer(call, routing_id, req_id))
+    else:
+        call.waiters.append((routing_id, req_id))
+
+
+def answer(
+    call: agent_tables.Call, routing_id: bytes, req_id: str
+) -> agent_events.Send:
+    """Returns the result of a settled call."""
+    result = messages.CallResult(
+        req_id,
+        call.key,
+        call.state.value,
+        call.status,
+        call.headers,
+        call.reason,
+    )
+    body = call.body if call.state is State.COMPLETED else b""
+    return agent_events.Send(routing_id, result, body)
+
+
+def on_query(
+    tables: agent_tables.Tables,
+    routing_id: bytes,
+    msg: messages.CallQuery,
+    now: float,
+    out: Commands,
+) -> None:
+    """Answers what became of a key.
+
+    Asking settles an unused key as not run: its submit may still be under way,
+    and the answer must stay true.
+    """
+    call = _find(tables, msg.key, msg.req_id)
+    if isinstance(call, messages.CallResult):
+        out.append(agent_events.Send(routing_id, call))
+        return
+    if call.state is State.ISSUED:
+        settle(tables, call, State.NOT_RUN, "not_submitted", now, out)
+    if call.state in _FINAL:
+        out.append(answer(call, routing_id, msg.req_id))
+        return
+    running = messages.CallResult(msg.req_id, msg.key, "running", 0, [], "")
+    out.append(agent_events.Send(routing_id, running))
+
+
+def enqueue(
+    tables: agent_tables.Tables, call: agent_tables.Call, now: float
+) -> None:
+    """Queues a call that may run."""
+    call.state = State.QUEUED
+    call.touched = now
+    tables.call_queue.append(call.call_id)
+
+
+def start_ready(tables: agent_tables.Tables, now: float, out: Commands) -> None:
+    """Starts queued calls while the service has free slots."""
+    while tables.call_queue and tables.calls_running < tables.params.slots:
+        call = tables.calls.get(tables.call_queue.popleft())
+        if call is None or call.state is not State.QUEUED:
+            continue
+        _start(tables, call, now, out)
+
+
+def _start(
+    tables: agent_tables.Tables,
+    call: agent_tables.Call,
+    now: float,
+    out: Commands,
+) -> None:
+    assert call.msg is not None
+    call.state = State.RUNNING
+    call.touched = now
+    tables.calls_running += 1
+    out.append(
+        agent_events.CallService(
+            call.call_id,
+            call.msg.method,
+            call.msg.path,
+            call.msg.headers,
+            call.body,
+            call.deadline - now + LATE_ANSWER_S,
+        )
+    )
+    call.body = b""
+
+
+def on_answer(
+    tables: agent_tables.Tables,
+    event: agent_events.ServiceAnswer,
+    now: float,
+    out: Commands,
+) -> None:
+    """Settles a call as completed, also when its caller was told unknown."""
+    call = tables.calls.get(event.call_id)
+    if call is None or not _awaits_answer(call):
+        return
+    call.status = event.status
+    call.headers = event.headers
+    too_large = len(event.body) > MAX_ANSWER_BYTES
+    call.body = b"" if too_large else event.body
+    reason = "answer_too_large" if too_large else ""
+    tables.answer_bytes += len(call.body)
+    if call.logged:
+        entry = call_log.CallEntry(
+            call_log.EntryKind.COMPLETION, call.call_id, event.status
+        )
+        tables.call_log.add_completion(entry, now)
+    settle(tables, call, State.COMPLETED, reason, now, out)
+
+
+def is_under_way(call: agent_tables.Call, now: float) -> bool:
+    """Tells whether the call still needs this process.
+
+    A call past its deadline is waited for, so that the log gets its result.
+    """
+    if call.state in {State.APPENDING, State.QUEUED, State.RUNNING}:
+        return True
+    return _awaits_answer(call) and now < call.deadline + LATE_ANSWER_S
+
+
+def _awaits_answer(call: agent_tables.Call) -> bool:
+    late = call.state is State.UNKNOWN and call.reason == "deadline"
+    return call.state is State.RUNNING or late
+
+
+def on_failed(
+    tables: agent_tables.Tables,
+    event: agent_events.ServiceFailed,
+    now: float,
+    out: Commands,
+) -> None:
+    """Settles a call without answer; not run only if nothing was sent."""
+    call = tables.calls.get(event.call_id)
+    if call is None or call.state is not State.RUNNING:
+        return
+    state = State.UNKNOWN if event.sent else State.NOT_RUN
+    settle(tables, call, state, event.reason, now, out)
+
+
+def settle(
+    tables: agent_tables.Tables,
+    call: agent_tables.Call,
+    state: agent_tables.CallState,
+    reason: str,
+    now: float,
+    out: Commands,
+) -> None:
+    """Ends a call in a final state and answers all who wait for it."""
+    first = call.state not in _FINAL
+    if call.state is State.RUNNING:
+        tables.calls_running -= 1
+    if state is not State.COMPLETED:
+        call.body = b""
+    call.state = state
+    call.reason = reason
+    call.touched = now
+    for routing_id, req_id in call.waiters:
+        out.append(answer(call, routing_id, req_id))
+    call.waiters.clear()
+    if call.msg is not None and first:
+        metrics.CALLS.labels(state.value).inc()
+        _audit(tables, call, call.msg, now, out)
+    if not call.seq:
+        _drop_repeatable(tables, call)
+
+
+def _drop_repeatable(
+    tables: agent_tables.Tables, call: agent_tables.Call
+) -> None:
+    tables.answer_bytes -= len(call.body)
+    tables.calls.pop(call.call_id, None)
+    if call.state is State.NOT_RUN:
+        tables.remember(call.call_id, 0, ran=False, reason=call.reason)
+
+
+def _audit(
+    tables: agent_tables.Tables,
+    call: agent_tables.Call,
+    msg: messages.CallSubmit,
+    now: float,
+    out: Commands,
+) -> None:
+    out.append(
+        agent_events.Audit(
+            msg.req_id,
+            1,
+            msg.team,
+            0,
+            msg.service,
+            "",
+            tables.config.revision,
+            call.sender,
+            call.started,
+            now,
+            call.state.value,
+            0,
+        )
+    )
+
+
+def expire(tables: agent_tables.Tables, now: float, out: Commands) -> None:
+    """Settles calls past their deadline and forgets old keys.
+
+    A running call isn't cut: its caller is told unknown, and the answer is
+    recorded when it comes.
+    """
+    for call in list(tables.calls.values()):
+        if call.state in {State.APPENDING, State.QUEUED}:
+            if now >= call.deadline:
+                settle(tables, call, State.NOT_RUN, "deadline", now, out)
+        elif call.state is State.RUNNING:
+            if now >= call.deadline:
+                settle(tables, call, State.UNKNOWN, "deadline", now, out)
+        elif now - call.touched >= KEY_MEMORY_S:
+            _forget(tables, call)
+    _forget_oldest(tables)
+
+
+def _forget_oldest(tables: agent_tables.Tables) -> None:
+    """Bounds memory; keys with a call under way are never forgotten."""
+    if (
+        len(tables.keys) <= MAX_KEYS
+        and tables.answer_bytes <= HELD_ANSWER_BYTES
+    ):
+        return
+    idle = {State.ISSUED, *_FINAL}
+    for call in list(tables.keys.values()):
+        if call.state in idle:
+            _forget(tables, call)
+        if (
+            len(tables.keys) <= MAX_KEYS
+            and tables.answer_bytes <= HELD_ANSWER_BYTES
+        ):
+            return
+
+
+def _forget(tables: agent_tables.Tables, call: agent_tables.Call) -> None:
+    if call.state is State.COMPLETED:
+        tables.answer_bytes -= len(call.body)
+    tables.calls.pop(call.call_id, None)
+    tables.keys.pop(call.seq, None)
+    tables.call_log.refused.discard(call.seq)
--- /dev/null
+++ b/src/apricottrestle/agent_drain.py
@@ -0,0 +1,119 @@
+"""Planned stop: no new work, hand back the queue, finish, hand over the rest.
+
+Invariant: a drain never cuts a generation without Moved, and never cuts a call
+to a service.
+"""
+
+from typing import Final
+
+from apricottrestle import (
+    agent_calls,
+    agent_events,
+    agent_streams,
+    agent_tables,
+    messages,
+)
+
+GRACE_S: Final = 30.0
+EXPORT_WAIT_S: Final = 2.0
+"""Time for an export answer; then the run is handed over without KV cache."""
+
+EXPORT_LEASE_MS: Final = 10_000
+LINGER_S: Final = 2.0
+"""Time between the last hand-over and the exit, for frames under way."""
+
+Commands = list[agent_events.Command]
+Phase = agent_tables.Phase
+
+
+def begin(tables: agent_tables.Tables, now: float, out: Commands) -> None:
+    """Starts the drain; repeated requests change nothing."""
+    if tables.drain.active:
+        return
+    tables.drain.active = True
+    tables.drain.deadline = now + GRACE_S
+    draining = messages.Draining(int(GRACE_S * 1000))
+    out.extend(agent_events.Send(peer, draining) for peer in tables.peers)
+    out.append(agent_events.Log("drain", {"streams": len(tables.streams)}))
+    for row in list(tables.streams.values()):
+        if row.phase in {Phase.BODY, Phase.QUEUED}:
+            _move(tables, row, None, now, out)
+
+
+def _move(
+    tables: agent_tables.Tables,
+    row: agent_tables.Stream,
+    kv: messages.KvHandle | None,
+    now: float,
+    out: Commands,
+) -> None:
+    moved = messages.Moved(row.msg.req_id, row.msg.attempt, row.sent, kv)
+    out.append(agent_events.Send(row.routing_id, moved))
+    agent_streams.end(tables, row, "moved", now, out)
+
+
+def on_exported(
+    tables: agent_tables.Tables,
+    event: agent_events.KvExported,
+    now: float,
+    out: Commands,
+) -> None:
+    """Hands a run over with its KV cache; a late export is freed."""
+    req_id = tables.runs.get(event.run_id)
+    row = tables.streams.get(req_id) if req_id is not None else None
+    if row is None or not row.exporting:
+        if event.handle:
+            out.append(agent_events.FreeExport(event.handle))
+        return
+    if not event.handle:
+        _move(tables, row, None, now, out)
+        return
+    lease = agent_tables.Lease(
+        event.handle,
+        agent_tables.LeaseKind.EXPORT,
+        event.run_id,
+        len(row.tokens) + row.msg.prompt_tokens,
+        now + EXPORT_LEASE_MS / 1000,
+    )
+    lease.granted = True
+    tables.leases[event.handle] = lease
+    kv = messages.KvHandle(tables.params.upstream_url, event.handle)
+    _move(tables, row, kv, now, out)
+
+
+def tick(tables: agent_tables.Tables, now: float, out: Commands) -> None:
+    """Hands over what doesn't fit in the grace period; exits when empty."""
+    if not tables.drain.active or tables.drain.exited:
+        return
+    if now >= tables.drain.deadline - EXPORT_WAIT_S:
+        _hand_over(tables, now, out)
+    if _busy(tables, now):
+        tables.drain.exit_at = float("inf")
+        return
+    if tables.drain.exit_at == float("inf"):
+        tables.drain.exit_at = now + LINGER_S
+    if now >= tables.drain.exit_at:
+        tables.drain.exited = True
+        out.append(agent_events.Exit())
+
+
+def _hand_over(tables: agent_tables.Tables, now: float, out: Commands) -> None:
+    for row in list(tables.streams.values()):
+        if row.phase is not Phase.RUNNING:
+            continue
+        if now >= tables.drain.deadline:
+            _move(tables, row, None, now, out)
+        elif not row.exporting and not row.msg.group:
+            row.exporting = True
+            out.append(agent_events.ExportKv(row.run_id, EXPORT_LEASE_MS))
+
+
+def _busy(tables: agent_tables.Tables, now: float) -> bool:
+    """Tells whether a stream, lease or call still needs this process."""
+    streams = any(not row.finished_sent for row in tables.streams.values())
+    calls = any(
+        agent_calls.is_under_way(call, now) for call in tables.calls.values()
+    )
+    log = tables.call_log
+    unlogged = bool(log.completions or log.batch_completions) and log.up
+    return streams or calls or unlogged or bool(tables.leases)
--- /dev/null
+++ b/src/apricottrestle/agent_leases.py
@@ -0,0 +1,261 @@
+"""Memory leases: group reservations, exports, and reconciliation.
+
+Invariants: each lease ends by this agent's clock alone; what the engine holds
+without an owner here is freed after a grace, whichever message was lost.
+"""
+
+from typing import Final
+
+from apricottrestle import (
+    agent_events,
+    agent_queue,
+    agent_streams,
+    agent_tables,
+    messages,
+    metrics,
+)
+
+RECONCILE_S: Final = 5.0
+ORPHAN_GRACE_S: Final = 10.0
+"""Longer than the delay between a start and its row in the engine's list."""
+
+MAX_LEASE_MS: Final = 10_000
+_ENDED_GROUPS: Final = 4_096
+
+Commands = list[agent_events.Command]
+
+
+def on_reserve(
+    tables: agent_tables.Tables,
+    routing_id: bytes,
+    msg: messages.Reserve,
+    now: float,
+    out: Commands,
+) -> None:
+    """Allocates memory for a group, or refuses; repeats are answered alike."""
+    known = tables.groups.get(msg.group_id)
+    if known is not None:
+        lease = tables.leases[known]
+        if lease.granted:
+            _answer(tables, routing_id, lease, out)
+        elif routing_id not in lease.waiters:
+            lease.waiters.append(routing_id)
+        return
+    lease_s = tables.remaining_s(min(msg.lease_ms, MAX_LEASE_MS), now)
+    reason = _refusal(tables, msg, lease_s)
+    if reason:
+        refused = messages.Reserved(msg.group_id, "", "", reason)
+        out.append(agent_events.Send(routing_id, refused))
+        return
+    allocation = f"{tables.params.incarnation}-{tables.next_allocation}"
+    tables.next_allocation += 1
+    lease = agent_tables.Lease(
+        allocation,
+        agent_tables.LeaseKind.GROUP,
+        msg.group_id,
+        msg.tokens,
+        now + lease_s,
+    )
+    lease.waiters.append(routing_id)
+    tables.leases[allocation] = lease
+    tables.groups[msg.group_id] = allocation
+    out.append(
+        agent_events.Allocate(allocation, msg.tokens, int(lease_s * 1000))
+    )
+
+
+def _refusal(
+    tables: agent_tables.Tables, msg: messages.Reserve, lease_s: float
+) -> str:
+    if tables.drain.active:
+        return "draining"
+    if msg.group_id in tables.ended_groups:
+        return "group_ended"
+    if lease_s <= 0:
+        return "lapsed"
+    if tables.orders.switching:
+        return "model_changing"
+    if tables.engine.failures >= agent_queue.ENGINE_DOWN_FAILURES:
+        return "upstream_down"
+    if msg.tokens > agent_queue.kv_tokens_free(tables):
+        return "no_memory"
+    return ""
+
+
+def _answer(
+    tables: agent_tables.Tables,
+    routing_id: bytes,
+    lease: agent_tables.Lease,
+    out: Commands,
+) -> None:
+    reserved = messages.Reserved(
+        lease.owner, lease.allocation, tables.params.upstream_url, ""
+    )
+    out.append(agent_events.Send(routing_id, reserved))
+
+
+def on_allocation(
+    tables: agent_tables.Tables,
+    event: agent_events.AllocationAnswer,
+    now: float,
+    out: Commands,
+) -> None:
+    """Answers the waiting entries.
+
+    An allocation that the engine confirms after its lease has ended is freed;
+    without an answer from the engine the memory may be held, so it is freed
+    as well.
+    """
+    lease = tables.leases.get(event.allocation)
+    if lease is None:
+        if event.granted:
+            out.append(agent_events.FreeAllocation(event.allocation))
+        return
+    if not event.granted:
+        end(tables, lease, event.reason, now, out)
+        return
+    lease.granted = True
+    for routing_id in lease.waiters:
+        _answer(tables, routing_id, lease, out)
+    lease.waiters.clear()
+
+
+def on_renew(
+    tables: agent_tables.Tables,
+    routing_id: bytes,
+    msg: messages.Renew,
+    now: float,
+    out: Commands,
+) -> None:
+    """Extends a lease that has not lapsed."""
+    allocation = tables.groups.get(msg.group_id)
+    if allocation is None:
+        lapsed = messages.Reserved(msg.group_id, "", "", "lapsed")
+        out.append(agent_events.Send(routing_id, lapsed))
+        return
+    lease = tables.leases[allocation]
+    lease_s = tables.remaining_s(min(msg.lease_ms, MAX_LEASE_MS), now)
+    if now + lease_s <= lease.deadline:
+        return
+    lease.deadline = now + lease_s
+    if not lease.consumed:
+        out.append(
+            agent_events.RenewAllocation(allocation, int(lease_s * 1000))
+        )
+
+
+def on_release(
+    tables: agent_tables.Tables,
+    msg: messages.Release,
+    now: float,
+    out: Commands,
+) -> None:
+    """Ends a reservation; a release may overtake its reserve."""
+    _remember_group(tables, msg.group_id)
+    allocation = tables.groups.get(msg.group_id)
+    if allocation is not None:
+        end(tables, tables.leases[allocation], "released", now, out)
+
+
+def _remember_group(tables: agent_tables.Tables, group_id: str) -> None:
+    tables.ended_groups[group_id] = None
+    while len(tables.ended_groups) > _ENDED_GROUPS:
+        tables.ended_groups.popitem(last=False)
+
+
+def end(
+    tables: agent_tables.Tables,
+    lease: agent_tables.Lease,
+    reason: str,
+    now: float,
+    out: Commands,
+) -> None:
+    """Ends a lease: frees its memory and ends the run that used it."""
+    del tables.leases[lease.allocation]
+    if lease.kind is agent_tables.LeaseKind.EXPORT:
+        out.append(agent_events.FreeExport(lease.allocation))
+        return
+    tables.groups.pop(lease.owner, None)
+    _remember_group(tables, lease.owner)
+    if not lease.consumed:
+        out.append(agent_events.FreeAllocation(lease.allocation))
+    for routing_id in lease.waiters:
+        refused = messages.Reserved(lease.owner, "", "", reason)
+        out.append(agent_events.Send(routing_id, refused))
+    _end_group_run(tables, lease, now, out)
+
+
+def _end_group_run(
+    tables: agent_tables.Tables,
+    lease: agent_tables.Lease,
+    now: float,
+    out: Commands,
+) -> None:
+    live = {agent_tables.Phase.BODY, agent_tables.Phase.QUEUED}
+    live.add(agent_tables.Phase.RUNNING)
+    for row in list(tables.streams.values()):
+        group = row.msg.group
+        if (
+            group
+            and group[0].allocation == lease.allocation
+            and row.phase in live
+        ):
+            agent_streams.fail(tables, row, "group_lease_lapsed", now, out)
+
+
+def expire(tables: agent_tables.Tables, now: float, out: Commands) -> None:
+    """Ends the leases whose deadline has passed."""
+    for lease in list(tables.leases.values()):
+        if now >= lease.deadline:
+            end(tables, lease, "lapsed", now, out)
+
+
+def on_list(
+    tables: agent_tables.Tables,
+    event: agent_events.AllocationList,
+    now: float,
+    out: Commands,
+) -> None:
+    """Compares the engine's allocations with the owners known here.
+
+    A lease whose allocation the engine has lost ends here too. One list may
+    be older than the allocation, so two in a row are needed.
+    """
+    orphans: dict[str, float] = {}
+    blocks = 0
+    for row in event.rows:
+        if row.allocation in tables.leases or row.request_id in tables.runs:
+            continue
+        blocks += row.blocks
+        since = tables.engine.orphans.get(row.allocation, now)
+        orphans[row.allocation] = since
+        if now - since >= ORPHAN_GRACE_S:
+            _free_orphan(row, out)
+    tables.engine.orphans = orphans
+    tables.engine.orphan_blocks = blocks
+    listed = {row.allocation for row in event.rows}
+    for lease in list(tables.leases.values()):
+        if not lease.granted or lease.consumed:
+            continue
+        lease.missing = 0 if lease.allocation in listed else lease.missing + 1
+        if lease.missing >= 2:
+            end(tables, lease, "lost", now, out)
+
+
+def _free_orphan(row: agent_events.AllocationRow, out: Commands) -> None:
+    metrics.ORPHANS_FREED.inc()
+    if row.request_id:
+        out.append(agent_events.CancelRun(row.request_id))
+    out.append(agent_events.FreeAllocation(row.allocation))
+    fields: dict[str, str | int | float] = {
+        "allocation": row.allocation,
+        "blocks": row.blocks,
+    }
+    out.append(agent_events.Log("free_orphan", fields))
+
+
+def poll(tables: agent_tables.Tables, now: float, out: Commands) -> None:
+    """Asks for the engine's allocations each RECONCILE_S."""
+    if now >= tables.engine.next_allocations:
+        tables.engine.next_allocations = now + RECONCILE_S
+        out.append(agent_events.PollAllocations())
--- /dev/null
+++ b/src/apricottrestle/agent_reports.py
@@ -0,0 +1,181 @@
+"""Heartbeats, load reports and cache summaries to entries.
+
+Invariant: cache summaries are hints. Each carries a sequence number, and a
+full summary follows whenever the agent or an entry may have missed events.
+"""
+
+from typing import Final
+
+from apricottrestle import (
+    agent_events,
+    agent_queue,
+    agent_tables,
+    messages,
+)
+
+LOAD_POLL_S: Final = 1.0
+CACHE_POLL_S: Final = 1.0
+SUMMARY_S: Final = 2.0
+FULL_SUMMARY_S: Final = 120.0
+MAX_BLOCKS: Final = 20_000
+SUMMARY_BLOCKS: Final = 4_000
+"""Blocks in a full summary, newest first: 36 KB, which at 13 entries and
+FULL_SUMMARY_S takes 4 KB/s of the 19 KB/s that a node may use."""
+
+PEER_FORGET_S: Final = 60.0
+
+Commands = list[agent_events.Command]
+
+
+def load_report(
+    tables: agent_tables.Tables, peer: agent_tables.Peer, now: float
+) -> messages.LoadReport:
+    """Returns the load as reported to one entry."""
+    params = tables.params
+    config = tables.engine.config
+    is_engine = params.kind == "engine"
+    model = config.model if config is not None else ""
+    queued = (
+        tables.queue.queued_tokens()
+        if is_engine
+        else [0] * len(messages.PRIORITIES)
+    )
+    return messages.LoadReport(
+        model if is_engine else params.service,
+        params.kind,
+        served_version(tables),
+        list(config.adapters) if config is not None else [],
+        tables.drain.active,
+        queued,
+        len(tables.runs) if is_engine else tables.calls_running,
+        agent_queue.prefill_tokens_left(tables),
+        agent_queue.kv_tokens_total(tables),
+        agent_queue.kv_tokens_free(tables),
+        params.prefill_tokens_per_s,
+        peer.received,
+    )
+
+
+def served_version(tables: agent_tables.Tables) -> str:
+    """Returns the version for new requests; "" while none can be served."""
+    config = tables.engine.config
+    if config is None or not config.versions:
+        return ""
+    spec = tables.config.models.get(config.model)
+    if spec is not None and spec.version in config.versions:
+        return spec.version
+    return config.versions[0]
+
+
+def on_hello(
+    tables: agent_tables.Tables, routing_id: bytes, now: float, out: Commands
+) -> None:
+    """Answers with the load, the cache summary and a running drain."""
+    peer = tables.peers[routing_id]
+    reply = messages.HelloReply(
+        tables.params.agent_id,
+        tables.params.data_centre,
+        load_report(tables, peer, now),
+    )
+    out.append(agent_events.Send(routing_id, reply))
+    if tables.drain.active:
+        left_s = max(tables.drain.deadline - now, 0.0)
+        draining = messages.Draining(int(left_s * 1000))
+        out.append(agent_events.Send(routing_id, draining))
+    if tables.cache.blocks:
+        out.append(agent_events.Send(routing_id, _full_summary(tables)))
+
+
+def on_ping(
+    tables: agent_tables.Tables,
+    routing_id: bytes,
+    msg: messages.Ping,
+    now: float,
+    out: Commands,
+) -> None:
+    """Answers a heartbeat with the load report."""
+    report = load_report(tables, tables.peers[routing_id], now)
+    out.append(agent_events.Send(routing_id, messages.Pong(msg.seq, report)))
+
+
+def on_load(
+    tables: agent_tables.Tables, event: agent_events.EngineLoad, now: float
+) -> None:
+    """Takes the engine's load; starts since then are in it."""
+    tables.engine.load = event
+    tables.engine.load_time = now
+    tables.engine.started_since_load = 0
+    tables.engine.failures = 0
+
+
+def on_cache(
+    tables: agent_tables.Tables, event: agent_events.CacheEvents
+) -> None:
+    """Applies cache events; a gap discards what was known before."""
+    cache = tables.cache
+    if event.first > cache.after + 1:
+        cache.blocks.clear()
+        cache.reset = True
+    cache.after = max(event.next_seq - 1, 0)
+    for block in event.removed:
+        if block in cache.blocks:
+            del cache.blocks[block]
+            cache.added.pop(block, None)
+            cache.removed[block] = None
+    for block in event.added:
+        cache.blocks[block] = None
+        cache.added[block] = None
+        cache.removed.pop(block, None)
+    while len(cache.blocks) > MAX_BLOCKS:
+        oldest = next(iter(cache.blocks))
+        del cache.blocks[oldest]
+        cache.added.pop(oldest, None)
+        cache.removed[oldest] = None
+
+
+def _full_summary(tables: agent_tables.Tables) -> messages.CacheSummary:
+    newest = list(tables.cache.blocks)[-SUMMARY_BLOCKS:]
+    return messages.CacheSummary(tables.cache.seq, True, newest, [])
+
+
+def tick(tables: agent_tables.Tables, now: float, out: Commands) -> None:
+    """Polls the engine, sends summaries and forgets silent connections."""
+    if tables.params.kind == "engine":
+        _poll(tables, now, out)
+        _summarise(tables, now, out)
+    for routing_id, peer in list(tables.peers.items()):
+        if now - peer.last_seen >= PEER_FORGET_S:
+            del tables.peers[routing_id]
+    for sender, last_seen in list(tables.entries.items()):
+        if now - last_seen >= PEER_FORGET_S:
+            del tables.entries[sender]
+
+
+def _poll(tables: agent_tables.Tables, now: float, out: Commands) -> None:
+    if now >= tables.engine.next_load:
+        tables.engine.next_load = now + LOAD_POLL_S
+        out.append(agent_events.PollLoad())
+    if now >= tables.cache.next_poll:
+        tables.cache.next_poll = now + CACHE_POLL_S
+        out.append(agent_events.PollCache(tables.cache.after))
+
+
+def _summarise(tables: agent_tables.Tables, now: float, out: Commands) -> None:
+    cache = tables.cache
+    if now < cache.next_summary:
+        return
+    cache.next_summary = now + SUMMARY_S
+    full = cache.reset or now >= cache.next_full
+    if not full and not cache.added and not cache.removed:
+        return
+    cache.seq += 1
+    if full:
+        cache.next_full = now + FULL_SUMMARY_S
+        summary = _full_summary(tables)
+    else:
+        added, removed = list(cache.added), list(cache.removed)
+        summary = messages.CacheSummary(cache.seq, False, added, removed)
+    cache.reset = False
+    cache.added.clear()
+    cache.removed.clear()
+    out.extend(agent_events.Send(peer, summary) for peer in tables.peers)
--- /dev/null
+++ b/src/apricottrestle/agent_streams.py
@@ -0,0 +1,338 @@
+"""Running streams: output buffer, credits, attach, end.
+
+Invariants: a token leaves the agent only at its own offset of its own attempt;
+a request ends at its deadline whatever the engine or the entry does; a request
+that ends while the engine runs it is cancelled there.
+"""
+
+from typing import Final
+
+from apricottrestle import agent_events, agent_tables, messages
+
+FLUSH_INTERVAL_S: Final = 0.02
+CHUNK_TOKENS: Final = 2048
+STALL_S: Final = 30.0
+STALL_TOKENS: Final = 4096
+RETAIN_S: Final = 15.0
+"""How long output is kept after its entry is gone or the stream finished."""
+
+ENGINE_SILENCE_S: Final = 10.0
+"""A run without a token for so long, after its first one, is given up."""
+
+Commands = list[agent_events.Command]
+Phase = agent_tables.Phase
+
+
+def end(
+    tables: agent_tables.Tables,
+    row: agent_tables.Stream,
+    reason: str,
+    now: float,
+    out: Commands,
+    *,
+    cancel: bool = True,
+) -> None:
+    """Removes a stream, and cancels its run unless the engine ended it."""
+    msg = row.msg
+    ran = row.phase in {Phase.RUNNING, Phase.DONE}
+    if row.phase in {Phase.BODY, Phase.QUEUED}:
+        tables.body_bytes -= msg.body_bytes
+        tables.queue.remove(msg.req_id)
+    if tables.runs.pop(row.run_id, None) is not None and cancel:
+        out.append(agent_events.CancelRun(row.run_id))
+    del tables.streams[msg.req_id]
+    tables.remember(msg.req_id, msg.attempt, ran=ran, reason=reason)
+    if row.phase is not Phase.DONE:
+        _audit(tables, row, "unknown" if ran else "not_run", now, out)
+
+
+def fail(
+    tables: agent_tables.Tables,
+    row: agent_tables.Stream,
+    reason: str,
+    now: float,
+    out: Commands,
+    *,
+    cancel: bool = True,
+) -> None:
+    """Ends a stream with Failed, or Refused if it provably did not run."""
+    if row.phase in {Phase.BODY, Phase.QUEUED}:
+        refuse(tables, row, reason, now, out)
+        return
+    failed = messages.Failed(row.msg.req_id, row.msg.attempt, reason)
+    out.append(agent_events.Send(row.routing_id, failed))
+    end(tables, row, reason, now, out, cancel=cancel)
+
+
+def refuse(
+    tables: agent_tables.Tables,
+    row: agent_tables.Stream,
+    reason: str,
+    now: float,
+    out: Commands,
+) -> None:
+    """Ends an accepted request that has not been started."""
+    refused = messages.Refused(row.msg.req_id, row.msg.attempt, reason, 0)
+    out.append(agent_events.Send(row.routing_id, refused))
+    end(tables, row, reason, now, out)
+
+
+def _audit(
+    tables: agent_tables.Tables,
+    row: agent_tables.Stream,
+    outcome: str,
+    now: float,
+    out: Commands,
+) -> None:
+    msg = row.msg
+    out.append(
+        agent_events.Audit(
+            msg.req_id,
+            msg.attempt,
+            msg.team,
+            msg.priority,
+            msg.model,
+            msg.version,
+            row.config_rev,
+            row.sender,
+            row.accepted,
+            now,
+            outcome,
+            len(row.tokens) - len(msg.forced_prefix),
+        )
+    )
+
+
+def on_tokens(
+    tables: agent_tables.Tables,
+    event: agent_events.RunTokens,
+    now: float,
+    out: Commands,
+) -> None:
+    """Adds tokens at their offset; repeated ones are skipped."""
+    row = _running(tables, event.run_id)
+    if row is None:
+        return
+    skip = len(row.tokens) - event.offset
+    if skip < 0:
+        fail(tables, row, "upstream_gap", now, out)
+        return
+    new = event.tokens[skip:]
+    if len(row.tokens) + len(new) > row.msg.max_tokens:
+        fail(tables, row, "upstream_overrun", now, out)
+        return
+    row.tokens.extend(new)
+    row.reused = max(row.reused, event.reused)
+    row.last_progress = now
+
+
+def _running(
+    tables: agent_tables.Tables, run_id: str
+) -> agent_tables.Stream | None:
+    req_id = tables.runs.get(run_id)
+    return None if req_id is None else tables.streams[req_id]
+
+
+def on_done(
+    tables: agent_tables.Tables,
+    event: agent_events.RunDone,
+    now: float,
+    out: Commands,
+) -> None:
+    """Completes a stream if the count matches the tokens received."""
+    row = _running(tables, event.run_id)
+    if row is None:
+        return
+    if event.total != len(row.tokens):
+        fail(tables, row, "upstream_short", now, out, cancel=False)
+        return
+    del tables.runs[event.run_id]
+    _audit(tables, row, "completed", now, out)
+    row.phase = Phase.DONE
+
+
+def on_failed(
+    tables: agent_tables.Tables,
+    event: agent_events.RunFailed,
+    now: float,
+    out: Commands,
+) -> None:
+    """Tells the entry that the run broke off.
+
+    The run is cancelled too: a broken connection doesn't prove that the engine
+    has stopped. An export ends the run on purpose; its own answer follows.
+    """
+    row = _running(tables, event.run_id)
+    if row is not None and not row.exporting:
+        fail(tables, row, event.reason, now, out)
+
+
+def on_attach(
+    tables: agent_tables.Tables,
+    routing_id: bytes,
+    got: messages.Received,
+    msg: messages.Attach,
+    now: float,
+    out: Commands,
+) -> None:
+    """Gives a stream to the attaching entry.
+
+    A stream that is unknown, of another team, or shorter than the offset is
+    answered with Failed: Refused would state that it was not run.
+    """
+    row = tables.streams.get(msg.req_id)
+    if (
+        row is None
+        or row.msg.team != msg.team
+        or msg.offset > len(row.tokens)
+        or tables.remaining_s(msg.remaining_ms, now) <= 0
+    ):
+        failed = messages.Failed(msg.req_id, 0, "unknown_stream")
+        out.append(agent_events.Send(routing_id, failed))
+        return
+    row.routing_id = routing_id
+    row.sender = got.sender
+    row.sent = msg.offset
+    row.credit = msg.offset + msg.credit_tokens
+    row.stalled_since = None
+    row.finished_sent = False
+    row.retain_until = float("inf")
+    accepted = messages.Accepted(msg.req_id, row.msg.attempt, row.msg.group)
+    out.append(agent_events.Send(routing_id, accepted))
+
+
+def on_credit(
+    tables: agent_tables.Tables, got: messages.Received, msg: messages.Credit
+) -> None:
+    """Raises the offset up to which tokens may be sent."""
+    row = _owned(tables, got, msg.req_id, msg.attempt)
+    if row is not None and msg.upto > row.credit:
+        row.credit = msg.upto
+        row.stalled_since = None
+
+
+def on_cancel(
+    tables: agent_tables.Tables,
+    got: messages.Received,
+    msg: messages.Cancel,
+    now: float,
+    out: Commands,
+) -> None:
+    """Ends a stream of its owner; a cancel may overtake its submit."""
+    known = tables.streams.get(msg.req_id)
+    if known is None:
+        ended = tables.ended.get(msg.req_id)
+        if ended is None or ended.attempt < msg.attempt:
+            tables.remember(
+                msg.req_id, msg.attempt, ran=False, reason="cancelled"
+            )
+        return
+    row = _owned(tables, got, msg.req_id, msg.attempt)
+    if row is not None:
+        end(tables, row, "cancelled", now, out)
+
+
+def _owned(
+    tables: agent_tables.Tables,
+    got: messages.Received,
+    req_id: str,
+    attempt: int,
+) -> agent_tables.Stream | None:
+    """Returns the stream if the sender still owns this attempt.
+
+    An entry that was frozen may still send for a stream that a second entry
+    has attached to.
+    """
+    row = tables.streams.get(req_id)
+    if row is None or row.msg.attempt != attempt or row.sender != got.sender:
+        return None
+    return row
+
+
+def expire(tables: agent_tables.Tables, now: float, out: Commands) -> None:
+    """Ends what is past its deadline, retention or owner."""
+    for row in list(tables.streams.values()):
+        if row.finished_sent:
+            if now >= row.retain_until:
+                end(tables, row, "retention", now, out)
+            continue
+        if now >= row.deadline:
+            fail(tables, row, "deadline", now, out)
+        elif now - tables.entries.get(row.sender, row.accepted) >= RETAIN_S:
+            fail(tables, row, "entry_gone", now, out)
+        elif row.phase is Phase.RUNNING:
+            _expire_running(tables, row, now, out)
+
+
+def _expire_running(
+    tables: agent_tables.Tables,
+    row: agent_tables.Stream,
+    now: float,
+    out: Commands,
+) -> None:
+    started = len(row.tokens) > len(row.msg.forced_prefix)
+    if started and now - row.last_progress >= ENGINE_SILENCE_S:
+        fail(tables, row, "upstream_silent", now, out)
+
+
+def flush(tables: agent_tables.Tables, now: float, out: Commands) -> None:
+    """Sends buffered tokens within the credits, then Finished."""
+    for row in list(tables.streams.values()):
+        if row.phase not in {Phase.RUNNING, Phase.DONE}:
+            continue
+        if row.routing_id not in tables.peers:
+            continue
+        _flush_tokens(row, now, out)
+        if _stalled(row, now):
+            fail(tables, row, "stalled", now, out)
+        elif (
+            row.phase is Phase.DONE
+            and row.sent == len(row.tokens)
+            and not row.finished_sent
+        ):
+            _send_finished(row, now, out)
+
+
+def _flush_tokens(row: agent_tables.Stream, now: float, out: Commands) -> None:
+    upto = min(len(row.tokens), row.credit)
+    if row.sent >= upto or now < row.next_flush:
+        return
+    while row.sent < upto:
+        stop = min(upto, row.sent + CHUNK_TOKENS)
+        tokens = messages.Tokens(
+            row.msg.req_id,
+            row.msg.attempt,
+            row.sent,
+            row.tokens[row.sent : stop].tolist(),
+        )
+        out.append(agent_events.Send(row.routing_id, tokens))
+        row.sent = stop
+    row.next_flush = now + FLUSH_INTERVAL_S
+
+
+def _stalled(row: agent_tables.Stream, now: float) -> bool:
+    """Tells whether the entry has given no credit for too long."""
+    if row.sent < row.credit or row.sent == len(row.tokens):
+        row.stalled_since = None
+        return False
+    if row.stalled_since is None:
+        row.stalled_since = now
+        row.stall_mark = len(row.tokens)
+    held = len(row.tokens) - row.stall_mark
+    return now - row.stalled_since >= STALL_S or held > STALL_TOKENS
+
+
+def _send_finished(row: agent_tables.Stream, now: float, out: Commands) -> None:
+    total = len(row.tokens)
+    reason = "length" if total == row.msg.max_tokens else "stop"
+    finished = messages.Finished(
+        row.msg.req_id,
+        row.msg.attempt,
+        total,
+        row.digest(),
+        row.reused,
+        reason,
+    )
+    out.append(agent_events.Send(row.routing_id, finished))
+    row.finished_sent = True
+    row.retain_until = now + RETAIN_S
--- /dev/null
+++ b/src/apricottrestle/agent_tables.py
@@ -0,0 +1,475 @@
+"""Tables of an agent: all state that its step reads and changes.
+
+Times are monotonic seconds. Invariant: a request id has at most one row in
+`streams`, and `runs` names exactly the rows that the engine runs.
+"""
+
+import array
+import collections
+import enum
+import random
+from typing import Final, Literal, NamedTuple
+
+from apricottrestle import (
+    agent_events,
+    call_log,
+    config_state,
+    hashing,
+    messages,
+    queueing,
+)
+
+ENDED_ROWS: Final = 10_000
+"""Ended requests remembered, so that a late duplicate isn't run again."""
+
+
+COMPLETION_DELAY_S: Final = 0.5
+MAX_COMPLETIONS: Final = 10_000
+"""Completions held while the log is down; the oldest are dropped."""
+
+
+class Params(NamedTuple):
+    """Settings of one agent.
+
+    Attributes:
+        agent_id: Agent id.
+        incarnation: Incarnation of this process.
+        data_centre: Data centre.
+        kind: "engine" or "service".
+        service: Service name, "" for an engine.
+        upstream_url: Base URL of the upstream.
+        secret: Fleet secret that authenticates issued keys.
+        slots: Requests or calls that the upstream runs at the same time.
+        kv_block_tokens: Tokens in a KV block of the engine.
+        prefill_tokens_per_s: Prefill rate of the engine.
+        role: Role that orders give the engine.
+    """
+
+    agent_id: str
+    incarnation: str
+    data_centre: str
+    kind: Literal["engine", "service"]
+    service: str
+    upstream_url: str
+    secret: bytes
+    slots: int = 64
+    kv_block_tokens: int = 16
+    prefill_tokens_per_s: float = 100_000.0
+    role: str = "mixed"
+
+
+class Peer:
+    """A connection from an entry."""
+
+    __slots__ = ("config_asked", "last_seen", "received", "sender")
+
+    def __init__(self, sender: str, now: float) -> None:
+        """Starts with a first frame at `now`."""
+        self.sender = sender
+        self.last_seen = now
+        self.received = 0
+        self.config_asked = -1e9
+
+
+class Phase(enum.Enum):
+    """Where a stream is."""
+
+    BODY = "body"
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+
+
+class Stream:
+    """A generation: its request, output buffer and credit.
+
+    `tokens` starts with the forced prefix, so that list index and token offset
+    are the same. `sent` and `credit` are offsets. `waiting_end` is the time at
+    which the engine ended the run.
+    """
+
+    __slots__ = (
+        "accepted",
+        "body",
+        "chunks",
+        "config_rev",
+        "credit",
+        "deadline",
+        "exporting",
+        "finished_sent",
+        "kv_tokens",
+        "last_chunk",
+        "last_progress",
+        "msg",
+        "next_chunk",
+        "next_flush",
+        "phase",
+        "retain_until",
+        "reused",
+        "routing_id",
+        "sender",
+        "sent",
+        "stall_mark",
+        "stalled_since",
+        "tokens",
+    )
+
+    def __init__(
+        self,
+        msg: messages.Submit,
+        routing_id: bytes,
+        sender: str,
+        config_rev: int,
+        now: float,
+        deadline: float,
+    ) -> None:
+        """Starts without body."""
+        self.msg = msg
+        self.routing_id = routing_id
+        self.sender = sender
+        self.config_rev = config_rev
+        self.accepted = now
+        self.deadline = deadline
+        self.phase = Phase.BODY
+        self.body = b""
+        self.chunks: dict[int, bytes] = {}
+        self.next_chunk = 0
+        self.last_chunk = now
+        self.kv_tokens = msg.prompt_tokens + msg.max_tokens
+        self.tokens = array.array("Q", msg.forced_prefix)
+        self.sent = len(msg.forced_prefix)
+        self.credit = msg.credit_tokens
+        self.reused = 0
+        self.last_progress = now
+        self.next_flush = now
+        self.stalled_since: float | None = None
+        self.stall_mark = 0
+        self.finished_sent = False
+        self.retain_until = float("inf")
+        self.exporting = False
+
+    @property
+    def run_id(self) -> str:
+        """Id of the attempt in the engine."""
+        return run_id(self.msg.req_id, self.msg.attempt)
+
+    def digest(self) -> str:
+        """Returns the digest over all tokens, forced prefix included."""
+        digest = hashing.StreamDigest()
+        digest.update(self.tokens)
+        return digest.hexdigest()
+
+
+class Ended(NamedTuple):
+    """What is remembered of an ended attempt; `ran` unless proved not run."""
+
+    attempt: int
+    ran: bool
+    reason: str
+
+
+class LeaseKind(enum.Enum):
+    """What holds the memory."""
+
+    GROUP = "group"
+    EXPORT = "export"
+
+
+class Lease:
+    """A lease on engine memory other than that of a running request.
+
+    Attributes:
+        allocation: Allocation id, or export handle.
+        kind: Group reservation or export.
+        owner: Group id, or run id of the exported run.
+        tokens: Size.
+        deadline: End of the lease; only the agent's clock decides.
+        granted: The engine has confirmed the allocation.
+        consumed: The leader's run has taken the memory over.
+        missing: Lists of the engine in a row that lack the allocation.
+        waiters: Connections that wait for Reserved.
+    """
+
+    __slots__ = (
+        "allocation",
+        "consumed",
+        "deadline",
+        "granted",
+        "kind",
+        "missing",
+        "owner",
+        "tokens",
+        "waiters",
+    )
+
+    def __init__(
+        self,
+        allocation: str,
+        kind: LeaseKind,
+        owner: str,
+        tokens: int,
+        deadline: float,
+    ) -> None:
+        """Starts without the engine's confirmation."""
+        self.allocation = allocation
+        self.kind = kind
+        self.owner = owner
+        self.tokens = tokens
+        self.deadline = deadline
+        self.granted = False
+        self.consumed = False
+        self.missing = 0
+        self.waiters: list[bytes] = []
+
+
+class CallState(enum.Enum):
+    """Where a call is; the last three are final."""
+
+    ISSUED = "issued"
+    APPENDING = "appending"
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class Call:
+    """A call to the plain service, or an issued key without a call yet.
+
+    Attributes:
+        call_id: Key id, or request id of a repeatable call.
+        seq: Sequence number of the key; 0 for a repeatable call.
+        key: Text of the key, "" for a repeatable call.
+        logged: An intent goes to the log before the run.
+        state: See CallState.
+        msg: The submit, None while only issued.
+        body: HTTP body; of the request before the run, then of the answer.
+        waiters: Connections and request ids that wait for the result.
+        deadline: End of the call's time.
+        touched: Time of the last change, for forgetting.
+    """
+
+    __slots__ = (
+        "body",
+        "call_id",
+        "deadline",
+        "headers",
+        "key",
+        "logged",
+        "msg",
+        "reason",
+        "sender",
+        "seq",
+        "started",
+        "state",
+        "status",
+        "touched",
+        "waiters",
+    )
+
+    def __init__(
+        self, call_id: str, seq: int, key: str, logged: bool, now: float
+    ) -> None:
+        """Starts as issued."""
+        self.call_id = call_id
+        self.seq = seq
+        self.key = key
+        self.logged = logged
+        self.state = CallState.ISSUED
+        self.msg: messages.CallSubmit | None = None
+        self.sender = ""
+        self.body = b""
+        self.headers: list[tuple[str, str]] = []
+        self.status = 0
+        self.reason = ""
+        self.waiters: list[tuple[bytes, str]] = []
+        self.deadline = float("inf")
+        self.started = now
+        self.touched = now
+
+
+class LogPhase(enum.Enum):
+    """What the call log does for this agent at the moment."""
+
+    IDLE = "idle"
+    APPENDING = "appending"
+    READING = "reading"
+
+
+class CallLogState:
+    """Group commit to the call stream; one batch at a time.
+
+    `position` is the offset up to which the stream has been read; `refused`
+    holds the sequence numbers whose refusal was found up to there.
+    """
+
+    def __init__(self) -> None:
+        """Starts unread; keys are unlogged until the first read succeeds."""
+        self.up = False
+        self.phase = LogPhase.IDLE
+        self.batch = 0
+        self.batch_seqs: list[int] = []
+        self.batch_completions: list[call_log.CallEntry] = []
+        self.own_offset: int | None = None
+        self.started = 0.0
+        self.position = 0
+        self.refused: set[int] = set()
+        self.intents: list[int] = []
+        self.completions: list[call_log.CallEntry] = []
+        self.next_probe = 0.0
+        self.next_completions = 0.0
+
+    def add_completion(self, entry: call_log.CallEntry, now: float) -> None:
+        """Queues a completion; it waits shortly to share an append."""
+        if not self.completions:
+            self.next_completions = now + COMPLETION_DELAY_S
+        self.completions.append(entry)
+        del self.completions[:-MAX_COMPLETIONS]
+
+
+class EngineState:
+    """What the agent knows of its engine."""
+
+    def __init__(self) -> None:
+        """Starts unknown."""
+        self.load: agent_events.EngineLoad | None = None
+        self.load_time = 0.0
+        self.started_since_load = 0
+        self.failures = 0
+        self.config: agent_events.EngineConfig | None = None
+        self.orphans: dict[str, float] = {}
+        self.orphan_blocks = 0
+        self.next_load = 0.0
+        self.next_allocations = 0.0
+
+
+class OrderState:
+    """Progress of the engine's configuration."""
+
+    def __init__(self) -> None:
+        """Starts without an assigned model."""
+        self.model = ""
+        self.switching = False
+        self.sent_at = -1e9
+        self.next_read = 0.0
+        self.not_before = 0.0
+        self.permits: set[tuple[str, str]] = set()
+        self.permit_at = 0.0
+        self.permit_asked: tuple[str, str] | None = None
+
+
+class CatchUpState:
+    """Whether the configuration is known to be current.
+
+    `pause` counts the pauses of this process, the start being the first. Until
+    a peer or the log, asked after the last pause, has confirmed the
+    configuration, the agent sends no orders.
+    """
+
+    def __init__(self, now: float) -> None:
+        """Starts as after a pause."""
+        self.pause = 1
+        self.needed = True
+        self.ever = False
+        self.ask_at = now
+        self.asked = False
+        self.last_tick = now
+        self.allowance = 0.0
+        self.allowance_until = now
+
+
+class DrainState:
+    """Progress of a drain."""
+
+    def __init__(self) -> None:
+        """Starts as not draining."""
+        self.active = False
+        self.deadline = float("inf")
+        self.exit_at = float("inf")
+        self.exited = False
+
+
+class CacheState:
+    """Prefix blocks that the engine holds, as a hint, oldest first."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.blocks: dict[int, None] = {}
+        self.after = 0
+        self.seq = 0
+        self.next_poll = 0.0
+        self.next_summary = 0.0
+        self.next_full = 0.0
+        self.added: dict[int, None] = {}
+        self.removed: dict[int, None] = {}
+        self.reset = True
+
+
+class Tables:
+    """All tables of one agent."""
+
+    def __init__(
+        self,
+        params: Params,
+        queue: queueing.RequestQueue,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        """Starts empty at time `now`; `queue` is the queue policy."""
+        self.params = params
+        self.queue = queue
+        self.rng = rng
+        self.config = config_state.EMPTY
+        self.peers: dict[bytes, Peer] = {}
+        self.entries: dict[str, float] = {}
+        self.streams: dict[str, Stream] = {}
+        self.runs: dict[str, str] = {}
+        self.body_bytes = 0
+        self.ended: collections.OrderedDict[str, Ended] = (
+            collections.OrderedDict()
+        )
+        self.leases: dict[str, Lease] = {}
+        self.groups: dict[str, str] = {}
+        self.ended_groups: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.next_allocation = 1
+        self.engine = EngineState()
+        self.orders = OrderState()
+        self.catch_up = CatchUpState(now)
+        self.drain = DrainState()
+        self.cache = CacheState()
+        self.calls: dict[str, Call] = {}
+        self.keys: dict[int, Call] = {}
+        self.call_queue: collections.deque[str] = collections.deque()
+        self.calls_running = 0
+        self.next_key = 1
+        self.answer_bytes = 0
+        self.call_log = CallLogState()
+
+    def remaining_s(self, remaining_ms: int, now: float) -> float:
+        """Returns the time left of a frame that is handled at `now`.
+
+        A frame handled just after a pause may have waited as long as the
+        pause, so that time is taken off.
+        """
+        late = self.catch_up.allowance_until > now
+        return remaining_ms / 1000 - (self.catch_up.allowance if late else 0.0)
+
+    def remember(
+        self, req_id: str, attempt: int, *, ran: bool, reason: str
+    ) -> None:
+        """Records an ended attempt; the oldest records go first."""
+        known = self.ended.pop(req_id, None)
+        if known is not None and known.attempt > attempt:
+            self.ended[req_id] = known
+            return
+        self.ended[req_id] = Ended(attempt, ran, reason)
+        while len(self.ended) > ENDED_ROWS:
+            self.ended.popitem(last=False)
+
+
+def run_id(req_id: str, attempt: int) -> str:
+    """Returns the id of an attempt in the engine."""
+    return f"{req_id}.{attempt}"
--- /dev/null
+++ b/tests/test_agent_world.py
@@ -0,0 +1,472 @@
+"""A world around the agent's step: engine, service, log and entries.
+
+The fakes keep ledgers that decide the tests; they never expire a lease by
+themselves, so that only the agent's own clock can free memory.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from apricottrestle import (
+    agent_events,
+    agent_step,
+    agent_tables,
+    call_log,
+    config_state,
+    messages,
+    queueing,
+)
+
+TICK_S = 0.1
+BLOCK_TOKENS = 16
+ENTRY = b"conn-1"
+SECRET = b"fleet secret"
+
+
+def config(
+    revision: int = 5, versions: tuple[str, ...] = ("v1",)
+) -> config_state.ConfigState:
+    """Returns a configuration with one model and one service."""
+    return config_state.ConfigState(
+        revision=revision,
+        models={"m": config_state.ModelSpec("m", versions[-1])},
+        versions={f"m@{v}": config_state.VersionSpec("m", v) for v in versions},
+        services={
+            "roster": config_state.ServiceSpec("roster", ("POST /book",))
+        },
+    )
+
+
+def expected_tokens(body: bytes, total: int) -> list[int]:
+    """Returns the answer that the fake engine gives to a prompt."""
+    seed = sum(body)
+    return [(seed * 31 + index * 7) % 50_000 for index in range(total)]
+
+
+class FakeEngine:
+    """Engine with a ledger of memory and runs."""
+
+    def __init__(self) -> None:
+        self.blocks: dict[str, tuple[int, str]] = {}
+        self.runs: dict[str, list[Any]] = {}
+        self.started: list[str] = []
+        self.orders: list[agent_events.SendOrder] = []
+        self.config = agent_events.EngineConfig("m", ["v1"], [], "mixed")
+        self.total_blocks = 4096
+        self.tokens_per_tick = 4
+        self.frozen = False
+        self.can_export = True
+        self.ignores_fence = False
+        self.fence = 0
+        self.cache = agent_events.CacheEvents(1, 1, [], [])
+
+    def held(self) -> int:
+        """Returns the blocks in use."""
+        return sum(blocks for blocks, _ in self.blocks.values())
+
+    def start(self, cmd: agent_events.StartRun) -> None:
+        self.started.append(cmd.run_id)
+        self.blocks.pop(cmd.own_allocation, None)
+        position = len(cmd.forced_prefix)
+        self.blocks[cmd.run_id] = (cmd.max_tokens, cmd.run_id)
+        self.runs[cmd.run_id] = [cmd, position]
+
+    def end(self, run_id: str) -> None:
+        self.runs.pop(run_id, None)
+        self.blocks.pop(run_id, None)
+
+    def kill(self) -> list[agent_events.Event]:
+        """Loses all state, as a restart does; streams break off."""
+        failed: list[agent_events.Event] = [
+            agent_events.RunFailed(run_id, "upstream_failed")
+            for run_id in self.runs
+        ]
+        self.runs.clear()
+        self.blocks.clear()
+        return failed
+
+    def produce(self) -> list[agent_events.Event]:
+        events: list[agent_events.Event] = []
+        if self.frozen:
+            return events
+        for run_id, run in list(self.runs.items()):
+            cmd, position = run
+            answer = expected_tokens(cmd.body, cmd.max_tokens)
+            stop = min(position + self.tokens_per_tick, cmd.max_tokens)
+            events.append(
+                agent_events.RunTokens(
+                    run_id, position, answer[position:stop], 0
+                )
+            )
+            run[1] = stop
+            if stop == cmd.max_tokens:
+                events.append(agent_events.RunDone(run_id, stop))
+                self.end(run_id)
+        return events
+
+    def allocate(self, cmd: agent_events.Allocate) -> list[agent_events.Event]:
+        blocks = -(-cmd.tokens // BLOCK_TOKENS)
+        self.blocks[cmd.allocation] = (blocks, "")
+        return [agent_events.AllocationAnswer(cmd.allocation, True, "")]
+
+    def order(self, cmd: agent_events.SendOrder) -> list[agent_events.Event]:
+        if cmd.fence < self.fence and not self.ignores_fence:
+            return [agent_events.OrderAnswer(cmd.fence, 409)]
+        self.orders.append(cmd)
+        self.fence = max(self.fence, cmd.fence)
+        self.config = agent_events.EngineConfig(
+            cmd.model, cmd.versions, cmd.adapters, cmd.role
+        )
+        return [agent_events.OrderAnswer(cmd.fence, 200)]
+
+    def load(self) -> agent_events.EngineLoad:
+        free = self.total_blocks - self.held()
+        return agent_events.EngineLoad(
+            len(self.runs), 0, 0, self.total_blocks, free, 0.0
+        )
+
+    def listing(self) -> agent_events.AllocationList:
+        return agent_events.AllocationList(
+            [
+                agent_events.AllocationRow(name, blocks, req_id)
+                for name, (blocks, req_id) in self.blocks.items()
+            ]
+        )
+
+
+class FakeLog:
+    """Append-only call stream."""
+
+    def __init__(self) -> None:
+        self.records: list[call_log.CallRecord] = []
+        self.first = 1
+        self.down = False
+        self.loses_answers = False
+
+    def append(self, data: str) -> int:
+        offset = self.first + len(self.records)
+        self.records.append(call_log.CallRecord(offset, data))
+        return offset
+
+    def refuse(self, key_id: str) -> None:
+        entry = call_log.CallEntry(call_log.EntryKind.REFUSAL, key_id)
+        self.append(call_log.encode([entry]))
+
+    def cut(self) -> None:
+        """Drops all records, as retention does."""
+        self.first += len(self.records)
+        self.records.clear()
+
+
+class FakeService:
+    """Plain service with a ledger of side effects."""
+
+    def __init__(self) -> None:
+        self.effects: list[str] = []
+        self.mode = "answer"
+        self.held: list[agent_events.Event] = []
+
+    def call(self, cmd: agent_events.CallService) -> list[agent_events.Event]:
+        if self.mode == "unreachable":
+            return [agent_events.ServiceFailed(cmd.call_id, "refused", False)]
+        self.effects.append(cmd.call_id)
+        answer = agent_events.ServiceAnswer(cmd.call_id, 200, [], b"booked")
+        if self.mode == "hold":
+            self.held.append(answer)
+            return []
+        if self.mode == "lose_answer":
+            return [agent_events.ServiceFailed(cmd.call_id, "reset", True)]
+        return [answer]
+
+
+class Sent(NamedTuple):
+    """A message that the agent sent."""
+
+    time: float
+    routing_id: bytes
+    msg: messages.Message
+    body: bytes
+
+
+class World:
+    """Runs the agent's step on a fake clock against the fakes.
+
+    Attributes:
+        drop: Kinds of commands that get lost on the way to the fakes.
+        mute: Kinds of commands that take effect but whose answer gets lost.
+    """
+
+    def __init__(
+        self,
+        kind: str = "engine",
+        *,
+        seed: int = 1,
+        incarnation: str = "inc1",
+        engine: FakeEngine | None = None,
+        log: FakeLog | None = None,
+        service: FakeService | None = None,
+        now: float = 1000.0,
+    ) -> None:
+        self.now = now
+        is_engine = kind == "engine"
+        params = agent_tables.Params(
+            "agent-1",
+            incarnation,
+            "savannah",
+            "engine" if is_engine else "service",
+            "" if is_engine else "roster",
+            "http://127.0.0.1:1",
+            SECRET,
+        )
+        self.tables = agent_tables.Tables(
+            params, queueing.FifoQueue(), random.Random(seed), now
+        )
+        self.engine = engine or FakeEngine()
+        self.log = log or FakeLog()
+        self.service = service or FakeService()
+        self.config = config()
+        self.sent: list[Sent] = []
+        self.commands: list[agent_events.Command] = []
+        self.inbox: list[agent_events.Event] = []
+        self.drop: set[type] = set()
+        self.mute: set[type] = set()
+        self.exited = False
+        self.sync_down = False
+        self.pinging: dict[bytes, str] = {}
+        self._next_ping = 0.0
+
+    def ready(self) -> "World":
+        """Runs until the agent serves, with one entry connected."""
+        self.inbox.append(agent_events.ModelAssigned("m"))
+        self.connect(ENTRY, "entry-1")
+        self.run(1.0)
+        self.sent.clear()
+        return self
+
+    def connect(self, routing_id: bytes, sender: str) -> None:
+        """Adds an entry that pings every 2 s."""
+        self.pinging[routing_id] = sender
+        self.frame(messages.Hello("savannah"), routing_id=routing_id)
+
+    def frame(
+        self,
+        msg: messages.Message,
+        body: bytes = b"",
+        *,
+        routing_id: bytes = ENTRY,
+        rev: int = 0,
+        sender: str = "",
+    ) -> None:
+        """Puts a message into the agent's inbox."""
+        name = sender or self.pinging.get(routing_id, "entry-1")
+        got = messages.Received(name, "i", rev, msg, body)
+        self.inbox.append(agent_events.FrameIn(routing_id, got))
+
+    def tick(self) -> None:
+        """Advances the clock by one tick and runs one step."""
+        self.now += TICK_S
+        if self.now >= self._next_ping:
+            self._next_ping = self.now + 2.0
+            for routing_id in self.pinging:
+                self.frame(messages.Ping(1, False), routing_id=routing_id)
+        events = [*self.inbox, *self.engine.produce()]
+        self.inbox = []
+        self.commands = agent_step.step(self.tables, events, self.now)
+        for cmd in self.commands:
+            self._execute(cmd)
+
+    def run(self, seconds: float) -> None:
+        """Runs for a time."""
+        for _ in range(round(seconds / TICK_S)):
+            self.tick()
+
+    def until(
+        self, condition: Callable[[], object], limit_s: float = 60.0
+    ) -> None:
+        """Runs until a condition holds; fails after the limit."""
+        stop = self.now + limit_s
+        while not condition():
+            assert self.now < stop, "condition not reached"
+            self.tick()
+
+    def freeze(self, seconds: float) -> None:
+        """The agent stands still; the upstreams go on."""
+        stop = self.now + seconds
+        while self.now < stop - TICK_S:
+            self.now += TICK_S
+            self.inbox.extend(self.engine.produce())
+
+    def _execute(self, cmd: agent_events.Command) -> None:
+        if isinstance(cmd, agent_events.Send):
+            self.sent.append(Sent(self.now, cmd.routing_id, cmd.msg, cmd.body))
+            return
+        if type(cmd) in self.drop:
+            return
+        if isinstance(cmd, agent_events.Exit):
+            self.exited = True
+        answers = self._answers(cmd)
+        if type(cmd) not in self.mute:
+            self.inbox.extend(answers)
+
+    def _answers(self, cmd: agent_events.Command) -> list[agent_events.Event]:
+        engine = self.engine
+        match cmd:
+            case agent_events.StartRun():
+                engine.start(cmd)
+            case agent_events.CancelRun():
+                engine.end(cmd.run_id)
+            case agent_events.Allocate():
+                return engine.allocate(cmd)
+            case agent_events.FreeAllocation():
+                engine.blocks.pop(cmd.allocation, None)
+            case agent_events.FreeExport():
+                engine.blocks.pop(cmd.handle, None)
+            case agent_events.SendOrder():
+                return engine.order(cmd)
+            case agent_events.ExportKv():
+                return self._export(cmd)
+            case agent_events.RequestPermit():
+                return [agent_events.PermitAnswer(cmd.model, cmd.version, 0)]
+            case agent_events.CallService():
+                return self.service.call(cmd)
+            case _:
+                return self._poll(cmd)
+        return []
+
+    def _poll(self, cmd: agent_events.Command) -> list[agent_events.Event]:
+        match cmd:
+            case agent_events.PollLoad():
+                return [self.engine.load()]
+            case agent_events.PollAllocations():
+                return [self.engine.listing()]
+            case agent_events.PollConfig():
+                return [self.engine.config]
+            case agent_events.PollCache():
+                return [self.engine.cache]
+            case agent_events.CatchUp() if not self.sync_down:
+                return [agent_events.ConfigChanged(self.config, cmd.pause)]
+            case agent_events.FoldConfig():
+                return [agent_events.ConfigChanged(self.config, cmd.confirms)]
+            case agent_events.AppendCalls():
+                return self._append(cmd)
+            case agent_events.ReadCalls():
+                return self._read(cmd)
+        return []
+
+    def _append(
+        self, cmd: agent_events.AppendCalls
+    ) -> list[agent_events.Event]:
+        if self.log.down:
+            return [agent_events.CallLogFailed(cmd.batch)]
+        offset = self.log.append(cmd.data)
+        if self.log.loses_answers:
+            return [agent_events.CallLogFailed(cmd.batch)]
+        return [agent_events.CallsAppended(cmd.batch, offset)]
+
+    def _read(self, cmd: agent_events.ReadCalls) -> list[agent_events.Event]:
+        if self.log.down:
+            return [agent_events.CallLogFailed(cmd.batch)]
+        records = [r for r in self.log.records if r.offset > cmd.after]
+        records = records[: cmd.limit]
+        end = records[-1].offset + 1 if records else None
+        next_offset = end or self.log.first + len(self.log.records)
+        return [
+            agent_events.CallsRead(
+                cmd.batch, self.log.first, next_offset, records
+            )
+        ]
+
+    def _export(self, cmd: agent_events.ExportKv) -> list[agent_events.Event]:
+        if not self.engine.can_export:
+            return [agent_events.KvExported(cmd.run_id, "")]
+        self.engine.end(cmd.run_id)
+        handle = f"kv-{cmd.run_id}"
+        self.engine.blocks[handle] = (7, "")
+        return [agent_events.KvExported(cmd.run_id, handle)]
+
+    def of(self, kind: type, routing_id: bytes | None = None) -> list[Any]:
+        """Returns the messages of a kind that the agent sent."""
+        return [
+            row.msg
+            for row in self.sent
+            if isinstance(row.msg, kind)
+            and routing_id in {None, row.routing_id}
+        ]
+
+    def tokens(self, req_id: str, routing_id: bytes | None = None) -> list[int]:
+        """Returns the tokens sent for a request, in offset order."""
+        answer: dict[int, int] = {}
+        for msg in self.of(messages.Tokens, routing_id):
+            if msg.req_id == req_id:
+                answer.update(enumerate(msg.tokens, msg.offset))
+        return [answer[index] for index in sorted(answer)]
+
+
+def submit(req_id: str = "r1", **changes: Any) -> messages.Submit:
+    """Returns a submit of a small request."""
+    msg = messages.Submit(
+        req_id=req_id,
+        attempt=1,
+        team="t",
+        weight=1.0,
+        priority=1,
+        model="m",
+        version="v1",
+        adapter="",
+        prompt_tokens=100,
+        max_tokens=40,
+        remaining_ms=30_000,
+        credit_tokens=10_000,
+        prefix_blocks=[],
+        forced_prefix=[],
+        body_bytes=len(body_of(req_id)),
+        group=[],
+        kv=None,
+    )
+    return msg._replace(**changes)
+
+
+def body_of(req_id: str) -> bytes:
+    """Returns the prompt of a request, different for each id."""
+    return msgspec.msgpack.encode(f"prompt of {req_id}")
+
+
+def call(req_id: str, key: str, **changes: Any) -> messages.CallSubmit:
+    """Returns a submit of a call that books something."""
+    msg = messages.CallSubmit(
+        req_id, key, "roster", "t", "POST", "/book/1", [], 5_000
+    )
+    return msg._replace(**changes)
+
+
+def test_request_runs_to_the_end() -> None:
+    world = World().ready()
+    world.frame(submit(), body_of("r1"))
+    world.until(lambda: world.of(messages.Finished))
+    want = expected_tokens(body_of("r1"), 40)
+    assert world.tokens("r1") == want
+    assert world.of(messages.Finished)[0].total_tokens == 40
+    world.run(20)
+    assert world.engine.held() == 0
+    assert world.tables.streams == {}
+
+
+def test_call_runs_once_with_intent_and_completion() -> None:
+    world = World("service").ready()
+    world.frame(messages.KeyRequest("k", "roster", 1))
+    world.until(lambda: world.of(messages.KeyIssued))
+    key = world.of(messages.KeyIssued)[0].keys[0]
+    world.frame(call("c1", key), b"x")
+    world.until(lambda: world.of(messages.CallResult))
+    assert world.of(messages.CallResult)[0].outcome == "completed"
+    world.run(2)
+    kinds = [
+        entry.kind
+        for record in world.log.records
+        for entry in call_log.decode(record)
+    ]
+    assert kinds == [call_log.EntryKind.INTENT, call_log.EntryKind.COMPLETION]
+    assert len(world.service.effects) == 1
