--- a/src/apricottrestle_standins/log_service.py
+++ b/src/apricottrestle_standins/log_service.py
@@ -2,7 +2,8 @@
 
 Offsets start at 1. `first` is the offset after the last one that retention
 removed from the stream, so a reader with `after + 1 < first` has missed
-records. `next` is the `after` of the next read plus one.
+records. `next` is the offset that the next append will get, or the one after
+the last record of an answer that `limit` cut short.
 """
 
 import collections
@@ -124,14 +125,15 @@
 
     def read(self, name: str, after: int, limit: int, now: float) -> ReadAnswer:
         """Returns up to `limit` records with offsets above `after`."""
-        if name not in self.streams:
-            return ReadAnswer(1, after + 1, [])
-        stream = self.streams[name]
+        stream = self.streams[name] if name in self.streams else Stream()
         self._retain(stream, now)
-        rows = [row for row in stream.records if row.offset > after][:limit]
-        next_offset = rows[-1].offset + 1 if rows else after + 1
+        rows = [row for row in stream.records if row.offset > after]
+        last = self._last if self.settings.global_offsets else stream.last
+        if len(rows) > limit:
+            rows = rows[:limit]
+            last = rows[-1].offset if rows else after
         return ReadAnswer(
-            stream.dropped + 1, next_offset, [row._asdict() for row in rows]
+            stream.dropped + 1, last + 1, [row._asdict() for row in rows]
         )
 
     def start(self, host: str, port: int) -> int:
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -55,6 +55,7 @@
         _append(log, "s", "x", at)
     page = log.read("s", 0, 10, now)
     assert (page.first, len(page.records)) == (first, kept)
+    assert page.next == 4
 
 
 def test_gaps_of_global_offsets_are_no_loss() -> None:
