--- /dev/null
+++ b/src/apricottrestle_standins/load.py
@@ -0,0 +1,174 @@
+"""Load tool: sends prompts to entries at a rate and checks each answer.
+
+Arrivals are a Poisson process with a fixed seed and don't wait for answers, so
+a slow fleet gets no less load. The exit code is 0 only when no answer was wrong
+and none was lost.
+"""
+
+import argparse
+import asyncio
+import collections
+import random
+import sys
+from collections.abc import Iterable, Sequence
+from typing import Final, NamedTuple
+
+from apricottrestle import messages
+from apricottrestle_standins import client
+
+_MAX_TOKEN_ID: Final = 50_000
+_BUCKETS: Final = (4_000, 32_000, 100_000, 1_000_001)
+_DEFAULT_LENGTHS: Final = "1000:60,4000:25,16000:12,120000:3"
+_DEFAULT_CLASSES: Final = "urgent:20,standard:50,batch:30"
+
+
+class Choice(NamedTuple):
+    """A value with its weight."""
+
+    value: str
+    weight: float
+
+
+def parse_choices(text: str) -> list[Choice]:
+    """Parses "value:weight,..."; a value without weight counts 1.
+
+    Raises:
+        ValueError: A weight is no positive number, or the list is empty.
+    """
+    choices = []
+    for part in text.split(","):
+        value, _, weight = part.strip().partition(":")
+        choices.append(Choice(value, float(weight or 1)))
+        if not value or choices[-1].weight <= 0:
+            raise ValueError(f"bad choice {part!r} in {text!r}")
+    return choices
+
+
+def pick(rng: random.Random, choices: Sequence[Choice]) -> str:
+    """Returns a value chosen by weight."""
+    weights = [choice.weight for choice in choices]
+    return rng.choices([choice.value for choice in choices], weights)[0]
+
+
+def make_prompt(
+    rng: random.Random,
+    length: int,
+    *,
+    model: str,
+    priority: str,
+    max_tokens: int,
+) -> client.Prompt:
+    """Returns a prompt of random token ids."""
+    ids = rng.choices(range(_MAX_TOKEN_ID), k=length)
+    return client.Prompt(ids, max_tokens, model, priority)
+
+
+def quantile(values: Sequence[float], share: float) -> float:
+    """Returns the value below which a share of the values lies."""
+    ranked = sorted(values)
+    return ranked[min(int(share * len(ranked)), len(ranked) - 1)]
+
+
+def _bucket(length: int) -> str:
+    upper = next(limit for limit in _BUCKETS if length < limit)
+    return f"<{upper // 1000}k"
+
+
+def table(answers: Iterable[client.Answer]) -> str:
+    """Returns time to first token and outcomes by length and class."""
+    rows: dict[tuple[int, str], list[client.Answer]] = collections.defaultdict(
+        list
+    )
+    for answer in answers:
+        upper = next(x for x in _BUCKETS if answer.prompt_tokens < x)
+        rows[upper, answer.priority].append(answer)
+    lines = [
+        f"{'prompt':>8} {'class':<9} {'n':>5} {'p50 s':>7} {'p95 s':>7} "
+        f"{'ok':>5} {'refused':>7} {'error':>5} {'wrong':>5} {'resumed':>7}"
+    ]
+    order = {name: rank for rank, name in enumerate(messages.PRIORITIES)}
+    for upper, name in sorted(rows, key=lambda row: (row[0], order[row[1]])):
+        lines.append(_line(upper, name, rows[upper, name]))
+    return "\n".join(lines)
+
+
+def _line(upper: int, name: str, answers: list[client.Answer]) -> str:
+    times = [
+        answer.first_token_s
+        for answer in answers
+        if answer.first_token_s is not None
+    ]
+    middle = f"{quantile(times, 0.5):7.3f}" if times else f"{'-':>7}"
+    high = f"{quantile(times, 0.95):7.3f}" if times else f"{'-':>7}"
+    count = collections.Counter(answer.outcome for answer in answers)
+    resumed = sum(answer.resumes > 0 for answer in answers)
+    return (
+        f"{_bucket(upper - 1):>8} {name:<9} {len(answers):>5} {middle} {high} "
+        f"{count['ok']:>5} {count['refused']:>7} {count['error']:>5} "
+        f"{count['wrong']:>5} {resumed:>7}"
+    )
+
+
+async def run(
+    caller: client.Caller,
+    prompts: Sequence[client.Prompt],
+    rate: float,
+    seed: int,
+) -> list[client.Answer]:
+    """Sends prompts at a mean rate per second; returns all answers."""
+    rng = random.Random(seed)
+    tasks = []
+    for prompt in prompts:
+        tasks.append(asyncio.ensure_future(caller.complete(prompt)))
+        await asyncio.sleep(rng.expovariate(rate))
+    return list(await asyncio.gather(*tasks))
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="apricottrestle_standins.load")
+    parser.add_argument("--url", action="append", required=True)
+    parser.add_argument("--key", required=True, help="API key of a team")
+    parser.add_argument("--model", required=True)
+    parser.add_argument("--rate", type=float, default=10.0)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--max-tokens", type=int, default=32)
+    parser.add_argument("--lengths", type=parse_choices)
+    parser.add_argument("--classes", type=parse_choices)
+    return parser
+
+
+async def _main(args: argparse.Namespace) -> int:
+    rng = random.Random(args.seed)
+    lengths = args.lengths or parse_choices(_DEFAULT_LENGTHS)
+    classes = args.classes or parse_choices(_DEFAULT_CLASSES)
+    prompts = [
+        make_prompt(
+            rng,
+            int(pick(rng, lengths)),
+            model=args.model,
+            priority=pick(rng, classes),
+            max_tokens=args.max_tokens,
+        )
+        for _ in range(max(int(args.rate * args.seconds), 1))
+    ]
+    caller = client.Caller(args.url, args.key)
+    try:
+        answers = await run(caller, prompts, args.rate, args.seed)
+    finally:
+        caller.close()
+    print(table(answers))
+    for answer in answers:
+        if answer.outcome in ("wrong", "error"):
+            print(f"{answer.outcome}: {answer.code} {answer.detail}")
+    bad = sum(answer.outcome in ("wrong", "error") for answer in answers)
+    return 1 if bad else 0
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Runs the load tool; see the module docstring for the exit code."""
+    return asyncio.run(_main(_parser().parse_args(argv)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
