--- a/src/apricottrestle_standins/client.py
+++ b/src/apricottrestle_standins/client.py
@@ -66,6 +66,8 @@
         first_token_s: Seconds to the first token; None without one.
         total_s: Seconds to the end.
         resumes: How often the stream was resumed.
+        refusals: How often the prompt was refused and sent again.
+        retry_after_s: Wait that the last refusal named, in seconds.
         last_event_id: Event id of the last event with one.
         detail: Text of the last error.
     """
@@ -80,6 +82,8 @@
     first_token_s: float | None = None
     total_s: float = 0.0
     resumes: int = 0
+    refusals: int = 0
+    retry_after_s: float = 0.0
     last_event_id: str = ""
     detail: str = ""
 
@@ -155,6 +159,7 @@
         prompt: Prompt,
         *,
         resume: bool = True,
+        retries: int = 0,
         on_token: Callable[[Answer], None] | None = None,
         timeout_s: float = 60.0,
     ) -> Answer:
@@ -163,18 +168,24 @@
         Args:
             prompt: The prompt.
             resume: Resume at the next entry when the stream breaks off.
+            retries: How often a refused prompt is sent again, each time after
+                the wait that the refusal names.
             on_token: Called after each event with the answer so far.
             timeout_s: Time limit of each HTTP call in seconds.
         """
         answer = Answer(len(prompt.ids), prompt.priority, time.monotonic())
         body = _body(prompt)
-        for attempt in range(_MAX_RESUMES):
+        while True:
             stream = _Stream(answer, on_token)
             await self._attempt(stream, prompt, body, timeout_s)
-            if stream.ended or not (resume and _can_resume(stream)):
+            if answer.outcome == "refused" and answer.refusals < retries:
+                answer.refusals += 1
+                await asyncio.sleep(answer.retry_after_s)
+            elif resume and _can_resume(stream):
+                answer.resumes += 1
+                await asyncio.sleep(_RESUME_PAUSE_S)
+            else:
                 break
-            answer.resumes = attempt + 1
-            await asyncio.sleep(_RESUME_PAUSE_S)
         answer.total_s = time.monotonic() - answer.started_s
         if answer.outcome == "ok" and answer.tokens != prompt.expected():
             answer.outcome = "wrong"
@@ -255,6 +266,7 @@
 
     def close(self, got: tornado.httpclient.HTTPResponse) -> None:
         self.answer.status = got.code
+        self.answer.retry_after_s = float(got.headers.get("Retry-After", "1"))
         if self.ended:
             return
         if got.code not in (200, 599):
@@ -264,7 +276,10 @@
 
 
 def _can_resume(stream: _Stream) -> bool:
-    return stream.reconnect or stream.answer.status in (200, 599)
+    answer = stream.answer
+    if stream.ended or answer.resumes >= _MAX_RESUMES:
+        return False
+    return stream.reconnect or answer.status in (200, 599)
 
 
 def event_tokens(data: str) -> list[int]:
