Test the audit buffer and the export

Cause: the audit must state its gaps exactly. Change: tests of counted drops, unconfirmed batches, lost answers, missing batches, killed writers, retention, joins and parts. Conclusion: rows added equal rows exported plus rows counted as dropped, in a property test with lost answers and failed appends.

--- a/src/apricottrestle/audit.py
+++ b/src/apricottrestle/audit.py
@@ -156,6 +156,14 @@
     return msgspec.json.encode(batch).decode()
 
 
+def decode(text: str) -> AuditBatch | None:
+    """Returns the batch of a log record, or None when it is malformed."""
+    try:
+        return msgspec.json.decode(text, type=AuditBatch)
+    except (msgspec.DecodeError, UnicodeError):
+        return None
+
+
 def record_id(batch: AuditBatch) -> str:
     """Returns the id of the batch's log record."""
     return f"{batch.writer}/{batch.incarnation}/{batch.seq}"
--- a/src/apricottrestle/audit_export.py
+++ b/src/apricottrestle/audit_export.py
@@ -9,8 +9,6 @@
 import zlib
 from typing import Final, Literal, NamedTuple
 
-import msgspec
-
 from apricottrestle import audit, platform_log
 
 _READ_LIMIT: Final = 500
@@ -139,9 +137,8 @@
 
     def add(self, record: platform_log.LogRecord) -> None:
         """Adds one record; one that was appended twice counts once."""
-        try:
-            batch = msgspec.json.decode(record.data, type=audit.AuditBatch)
-        except (msgspec.DecodeError, UnicodeError):
+        batch = audit.decode(record.data)
+        if batch is None:
             self._gaps.append(
                 Gap("malformed_record", "", "", 0, 0, -1, 0.0, record.time)
             )
--- /dev/null
+++ b/tests/test_audit_buffer.py
@@ -0,0 +1,117 @@
+"""Guards against rows that are lost without being counted, or counted twice."""
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from apricottrestle import audit, audit_export, platform_log
+from tests import audit_rows, fake_log
+
+
+def _buffer(limit: int = 5) -> audit.AuditBuffer:
+    return audit.AuditBuffer("e1", "entry", "i1", limit)
+
+
+def test_rows_beyond_the_limit_are_counted_in_the_next_batch() -> None:
+    buffer = _buffer(2)
+    for number in range(5):
+        buffer.add(audit_rows.row(f"r{number}"))
+    batch = buffer.take_batch()
+    assert batch is not None
+    assert [row.req_id for row in batch.rows] == ["r0", "r1"]
+    assert batch.dropped == 3
+    buffer.confirm(batch.seq)
+    assert buffer.take_batch() is None
+
+
+def test_an_unconfirmed_batch_stays_the_same() -> None:
+    buffer = _buffer()
+    buffer.add(audit_rows.row("r0"))
+    first = buffer.take_batch()
+    buffer.add(audit_rows.row("r1"))
+    assert buffer.take_batch() == first
+    buffer.confirm(7)
+    assert buffer.take_batch() == first
+    buffer.confirm(1)
+    second = buffer.take_batch()
+    assert second is not None
+    assert (second.seq, second.rows[0].req_id) == (2, "r1")
+
+
+def test_a_clean_stop_ends_with_a_final_batch() -> None:
+    buffer = _buffer()
+    for number in range(3):
+        buffer.add(audit_rows.row(f"r{number}"))
+    buffer.close()
+    finals = []
+    while (batch := buffer.take_batch(2)) is not None:
+        finals.append(batch.final)
+        buffer.confirm(batch.seq)
+    assert finals == [False, True]
+
+
+def test_an_idle_writer_closes_with_an_empty_batch() -> None:
+    buffer = _buffer()
+    buffer.close()
+    batch = buffer.take_batch()
+    assert batch is not None
+    assert (batch.final, batch.rows) == (True, [])
+
+
+@given(
+    st.lists(
+        st.sampled_from(
+            ["add", "add", "take", "confirm", "lost answer", "failed append"]
+        ),
+        max_size=60,
+    ),
+    st.integers(1, 6),
+)
+def test_every_row_is_on_the_log_held_or_counted(
+    acts: list[str], limit: int
+) -> None:
+    log = fake_log.FakeLog()
+    buffer = _buffer(limit)
+    added: list[str] = []
+    for act in acts:
+        if act == "add":
+            added.append(f"r{len(added)}")
+            buffer.add(audit_rows.row(added[-1]))
+            continue
+        log.faults = [fake_log.STORED] if act == "lost answer" else []
+        log.down = act == "failed append"
+        batch = buffer.take_batch(3)
+        if batch is None or act == "take":
+            continue
+        if audit_rows.append(log, batch):
+            buffer.confirm(batch.seq)
+    log.down = False
+    log.faults = []
+    selection = audit_export.Selection(0.0, 1e12)
+    buffer.close()
+    audit_rows.flush(log, buffer)
+    after = asyncio.run(audit_export.export(log, selection))
+    kept = [joined.req_id for joined in after.requests]
+    dropped = sum(gap.rows for gap in after.gaps if gap.kind == "dropped_rows")
+    assert len(kept) + dropped == len(added)
+    assert len(set(kept)) == len(kept)
+    assert {gap.kind for gap in after.gaps} <= {"dropped_rows"}
+
+
+def test_a_batch_survives_the_log() -> None:
+    buffer = _buffer()
+    buffer.add(audit_rows.row("r0"))
+    batch = buffer.take_batch()
+    assert batch is not None
+    log = fake_log.FakeLog()
+    assert audit_rows.append(log, batch)
+    record = log.streams[platform_log.AUDIT_STREAM][0]
+    assert record.record_id == "e1/i1/1"
+    assert audit.decode(record.data) == batch
+
+
+@pytest.mark.parametrize("text", ["", "{}", "[1]", "\udce4"])
+def test_a_malformed_batch_is_none(text: str) -> None:
+    assert audit.decode(text) is None
--- /dev/null
+++ b/tests/test_audit_export.py
@@ -0,0 +1,193 @@
+"""Guards against an export that hides a gap or joins the wrong records."""
+
+import asyncio
+
+import pytest
+
+from apricottrestle import audit, audit_export, platform_log
+from tests import audit_rows, fake_log
+
+_STREAM = platform_log.AUDIT_STREAM
+_ALL = audit_export.Selection(0.0, 1e12)
+
+
+def _writer(name: str, incarnation: str = "i1") -> audit.AuditBuffer:
+    role: audit.Role = "agent" if name.startswith("a") else "entry"
+    return audit.AuditBuffer(name, role, incarnation)
+
+
+def _export(
+    log: fake_log.FakeLog, selection: audit_export.Selection = _ALL
+) -> audit_export.Export:
+    return asyncio.run(audit_export.export(log, selection))
+
+
+def _write(
+    log: fake_log.FakeLog,
+    writer: audit.AuditBuffer,
+    *rows: audit.AuditRow,
+    close: bool = True,
+) -> None:
+    for row in rows:
+        writer.add(row)
+    if close:
+        writer.close()
+    audit_rows.flush(log, writer)
+
+
+def test_both_records_of_a_request_are_joined() -> None:
+    log = fake_log.FakeLog()
+    _write(log, _writer("e1"), audit_rows.row("r1", peer="a1"))
+    _write(log, _writer("a1"), audit_rows.row("r1", peer="e1"))
+    result = _export(log)
+    assert result.gaps == []
+    (joined,) = result.requests
+    assert (joined.req_id, joined.agent_id, joined.missing) == ("r1", "a1", "")
+    assert [item.writer for item in joined.entries] == ["e1"]
+    assert [item.writer for item in joined.agents] == ["a1"]
+
+
+@pytest.mark.parametrize(
+    ("writer", "row", "missing"),
+    [
+        ("e1", audit_rows.row("r1", peer="a1"), "agent"),
+        ("a1", audit_rows.row("r1", peer="e1"), "entry"),
+        ("e1", audit_rows.row("r1", outcome="not_run"), ""),
+    ],
+)
+def test_a_record_of_one_side_names_the_other(
+    writer: str, row: audit.AuditRow, missing: str
+) -> None:
+    log = fake_log.FakeLog()
+    _write(log, _writer(writer), row)
+    (joined,) = _export(log).requests
+    assert joined.missing == missing
+
+
+def test_attempts_at_two_agents_are_two_rows() -> None:
+    log = fake_log.FakeLog()
+    rows = [
+        audit_rows.row("r1", peer="a1", outcome="unknown"),
+        audit_rows.row("r1", peer="a2", attempt=2, start=105.0),
+    ]
+    _write(log, _writer("e1"), *rows)
+    _write(log, _writer("a2"), audit_rows.row("r1", peer="e1", attempt=2))
+    first, second = _export(log).requests
+    assert {first.agent_id: first.missing, second.agent_id: second.missing} == {
+        "a1": "agent",
+        "a2": "",
+    }
+
+
+def test_a_caller_that_changed_entries_has_two_entry_rows() -> None:
+    log = fake_log.FakeLog()
+    for name, outcome in (("e1", "unknown"), ("e2", "completed")):
+        row = audit_rows.row("r1", peer="a1", outcome=outcome)
+        _write(log, _writer(name), row)
+    _write(log, _writer("a1"), audit_rows.row("r1", peer="e1"))
+    (joined,) = _export(log).requests
+    assert [item.writer for item in joined.entries] == ["e1", "e2"]
+
+
+def test_a_batch_appended_twice_counts_once() -> None:
+    log = fake_log.FakeLog()
+    log.faults = [fake_log.STORED]
+    _write(log, _writer("e1"), audit_rows.row("r1"))
+    assert len(log.streams[_STREAM]) == 2
+    result = _export(log)
+    assert len(result.requests) == 1
+    assert len(result.requests[0].entries) == 1
+    assert result.gaps == []
+
+
+def test_dropped_rows_are_a_gap_of_that_many_rows() -> None:
+    log = fake_log.FakeLog()
+    writer = audit.AuditBuffer("e1", "entry", "i1", 1)
+    _write(log, writer, audit_rows.row("r0"), close=False)
+    first_time, log.now = log.now, log.now + 50
+    rows = [audit_rows.row(f"r{number}") for number in range(1, 4)]
+    _write(log, writer, *rows)
+    assert _export(log).gaps == [
+        audit_export.Gap(
+            "dropped_rows", "e1", "i1", 2, 2, 2, first_time, log.now
+        )
+    ]
+
+
+def test_a_missing_batch_is_a_gap_between_its_neighbours() -> None:
+    log = fake_log.FakeLog()
+    writer = _writer("e1")
+    times = []
+    for number in range(4):
+        times.append(log.now)
+        _write(log, writer, audit_rows.row(f"r{number}"), close=number == 3)
+        log.now += 5
+    del log.streams[_STREAM][1:3]
+    assert _export(log).gaps == [
+        audit_export.Gap(
+            "missing_batches", "e1", "i1", 2, 3, -1, times[0], times[3]
+        )
+    ]
+
+
+def test_a_killed_writer_is_an_open_end() -> None:
+    log = fake_log.FakeLog()
+    _write(log, _writer("e1", "i1"), audit_rows.row("r1"), close=False)
+    killed, log.now = log.now, log.now + 5
+    _write(log, _writer("e1", "i2"), audit_rows.row("r2"))
+    assert _export(log).gaps == [
+        audit_export.Gap("open_end", "e1", "i1", 2, 0, -1, killed, 0.0)
+    ]
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_records_past_retention_are_a_gap(whole: bool) -> None:
+    log = fake_log.FakeLog()
+    writer = _writer("e1")
+    _write(log, writer, audit_rows.row("r0"), close=False)
+    log.now += 5
+    _write(log, writer, audit_rows.row("r1"))
+    log.first[_STREAM] = 3 if whole else 2
+    kinds = [gap.kind for gap in _export(log).gaps]
+    expected = ["past_retention"]
+    if not whole:
+        expected.append("missing_batches")
+    assert kinds == expected
+
+
+def test_a_malformed_record_is_a_gap() -> None:
+    log = fake_log.FakeLog()
+    log.store(_STREAM, "x", "{}")
+    _write(log, _writer("e1"), audit_rows.row("r1"))
+    result = _export(log)
+    assert [gap.kind for gap in result.gaps] == ["malformed_record"]
+    assert len(result.requests) == 1
+
+
+def test_rows_are_selected_by_start_and_gaps_by_overlap() -> None:
+    log = fake_log.FakeLog()
+    log.now = 1_000.0
+    early, late = _writer("e1"), _writer("e2")
+    _write(log, early, audit_rows.row("r1", start=900.0), close=False)
+    log.now = 9_000.0
+    _write(log, late, audit_rows.row("r2", start=8_900.0))
+    log.store(_STREAM, "x", "{}")
+    chosen = _export(log, audit_export.Selection(8_000.0, 9_000.0))
+    assert [joined.req_id for joined in chosen.requests] == ["r2"]
+    kinds = [gap.kind for gap in chosen.gaps]
+    assert sorted(kinds) == ["malformed_record", "open_end"]
+    before = _export(log, audit_export.Selection(0.0, 900.0))
+    assert before.requests == []
+
+
+def test_the_parts_of_an_export_make_up_the_whole() -> None:
+    log = fake_log.FakeLog()
+    rows = [audit_rows.row(f"r{number}") for number in range(40)]
+    _write(log, _writer("e1"), *rows)
+    parts = [
+        _export(log, audit_export.Selection(0.0, 1e12, part, 3)).requests
+        for part in range(3)
+    ]
+    assert all(parts)
+    ids = sorted(joined.req_id for part in parts for joined in part)
+    assert ids == sorted(row.req_id for row in rows)
