Test settings checks and the operators' commands

Cause: a command's exit code and its advice decide what an operator does next. Conclusion: exit codes 0 to 4 are tested for each command that has them.

--- a/src/apricottrestle/audit_export.py
+++ b/src/apricottrestle/audit_export.py
@@ -9,7 +9,7 @@
 import zlib
 from typing import Final, Literal, NamedTuple
 
-from apricottrestle import audit, platform_log
+from apricottrestle import audit, platform_log, release_note
 
 _READ_LIMIT: Final = 500
 _TIME_SLACK_S: Final = 60.0
@@ -202,7 +202,9 @@
         chosen = self._selection
         if gap.until and gap.until + _TIME_SLACK_S < chosen.since:
             return False
-        return gap.since - _TIME_SLACK_S < chosen.until or gap.since == 0.0
+        # Rows are written when a request ends, and selected by its start.
+        earliest = gap.since - release_note.MAX_TIME_LIMIT_S - _TIME_SLACK_S
+        return earliest < chosen.until
 
 
 async def export(log: platform_log.LogService, selection: Selection) -> Export:
--- a/src/apricottrestle/cli_audit.py
+++ b/src/apricottrestle/cli_audit.py
@@ -3,11 +3,8 @@
 import argparse
 import asyncio
 import datetime
-import sys
 from typing import Any, Final
 
-import msgspec
-
 from apricottrestle import audit_export, cli_output, cli_platform
 
 _HEADER: Final = (
@@ -59,18 +56,18 @@
         help="export the K-th of N parts of the requests, to save memory",
     )
     cli_platform.add_log_options(parser)
-    parser.set_defaults(run=_run)
+    parser.set_defaults(run=_run, parser=parser)
 
 
 def _run(args: argparse.Namespace) -> int:
+    if args.since >= args.until:
+        args.parser.error("--from must be before --to")
     part, parts = args.part
     selection = audit_export.Selection(args.since, args.until, part, parts)
     result = asyncio.run(_export(args, selection))
-    if args.json:
-        sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
-    else:
-        for line in _lines(result):
-            sys.stdout.write(line + "\n")
+    cli_output.report(
+        cli_output.named(result), _lines(result), as_json=args.json
+    )
     return cli_output.EXIT_OK
 
 
--- a/src/apricottrestle/cli_output.py
+++ b/src/apricottrestle/cli_output.py
@@ -36,6 +36,17 @@
         print(line)
 
 
+def named(value: Any) -> Any:
+    """Returns a value with each NamedTuple as a dict, for JSON output."""
+    if isinstance(value, tuple) and hasattr(value, "_asdict"):
+        return {key: named(item) for key, item in value._asdict().items()}
+    if isinstance(value, dict):
+        return {key: named(item) for key, item in value.items()}
+    if isinstance(value, list | tuple):
+        return [named(item) for item in value]
+    return value
+
+
 def complain(problems: Sequence[str], advice: str) -> None:
     """Writes problems, and what to do about them, to stderr."""
     for problem in problems:
--- a/src/apricottrestle/cli_release.py
+++ b/src/apricottrestle/cli_release.py
@@ -5,8 +5,6 @@
 import pathlib
 from typing import Any
 
-import msgspec
-
 from apricottrestle import (
     cli_output,
     cli_platform,
@@ -107,7 +105,7 @@
         return _show_note(args, sync, applied)
     state = sync.state
     cli_output.report(
-        msgspec.to_builtins(state), _summary(state), as_json=args.json
+        cli_output.named(state), _summary(state), as_json=args.json
     )
     return cli_output.EXIT_OK
 
--- a/tests/test_audit_export.py
+++ b/tests/test_audit_export.py
@@ -180,6 +180,19 @@
     assert before.requests == []
 
 
+@pytest.mark.parametrize(("until", "listed"), [(1e6, True), (9e5, False)])
+def test_a_gap_concerns_requests_that_started_a_day_before(
+    until: float, listed: bool
+) -> None:
+    """A row that was lost may be of a request that had run for a day."""
+    log = fake_log.FakeLog()
+    log.now = 1_050_000.0
+    row = audit_rows.row("r1", start=1_049_000.0)
+    _write(log, _writer("e1"), row, close=False)
+    result = _export(log, audit_export.Selection(0.0, until))
+    assert bool(result.gaps) == listed
+
+
 def test_the_parts_of_an_export_make_up_the_whole() -> None:
     log = fake_log.FakeLog()
     rows = [audit_rows.row(f"r{number}") for number in range(40)]
--- /dev/null
+++ b/tests/test_cli_commands.py
@@ -0,0 +1,284 @@
+"""Guards against a command whose exit code or output misleads its operator."""
+
+import contextlib
+import json
+import pathlib
+from collections.abc import Iterator
+
+import pytest
+
+from apricottrestle import (
+    audit,
+    cli,
+    cli_platform,
+    platform_log,
+    release_publish,
+)
+from tests import audit_rows, fake_log, notes
+
+_ROOT = pathlib.Path(__file__).parent.parent / "examples"
+_SETTINGS = str(_ROOT / "sweetbreeze" / "entry-maraval.toml")
+_STREAM = platform_log.RELEASE_STREAM
+_LOG = ["--log", "http://127.0.0.1:1"]
+
+
+class _Out:
+    """What a command wrote and returned."""
+
+    def __init__(self, code: int, out: str, err: str) -> None:
+        self.code = code
+        self.out = out
+        self.err = err
+
+
+class _Shell:
+    """Runs commands against a log in memory."""
+
+    def __init__(
+        self, log: fake_log.FakeLog, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        self.log = log
+        self._capsys = capsys
+
+    def run(self, *args: str) -> _Out:
+        try:
+            code = cli.main(list(args))
+        except SystemExit as exc:
+            code = int(str(exc.code))
+        got = self._capsys.readouterr()
+        return _Out(code, got.out, got.err)
+
+
+@pytest.fixture(name="shell")
+def _shell(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> _Shell:
+    log = fake_log.FakeLog()
+    log.store(_STREAM, "first", notes.FIRST)
+
+    @contextlib.contextmanager
+    def open_log(_args: object) -> Iterator[fake_log.FakeLog]:
+        yield log
+
+    monkeypatch.setattr(cli_platform, "open_log", open_log)
+    monkeypatch.setattr(release_publish, "RESOLVE_S", 0.0)
+    return _Shell(log, capsys)
+
+
+def _note(tmp_path: pathlib.Path, text: str) -> str:
+    path = tmp_path / "note.toml"
+    path.write_text(text)
+    return str(path)
+
+
+@pytest.mark.parametrize("as_json", [False, True])
+@pytest.mark.parametrize(
+    ("text", "fault", "code", "verdict"),
+    [
+        (notes.share_note("n", 1), "", 0, "accepted"),
+        (notes.share_note("n", 1), fake_log.STORED, 0, "accepted"),
+        (notes.share_note("n", 0), "", 1, "rejected"),
+        (notes.share_note("n", 1), fake_log.NEVER, 3, "unknown"),
+    ],
+)
+def test_publish_reports_the_verdict(
+    shell: _Shell,
+    tmp_path: pathlib.Path,
+    text: str,
+    fault: str,
+    code: int,
+    verdict: str,
+    as_json: bool,
+) -> None:
+    shell.log.faults = [fault]
+    args = ["release", "publish", _note(tmp_path, text), *_LOG]
+    got = shell.run(*args, *(["--json"] if as_json else []))
+    assert got.code == code
+    if as_json:
+        answer = json.loads(got.out)
+        assert (answer["verdict"], answer["id"]) == (verdict, "n")
+    else:
+        assert verdict in (got.err if code else got.out)
+    if code == 3:
+        command = "release show --id n --log http://127.0.0.1:1"
+        assert command in got.out + got.err
+
+
+@pytest.mark.parametrize(
+    ("args", "code"),
+    [
+        (["release", "publish"], 4),
+        (["release", "check"], 4),
+        (["release", "show"], 4),
+        (["drain", "a1"], 4),
+        (["audit", "export", "--from", "0", "--to", "1"], 4),
+    ],
+)
+@pytest.mark.parametrize("as_json", [False, True])
+def test_a_log_that_is_down_is_exit_code_4(
+    shell: _Shell,
+    tmp_path: pathlib.Path,
+    args: list[str],
+    code: int,
+    as_json: bool,
+) -> None:
+    shell.log.down = True
+    if args[-1] in ("publish", "check"):
+        args = [*args, _note(tmp_path, notes.share_note("n", 1))]
+    got = shell.run(*args, *_LOG, *(["--json"] if as_json else []))
+    assert (got.code, got.out) == (code, "")
+    if as_json:
+        assert json.loads(got.err)["error"]["peer"] == "log"
+    else:
+        assert "try again" in got.err
+
+
+def test_a_limited_append_tells_when_to_try_again(
+    shell: _Shell, tmp_path: pathlib.Path
+) -> None:
+    shell.log.faults = [fake_log.LIMITED]
+    path = _note(tmp_path, notes.share_note("n", 1))
+    got = shell.run("release", "publish", path, *_LOG)
+    assert got.code == 4
+    assert "Try again in 3 s" in got.err
+
+
+@pytest.mark.parametrize(
+    ("text", "with_log", "code"),
+    [
+        (notes.share_note("n", 1), False, 0),
+        (notes.share_note("n", 1), True, 0),
+        (notes.share_note("n", 5), False, 0),
+        (notes.share_note("n", 5), True, 1),
+        ("nonsense", False, 2),
+        ("nonsense", True, 2),
+    ],
+)
+def test_check_appends_nothing(
+    shell: _Shell,
+    tmp_path: pathlib.Path,
+    text: str,
+    with_log: bool,
+    code: int,
+) -> None:
+    args = ["release", "check", _note(tmp_path, text)]
+    got = shell.run(*args, *(_LOG if with_log else []))
+    assert got.code == code
+    assert len(shell.log.streams[_STREAM]) == 1
+
+
+def test_a_note_that_cannot_be_read_is_bad_input(shell: _Shell) -> None:
+    got = shell.run("release", "check", "/nonexistent/note.toml")
+    assert got.code == 2
+    assert "can't be read" in got.err
+
+
+@pytest.mark.parametrize(
+    ("note_id", "code", "shown"),
+    [
+        ("first", 0, "accepted at offset 1"),
+        ("bad", 1, "expected the current revision 1"),
+        ("none", 3, "no such note up to offset 2"),
+    ],
+)
+def test_show_resolves_an_id(
+    shell: _Shell, note_id: str, code: int, shown: str
+) -> None:
+    shell.log.store(_STREAM, "bad", notes.share_note("bad", 9))
+    got = shell.run("release", "show", "--id", note_id, *_LOG)
+    assert got.code == code
+    assert shown in got.out + got.err
+
+
+def test_show_writes_the_configuration(shell: _Shell) -> None:
+    text = shell.run("release", "show", *_LOG)
+    assert "revision 1 (first)" in text.out
+    assert "versions: m@v1" in text.out
+    state = json.loads(shell.run("release", "show", *_LOG, "--json").out)
+    assert state["revision"] == 1
+    assert state["models"]["m"]["version"] == "v1"
+
+
+@pytest.mark.parametrize(
+    ("faults", "code", "stored"),
+    [
+        ([], 0, 1),
+        ([fake_log.STORED], 0, 2),
+        ([fake_log.NEVER] * 2, 0, 1),
+        ([fake_log.NEVER] * 3, 3, 0),
+    ],
+)
+def test_drain_tries_a_lost_answer_again(
+    shell: _Shell, faults: list[str], code: int, stored: int
+) -> None:
+    shell.log.faults = list(faults)
+    got = shell.run("drain", "a1", *_LOG)
+    assert got.code == code
+    records = shell.log.streams[platform_log.DRAINS_STREAM]
+    assert [json.loads(rec.data) for rec in records] == (
+        [{"instance": "a1"}] * stored
+    )
+
+
+def test_export_writes_rows_and_gaps(shell: _Shell) -> None:
+    shell.log.now = 115.0
+    writer = audit.AuditBuffer("e1", "entry", "i1")
+    writer.add(audit_rows.row("r1", peer="a1"))
+    audit_rows.flush(shell.log, writer)
+    args = ["audit", "export", "--from", "1970-01-01T00:00:00Z"]
+    got = shell.run(*args, "--to", "200", *_LOG)
+    assert got.code == 0
+    header, row, count, gap = got.out.splitlines()
+    fields = dict(zip(header.split("\t"), row.split("\t"), strict=True))
+    assert fields["start"] == "1970-01-01T00:01:40.000+00:00"
+    assert (fields["entry"], fields["agent"]) == ("e1", "a1")
+    assert (fields["config_rev"], fields["missing"]) == ("7", "agent")
+    assert count == "gaps: 1"
+    assert gap.startswith("open_end\te1\ti1\tbatches 2-")
+    answer = json.loads(shell.run(*args, "--to", "200", *_LOG, "--json").out)
+    assert answer["requests"][0]["req_id"] == "r1"
+    assert answer["gaps"][0]["kind"] == "open_end"
+
+
+@pytest.mark.parametrize(
+    "args",
+    [
+        ["--from", "yesterday", "--to", "2"],
+        ["--from", "2026-12-04T10:00:00", "--to", "2"],
+        ["--from", "1", "--to", "2", "--part", "0/3"],
+        ["--from", "1", "--to", "2", "--part", "4/3"],
+        ["--from", "1"],
+        ["--from", "2", "--to", "1"],
+    ],
+)
+def test_bad_export_arguments_are_bad_input(
+    shell: _Shell, args: list[str]
+) -> None:
+    got = shell.run("audit", "export", *args, *_LOG)
+    assert got.code == 2
+    assert "error:" in got.err
+
+
+@pytest.mark.parametrize("as_json", [False, True])
+def test_settings_check(
+    shell: _Shell, tmp_path: pathlib.Path, as_json: bool
+) -> None:
+    option = ["--json"] if as_json else []
+    good = shell.run("settings", "check", _SETTINGS, *option)
+    assert good.code == 0
+    assert "entry-maraval-1" in good.out
+    path = _note(tmp_path, "colour = 1")
+    bad = shell.run("settings", "check", path, *option)
+    assert (bad.code, bad.out) == (2, "")
+    if as_json:
+        assert len(json.loads(bad.err)["error"]["problems"]) > 5
+    else:
+        assert bad.err.count("error: ") > 5
+
+
+@pytest.mark.parametrize("daemon", ["entry", "agent"])
+def test_a_daemon_does_not_start_on_bad_settings(
+    shell: _Shell, tmp_path: pathlib.Path, daemon: str
+) -> None:
+    got = shell.run(daemon, "--settings", _note(tmp_path, "colour = 1"))
+    assert got.code == 2
