--- /dev/null
+++ b/tests/test_platform_http.py
@@ -0,0 +1,206 @@
+"""Guards against a lost append that is taken for one that was not stored."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+import pytest
+
+from apricottrestle import (
+    errors,
+    platform_http,
+    platform_instances,
+    platform_log,
+    platform_weights,
+)
+from apricottrestle_standins import log_service
+
+_CUT = b""
+
+
+@contextlib.asynccontextmanager
+async def _server(answer: bytes | None) -> AsyncIterator[str]:
+    """Answers each request with the bytes and closes; None never answers."""
+    release = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        size = 0
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                size = int(line.partition(b":")[2])
+        await reader.readexactly(size)
+        if answer is None:
+            await release.wait()
+        else:
+            writer.write(answer)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield f"http://127.0.0.1:{port}"
+    finally:
+        release.set()
+        server.close()
+
+
+def _http(status: str, body: str = "", head: str = "") -> bytes:
+    return (
+        f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n"
+        f"Connection: close\r\n{head}\r\n{body}"
+    ).encode()
+
+
+async def _append_error(answer: bytes | None) -> errors.PlatformError:
+    async with _server(answer) as url:
+        log = platform_log.HttpLogService(url, timeout_s=0.3)
+        try:
+            with pytest.raises(errors.PlatformError) as info:
+                await log.append("s", "id", "data")
+        finally:
+            log.close()
+    return info.value
+
+
+@pytest.mark.parametrize(
+    ("answer", "kind"),
+    [
+        (None, errors.AppendUnknownError),
+        (_CUT, errors.AppendUnknownError),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{", None),
+        (_http("200 OK", "nonsense"), errors.AppendUnknownError),
+        (_http("200 OK", '{"offset": "x"}'), errors.AppendUnknownError),
+        (_http("500 Oops"), errors.AppendUnknownError),
+        (_http("502 Bad Gateway"), errors.AppendUnknownError),
+        (_http("504 Gateway Timeout"), errors.AppendUnknownError),
+        (_http("503 Service Unavailable"), errors.PlatformError),
+        (_http("413 Too Large"), errors.PlatformError),
+        (_http("429 Too Many", head="Retry-After: 2.5\r\n"), None),
+        (_http("429 Too Many", head="Retry-After: x\r\n"), None),
+    ],
+)
+def test_an_append_fails_as_what_it_is(
+    answer: bytes | None, kind: type[errors.PlatformError] | None
+) -> None:
+    if kind is None:
+        limited = answer is not None and b" 429 " in answer
+        kind = errors.RateLimitedError if limited else errors.AppendUnknownError
+    exc = asyncio.run(_append_error(answer))
+    assert type(exc) is kind
+    assert (exc.step, exc.peer) == ("append", "log")
+    if isinstance(exc, errors.RateLimitedError):
+        expected = 2.5 if answer and b": 2.5" in answer else 1.0
+        assert exc.retry_after_s == expected
+
+
+def test_a_closed_port_stored_nothing() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        port = sock.getsockname()[1]
+
+    async def run() -> None:
+        log = platform_log.HttpLogService(f"http://127.0.0.1:{port}")
+        try:
+            with pytest.raises(errors.PlatformError) as info:
+                await log.append("s", "id", "data")
+        finally:
+            log.close()
+        assert type(info.value) is errors.PlatformError
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "answer", [None, _CUT, _http("503 No"), _http("200 OK", "[]")]
+)
+def test_a_failed_read_is_a_platform_error(answer: bytes | None) -> None:
+    async def run() -> None:
+        async with _server(answer) as url:
+            log = platform_log.HttpLogService(url, timeout_s=0.3)
+            try:
+                with pytest.raises(errors.PlatformError) as info:
+                    await log.read("s", 0, 10)
+            finally:
+                log.close()
+            assert type(info.value) is errors.PlatformError
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("global_offsets", [False, True])
+def test_the_log_client_speaks_the_protocol(global_offsets: bool) -> None:
+    async def run() -> None:
+        cfg = log_service.LogSettings(global_offsets=global_offsets)
+        standin = log_service.Log(cfg)
+        port = standin.start("127.0.0.1", 0)
+        log = platform_log.HttpLogService(f"http://127.0.0.1:{port}")
+        try:
+            offsets = [
+                await log.append(stream, "id-ž", f"data {stream}")
+                for stream in ("calls/a 1", "release", "calls/a 1")
+            ]
+            assert offsets == ([1, 2, 3] if global_offsets else [1, 1, 2])
+            got = await log.read("calls/a 1", 0, 10)
+            assert got.first == 1
+            assert [
+                (rec.offset, rec.record_id, rec.data) for rec in got.records
+            ] == [
+                (offsets[0], "id-ž", "data calls/a 1"),
+                (offsets[2], "id-ž", "data calls/a 1"),
+            ]
+            end = await log.read("calls/a 1", offsets[2], 10)
+            assert end.records == []
+        finally:
+            log.close()
+            standin.stop()
+
+    asyncio.run(run())
+
+
+def test_the_weight_store_client_speaks_the_protocol() -> None:
+    async def run() -> None:
+        async with _server(_http("200 OK", '{"bytes": 70000}')) as url:
+            store = platform_weights.HttpWeightStore(url)
+            try:
+                assert await store.permit("m", "v1") == 70000
+            finally:
+                store.close()
+
+    asyncio.run(run())
+
+
+def test_the_instance_list_client_speaks_the_protocol() -> None:
+    row = platform_instances.InstanceRow(
+        "a1", "agent", "haloze", "127.0.0.1:1", "127.0.0.1:2", "", "leaving"
+    )
+    body = (
+        '{"version": 9, "rows": [{"id": "a1", "role": "agent",'
+        ' "data_centre": "haloze", "control": "127.0.0.1:1",'
+        ' "bulk": "127.0.0.1:2", "http": "", "state": "leaving"}]}'
+    )
+
+    async def run() -> None:
+        async with _server(_http("200 OK", body)) as url:
+            rows = platform_instances.HttpInstanceList(url)
+            try:
+                got = await rows.changes(4, "haloze")
+                await rows.register(row)
+            finally:
+                rows.close()
+            assert got == platform_instances.InstanceChanges(9, [row])
+
+    asyncio.run(run())
+
+
+def test_a_client_works_again_after_close() -> None:
+    async def run() -> None:
+        async with _server(_http("200 OK", "{}")) as url:
+            http = platform_http.PlatformHttp(url, "log", 1.0)
+            for _ in range(2):
+                assert await http.call("GET", "/", "read") == b"{}"
+                http.close()
+
+    asyncio.run(run())
