--- a/src/apricottrestle/release_publish.py
+++ b/src/apricottrestle/release_publish.py
@@ -97,7 +97,8 @@
 
     Returns:
         "accepted" for the same text, "rejected" when another note has the id,
-        None when no accepted note is known to have it.
+        "unknown" when the text can't be compared, None when no accepted note
+        is known to have it.
     """
     for item in applied:
         if item.record.note_id != note_id or item.verdict != "accepted":
@@ -106,7 +107,11 @@
             return PublishResult("accepted", item.record.offset, [])
         return _id_taken(note_id, f"accepted at offset {item.record.offset}")
     if note_id in sync.state.note_ids:
-        return _id_taken(note_id, "whose text is past the log's retention")
+        reason = (
+            f"id: a note {note_id!r} was accepted, but its text is past the"
+            " log's retention, so it can't be compared"
+        )
+        return PublishResult("unknown", 0, [reason])
     return None
 
 
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -27,6 +27,8 @@
         reads_down: Reads fail.
         faults: Faults of the next appends, "" for none.
         read_faults: Whether each of the next reads fails.
+        before_append: Called once before the next append is stored.
+        after_append: Called once after it was stored, before the answer.
         max_answer: Records in one answer at most, whatever limit is asked.
     """
 
@@ -36,6 +38,8 @@
         self.reads_down = False
         self.faults: list[str] = []
         self.read_faults: list[bool] = []
+        self.before_append: Callable[[], None] | None = None
+        self.after_append: Callable[[], None] | None = None
         self.max_answer = 1_000
         self.streams: dict[str, list[platform_log.LogRecord]] = (
             collections.defaultdict(list)
@@ -91,6 +95,9 @@
         await asyncio.sleep(0)
         if self.down:
             raise errors.PlatformError("down", step="append", peer="log")
+        act, self.before_append = self.before_append, None
+        if act is not None:
+            act()
         fault = self.faults.pop(0) if self.faults else ""
         if fault == LIMITED:
             raise errors.RateLimitedError(
@@ -101,6 +108,9 @@
         if fault in (LATE, NEVER):
             raise errors.AppendUnknownError("cut", step="append", peer="log")
         offset = self.store(stream, record_id, data)
+        act, self.after_append = self.after_append, None
+        if act is not None:
+            act()
         if fault == STORED:
             raise errors.AppendUnknownError("cut", step="append", peer="log")
         return offset
