Announce each writer on the audit stream with its first batch

Cause: a process that died before its first batch left no trace on the log, so the export could not list its rows as a gap. Change: the first batch of an incarnation is due at once, empty or not; the daemons have to append it when they start. Conclusion: a killed writer is an open end once its first batch is stored.

--- a/src/apricottrestle/audit.py
+++ b/src/apricottrestle/audit.py
@@ -118,6 +118,7 @@
     def take_batch(self, max_rows: int = _MAX_BATCH_ROWS) -> AuditBatch | None:
         """Returns the batch to append, or None when there is none.
 
+        Append the first one, which may be empty, when the process starts.
         The same batch is returned until `confirm` is called with its number.
         """
         if self._pending is None and self._has_news():
@@ -133,7 +134,10 @@
         self._pending = None
 
     def _has_news(self) -> bool:
-        return bool(self._rows or self._dropped or self._closed)
+        # The first batch is due at once, empty or not: a writer that dies
+        # before its first rows are appended must be known to the export.
+        is_new = self._seq == 0
+        return bool(is_new or self._rows or self._dropped or self._closed)
 
     def _make_batch(self, max_rows: int) -> AuditBatch:
         count = min(max_rows, len(self._rows))
