Match the agent's record of a call without its attempt number

Cause: agents record every call as attempt 1, entries count their attempts. Tests: the audit modules pass, with a new test that failed before the change was written down from reading agent_calls.py. Conclusion: a retried call no longer seems to lack its agent's record.

--- a/src/apricottrestle/audit_export.py
+++ b/src/apricottrestle/audit_export.py
@@ -269,8 +269,10 @@
     # An agent keeps no record of an attempt that it refused.
     if not row.peer or row.outcome == "not_run":
         return False
+    # An agent doesn't number the attempts of a call; a call has no version.
     return not any(
-        (item.writer, item.row.attempt) == (row.peer, row.attempt)
+        item.writer == row.peer
+        and (not row.version or item.row.attempt == row.attempt)
         for item in agents
     )
 
--- a/tests/test_audit_export.py
+++ b/tests/test_audit_export.py
@@ -80,6 +80,17 @@
     assert joined.missing == ("agent" if lost == "a2" else "")
 
 
+def test_attempts_of_a_call_are_not_compared() -> None:
+    """An agent records every call as its first attempt."""
+    log = fake_log.FakeLog()
+    row = audit_rows.row("r1", peer="a2", attempt=2)._replace(version="")
+    _write(log, _writer("e1"), row)
+    row = audit_rows.row("r1", peer="e1")._replace(version="")
+    _write(log, _writer("a2"), row)
+    (joined,) = _export(log).requests
+    assert joined.missing == ""
+
+
 def test_a_caller_that_changed_entries_has_two_entry_rows() -> None:
     log = fake_log.FakeLog()
     for name, outcome in (("e1", "unknown"), ("e2", "completed")):
