Fit the agent's step to the stand-ins' protocol and the settings

Cause: the engine takes a group's reservations by url and allocation, tells its block size, and numbers its cache events; settings give grace and queue bound. Change: a group's run owns no memory beside its leases; cache gaps ask for all blocks; a query of a running key waits for its result on the new connection. Conclusion: no lease is ever handed over between owners, so each has one owner until it ends.

--- a/src/apricottrestle/agent_calls.py
+++ b/src/apricottrestle/agent_calls.py
@@ -187,7 +187,7 @@
 ) -> None:
     if call.state in _FINAL:
         out.append(answer(call, routing_id, req_id))
-    else:
+    elif (routing_id, req_id) not in call.waiters:
         call.waiters.append((routing_id, req_id))
 
 
@@ -228,6 +228,10 @@
     if call.state in _FINAL:
         out.append(answer(call, routing_id, msg.req_id))
         return
+    # The submit may have come on a connection that is gone by now.
+    waiter = (routing_id, msg.req_id)
+    if waiter not in call.waiters:
+        call.waiters.append(waiter)
     running = messages.CallResult(msg.req_id, msg.key, "running", 0, [], "")
     out.append(agent_events.Send(routing_id, running))
 
--- a/src/apricottrestle/agent_drain.py
+++ b/src/apricottrestle/agent_drain.py
@@ -9,12 +9,12 @@
 from apricottrestle import (
     agent_calls,
     agent_events,
+    agent_leases,
     agent_streams,
     agent_tables,
     messages,
 )
 
-GRACE_S: Final = 30.0
 EXPORT_WAIT_S: Final = 2.0
 """Time for an export answer; then the run is handed over without KV cache."""
 
@@ -31,8 +31,9 @@
     if tables.drain.active:
         return
     tables.drain.active = True
-    tables.drain.deadline = now + GRACE_S
-    draining = messages.Draining(int(GRACE_S * 1000))
+    grace_s = tables.params.grace_s
+    tables.drain.deadline = now + grace_s
+    draining = messages.Draining(int(grace_s * 1000))
     out.extend(agent_events.Send(peer, draining) for peer in tables.peers)
     out.append(agent_events.Log("drain", {"streams": len(tables.streams)}))
     for row in list(tables.streams.values()):
@@ -106,6 +107,24 @@
         elif not row.exporting and not row.msg.group:
             row.exporting = True
             out.append(agent_events.ExportKv(row.run_id, EXPORT_LEASE_MS))
+    for lease in list(tables.leases.values()):
+        if lease.kind is agent_tables.LeaseKind.GROUP:
+            _end_reservation(tables, lease, now, out)
+
+
+def _end_reservation(
+    tables: agent_tables.Tables,
+    lease: agent_tables.Lease,
+    now: float,
+    out: Commands,
+) -> None:
+    """Tells the entry that the group loses this member, then ends it."""
+    if now >= tables.drain.deadline:
+        agent_leases.end(tables, lease, "draining", now, out)
+    elif lease.routing_id:
+        refused = messages.Reserved(lease.owner, "", "", "draining")
+        out.append(agent_events.Send(lease.routing_id, refused))
+        lease.routing_id = b""
 
 
 def _busy(tables: agent_tables.Tables, now: float) -> bool:
--- a/src/apricottrestle/agent_events.py
+++ b/src/apricottrestle/agent_events.py
@@ -46,7 +46,10 @@
 
 
 class EngineLoad(NamedTuple):
-    """Answer of the engine's /load; blocks are KV cache blocks."""
+    """Answer of the engine's /load; blocks are KV cache blocks.
+
+    `block_tokens` is 0 when the engine doesn't tell its block size.
+    """
 
     running: int
     waiting: int
@@ -54,6 +57,7 @@
     kv_blocks_total: int
     kv_blocks_free: int
     age_s: float
+    block_tokens: int = 0
 
 
 class EngineUnreachable(NamedTuple):
@@ -108,15 +112,22 @@
     retry_after_s: float
 
 
-class CacheEvents(NamedTuple):
-    """Cache events of the engine from number `first` up to `next_seq`."""
+class CacheEvent(NamedTuple):
+    """One change of the engine's prefix cache."""
 
-    first: int
-    next_seq: int
+    seq: int
     added: list[int]
     removed: list[int]
 
 
+class CacheEvents(NamedTuple):
+    """Answer to PollCache; a full one replaces all earlier events."""
+
+    last: int
+    full: bool
+    events: list[CacheEvent]
+
+
 class KvExported(NamedTuple):
     """Answer to ExportKv; `handle` is "" when the engine can't export."""
 
@@ -232,9 +243,8 @@
         version: Model version.
         forced_prefix: Tokens to continue after.
         lease_ms: Lease of the memory that the engine takes for the run.
-        group: Members other than the leader.
-        own_allocation: Reservation to free just before the start, or "": the
-            engine allocates the leader's share again under the run's id.
+        group: Members whose reservations hold the memory, the leader's own
+            included; empty for a single engine.
         kv: KV cache to import, or None.
     """
 
@@ -247,7 +257,6 @@
     forced_prefix: list[int]
     lease_ms: int
     group: list[messages.GroupMember]
-    own_allocation: str
     kv: messages.KvHandle | None
 
 
@@ -304,7 +313,7 @@
 
 
 class PollCache(NamedTuple):
-    """Read the engine's cache events after a number."""
+    """Read the engine's cache events after a number; 0 asks for all blocks."""
 
     after: int
 
--- a/src/apricottrestle/agent_leases.py
+++ b/src/apricottrestle/agent_leases.py
@@ -57,6 +57,7 @@
         now + lease_s,
     )
     lease.waiters.append(routing_id)
+    lease.routing_id = routing_id
     tables.leases[allocation] = lease
     tables.groups[msg.group_id] = allocation
     out.append(
@@ -134,14 +135,12 @@
         out.append(agent_events.Send(routing_id, lapsed))
         return
     lease = tables.leases[allocation]
+    lease.routing_id = routing_id
     lease_s = tables.remaining_s(min(msg.lease_ms, MAX_LEASE_MS), now)
     if now + lease_s <= lease.deadline:
         return
     lease.deadline = now + lease_s
-    if not lease.consumed:
-        out.append(
-            agent_events.RenewAllocation(allocation, int(lease_s * 1000))
-        )
+    out.append(agent_events.RenewAllocation(allocation, int(lease_s * 1000)))
 
 
 def on_release(
@@ -177,8 +176,7 @@
         return
     tables.groups.pop(lease.owner, None)
     _remember_group(tables, lease.owner)
-    if not lease.consumed:
-        out.append(agent_events.FreeAllocation(lease.allocation))
+    out.append(agent_events.FreeAllocation(lease.allocation))
     for routing_id in lease.waiters:
         refused = messages.Reserved(lease.owner, "", "", reason)
         out.append(agent_events.Send(routing_id, refused))
@@ -235,7 +233,7 @@
     tables.engine.orphan_blocks = blocks
     listed = {row.allocation for row in event.rows}
     for lease in list(tables.leases.values()):
-        if not lease.granted or lease.consumed:
+        if not lease.granted:
             continue
         lease.missing = 0 if lease.allocation in listed else lease.missing + 1
         if lease.missing >= 2:
--- a/src/apricottrestle/agent_orders.py
+++ b/src/apricottrestle/agent_orders.py
@@ -18,7 +18,10 @@
 READ_BACK_S: Final = 5.0
 CONFIRM_S: Final = 0.2
 CHANGE_JITTER_S: Final = 0.3
-ORDER_TIMEOUT_S: Final = 4.0
+ORDER_TIMEOUT_S: Final = 10.0
+"""An order without an answer is repeated then; repeating it is harmless."""
+
+PERMIT_TIMEOUT_S: Final = 6.0
 RETRY_S: Final = 1.0
 PERMIT_JITTER_S: Final = 0.5
 
@@ -220,7 +223,7 @@
     if not missing:
         return True
     if now >= orders.permit_at:
-        orders.permit_at = now + ORDER_TIMEOUT_S
+        orders.permit_at = now + PERMIT_TIMEOUT_S
         out.append(agent_events.RequestPermit(*missing[0]))
     return False
 
--- a/src/apricottrestle/agent_queue.py
+++ b/src/apricottrestle/agent_queue.py
@@ -139,7 +139,8 @@
         return "body_mismatch"
     if msg.body_bytes > MAX_BODY_BYTES:
         return "too_large"
-    if tables.body_bytes + msg.body_bytes > HELD_BODY_BYTES:
+    full = tables.body_bytes + msg.body_bytes > HELD_BODY_BYTES
+    if full or len(tables.queue) >= tables.params.max_queued:
         return "queue_full"
     if msg.group:
         return _group_refusal(tables, msg)
@@ -182,7 +183,7 @@
     lease = tables.leases.get(leader.allocation)
     if leader.agent_id != tables.params.agent_id:
         return "not_group_leader"
-    if lease is None or not lease.granted or lease.consumed:
+    if lease is None or not lease.granted:
         return "no_reservation"
     return ""
 
@@ -268,7 +269,13 @@
     load = tables.engine.load
     if load is None:
         return 0
-    return load.kv_blocks_total * tables.params.kv_block_tokens
+    return load.kv_blocks_total * _block_tokens(tables)
+
+
+def _block_tokens(tables: agent_tables.Tables) -> int:
+    load = tables.engine.load
+    told = load.block_tokens if load is not None else 0
+    return told or tables.params.kv_block_tokens
 
 
 def kv_tokens_free(tables: agent_tables.Tables) -> int:
@@ -277,14 +284,13 @@
     The agent counts by itself, because the engine's report is late and the
     agent alone allocates.
     """
-    block = tables.params.kv_block_tokens
+    block = _block_tokens(tables)
     used = tables.engine.orphan_blocks * block
     for req_id in tables.runs.values():
         row = tables.streams[req_id]
         used += _round_up(row.kv_tokens, block)
     for lease in tables.leases.values():
-        if not lease.consumed:
-            used += _round_up(lease.tokens, block)
+        used += _round_up(lease.tokens, block)
     return max(kv_tokens_total(tables) - used, 0)
 
 
@@ -330,11 +336,9 @@
     now: float,
     out: Commands,
 ) -> None:
-    lease = tables.leases.get(row.msg.group[0].allocation)
-    if lease is None:
+    if row.msg.group[0].allocation not in tables.leases:
         agent_streams.refuse(tables, row, "no_reservation", now, out)
         return
-    lease.consumed = True
     _start(tables, row, queue_item(tables, row, now), now, out)
 
 
@@ -361,8 +365,7 @@
             msg.version,
             msg.forced_prefix,
             int(lease_s * 1000),
-            msg.group[1:],
-            msg.group[0].allocation if msg.group else "",
+            msg.group,
             msg.kv,
         )
     )
--- a/src/apricottrestle/agent_reports.py
+++ b/src/apricottrestle/agent_reports.py
@@ -109,28 +109,55 @@
 
 
 def on_cache(
-    tables: agent_tables.Tables, event: agent_events.CacheEvents
+    tables: agent_tables.Tables, answer: agent_events.CacheEvents
 ) -> None:
-    """Applies cache events; a gap discards what was known before."""
+    """Applies cache events; after a gap the next poll asks for all blocks."""
     cache = tables.cache
-    if event.first > cache.after + 1:
-        cache.blocks.clear()
-        cache.reset = True
-    cache.after = max(event.next_seq - 1, 0)
+    if answer.full:
+        _replace_blocks(cache, answer)
+        return
+    for event in answer.events:
+        if event.seq <= cache.after:
+            continue
+        if event.seq != cache.after + 1:
+            cache.after = 0
+            return
+        _apply(cache, event)
+        cache.after = event.seq
+    _trim(cache)
+
+
+def _replace_blocks(
+    cache: agent_tables.CacheState, answer: agent_events.CacheEvents
+) -> None:
+    blocks = [block for event in answer.events for block in event.added]
+    held = dict.fromkeys(blocks[-MAX_BLOCKS:])
+    cache.reset = cache.reset or held.keys() != cache.blocks.keys()
+    cache.blocks = held
+    cache.after = answer.last
+
+
+def _apply(
+    cache: agent_tables.CacheState, event: agent_events.CacheEvent
+) -> None:
     for block in event.removed:
         if block in cache.blocks:
-            del cache.blocks[block]
-            cache.added.pop(block, None)
-            cache.removed[block] = None
+            _drop(cache, block)
     for block in event.added:
         cache.blocks[block] = None
         cache.added[block] = None
         cache.removed.pop(block, None)
+
+
+def _drop(cache: agent_tables.CacheState, block: int) -> None:
+    del cache.blocks[block]
+    cache.added.pop(block, None)
+    cache.removed[block] = None
+
+
+def _trim(cache: agent_tables.CacheState) -> None:
     while len(cache.blocks) > MAX_BLOCKS:
-        oldest = next(iter(cache.blocks))
-        del cache.blocks[oldest]
-        cache.added.pop(oldest, None)
-        cache.removed[oldest] = None
+        _drop(cache, next(iter(cache.blocks)))
 
 
 def _full_summary(tables: agent_tables.Tables) -> messages.CacheSummary:
--- a/src/apricottrestle/agent_tables.py
+++ b/src/apricottrestle/agent_tables.py
@@ -40,8 +40,10 @@
         upstream_url: Base URL of the upstream.
         secret: Fleet secret that authenticates issued keys.
         slots: Requests or calls that the upstream runs at the same time.
-        kv_block_tokens: Tokens in a KV block of the engine.
+        kv_block_tokens: Tokens in a KV block, if the engine doesn't tell.
         prefill_tokens_per_s: Prefill rate of the engine.
+        grace_s: Time that a drain leaves running requests, in seconds.
+        max_queued: Requests queued at the same time.
         role: Role that orders give the engine.
     """
 
@@ -55,6 +57,8 @@
     slots: int = 64
     kv_block_tokens: int = 16
     prefill_tokens_per_s: float = 100_000.0
+    grace_s: float = 30.0
+    max_queued: int = 4_096
     role: str = "mixed"
 
 
@@ -135,7 +139,9 @@
         self.chunks: dict[int, bytes] = {}
         self.next_chunk = 0
         self.last_chunk = now
-        self.kv_tokens = msg.prompt_tokens + msg.max_tokens
+        # A group's memory is held by its leases.
+        own_tokens = msg.prompt_tokens + msg.max_tokens
+        self.kv_tokens = 0 if msg.group else own_tokens
         self.tokens = array.array("Q", msg.forced_prefix)
         self.sent = len(msg.forced_prefix)
         self.credit = msg.credit_tokens
@@ -185,19 +191,19 @@
         tokens: Size.
         deadline: End of the lease; only the agent's clock decides.
         granted: The engine has confirmed the allocation.
-        consumed: The leader's run has taken the memory over.
         missing: Lists of the engine in a row that lack the allocation.
         waiters: Connections that wait for Reserved.
+        routing_id: Connection that reserved or renewed last.
     """
 
     __slots__ = (
         "allocation",
-        "consumed",
         "deadline",
         "granted",
         "kind",
         "missing",
         "owner",
+        "routing_id",
         "tokens",
         "waiters",
     )
@@ -217,9 +223,9 @@
         self.tokens = tokens
         self.deadline = deadline
         self.granted = False
-        self.consumed = False
         self.missing = 0
         self.waiters: list[bytes] = []
+        self.routing_id = b""
 
 
 class CallState(enum.Enum):
