--- /dev/null
+++ b/src/apricottrestle/agent_daemon.py
@@ -0,0 +1,229 @@
+"""The agent process: sockets, timers and clients around the pure step.
+
+Invariant: all state that decides is in agent_tables; this module only turns
+commands into I/O and its results into events.
+"""
+
+import asyncio
+import contextlib
+import logging
+import random
+import secrets
+import signal
+import sys
+import time
+from typing import Final
+
+from apricottrestle import (
+    agent_events,
+    agent_platform,
+    agent_queue,
+    agent_step,
+    agent_tables,
+    engine_client,
+    logs,
+    messages,
+    metrics,
+    ops_http,
+    queueing_fair,
+    service_client,
+    settings,
+    transport,
+)
+
+ACTIVE_TICK_S: Final = 0.02
+"""Token writes of a stream are this far apart at least."""
+
+IDLE_TICK_S: Final = 0.1
+EVENT_DELAY_S: Final = 0.002
+"""Events that arrive together share one step."""
+
+METRICS_S: Final = 1.0
+SETTLE_S: Final = 2.0
+
+_LOG: Final = logging.getLogger(__name__)
+
+
+def run(cfg: settings.AgentSettings) -> None:
+    """Runs an agent until its drain is complete.
+
+    Args:
+        cfg: Checked settings.
+
+    Raises:
+        OSError: An address can't be bound.
+        zmq.ZMQError: As OSError, for control and bulk.
+    """
+    logs.configure(sys.stderr)
+    asyncio.run(_run(cfg))
+
+
+async def _run(cfg: settings.AgentSettings) -> None:
+    daemon = AgentDaemon(cfg)
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(
+            signum, daemon.emit, agent_events.DrainRequested()
+        )
+    await daemon.serve()
+
+
+def params_of(
+    cfg: settings.AgentSettings, incarnation: str
+) -> agent_tables.Params:
+    """Returns what the step needs of the settings."""
+    return agent_tables.Params(
+        cfg.instance_id,
+        incarnation,
+        cfg.data_centre,
+        cfg.upstream.kind,
+        cfg.upstream.service,
+        cfg.upstream.url,
+        cfg.hmac_secret,
+        slots=cfg.upstream.slots,
+        prefill_tokens_per_s=cfg.upstream.prefill_tokens_per_s or 1.0,
+        grace_s=cfg.grace_s,
+        max_queued=cfg.max_queued,
+    )
+
+
+class AgentDaemon:
+    """One agent on the running event loop.
+
+    Attributes:
+        tables: State of the step.
+    """
+
+    def __init__(self, cfg: settings.AgentSettings) -> None:
+        """Prepares everything; nothing is opened yet."""
+        self._cfg = cfg
+        self._incarnation = secrets.token_hex(8)
+        self._loop = asyncio.get_running_loop()
+        self.tables = agent_tables.Tables(
+            params_of(cfg, self._incarnation),
+            queueing_fair.PriorityFairQueue(),
+            random.Random(),
+            self._loop.time(),
+        )
+        self._inbox: list[agent_events.Event] = []
+        self._timer: asyncio.TimerHandle | None = None
+        self._done = asyncio.Event()
+        self._next_metrics = 0.0
+        self._platform = agent_platform.AgentPlatform(
+            cfg, self._incarnation, self.emit
+        )
+        self._transport = transport.AgentTransport(
+            cfg.control,
+            cfg.bulk,
+            cfg.fleet_key,
+            transport.Identity(cfg.instance_id, self._incarnation),
+            self._on_frame,
+        )
+        url = cfg.upstream.url
+        self._engine = engine_client.EngineClient(url, self.emit)
+        self._service = service_client.ServiceClient(url, self.emit)
+
+    def emit(self, event: agent_events.Event) -> None:
+        """Queues an event for the next step, which follows at once."""
+        self._inbox.append(event)
+        self._schedule(EVENT_DELAY_S)
+
+    async def serve(self) -> None:
+        """Serves until the drain is complete."""
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self._platform)
+            stack.enter_context(self._engine)
+            stack.enter_context(self._service)
+            ops = ops_http.OpsServer(self._cfg.ops, self.not_ready)
+            stack.enter_context(ops)
+            stack.enter_context(self._transport)
+            platform = self._loop.create_task(self._platform.run())
+            _LOG.info("agent started", extra={"incarnation": self._incarnation})
+            self._step()
+            drained = self._loop.create_task(self._done.wait())
+            await asyncio.wait(
+                {platform, drained}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if platform.done():
+                # It ends with an unexpected error only, which ends the agent.
+                platform.result()
+            await self._engine.settle(SETTLE_S)
+            platform.cancel()
+            await self._platform.finish()
+            if self._timer is not None:
+                self._timer.cancel()
+        _LOG.info("agent stopped")
+
+    def not_ready(self) -> list[str]:
+        """Returns why the agent takes no work; nothing when it does."""
+        tables = self.tables
+        reasons = []
+        if not tables.catch_up.ever:
+            reasons.append("configuration not known yet")
+        if tables.drain.active:
+            reasons.append("draining")
+        if tables.params.kind == "engine":
+            if tables.engine.config is None:
+                reasons.append("engine not read yet")
+            if tables.engine.failures >= agent_queue.ENGINE_DOWN_FAILURES:
+                reasons.append("engine not reachable")
+        return reasons
+
+    def _on_frame(self, routing_id: bytes, got: messages.Received) -> None:
+        self.emit(agent_events.FrameIn(routing_id, got))
+
+    def _schedule(self, delay_s: float) -> None:
+        due = self._loop.time() + delay_s
+        if self._timer is not None:
+            if self._timer.when() <= due:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_at(due, self._step)
+
+    def _step(self) -> None:
+        self._timer = None
+        events, self._inbox = self._inbox, []
+        now = self._loop.time()
+        for cmd in agent_step.step(self.tables, events, now):
+            self._execute(cmd, now)
+        if now >= self._next_metrics:
+            self._next_metrics = now + METRICS_S
+            self._set_metrics()
+        tables = self.tables
+        active = tables.streams or tables.call_queue or tables.calls_running
+        self._schedule(ACTIVE_TICK_S if active else IDLE_TICK_S)
+
+    def _execute(self, cmd: agent_events.Command, now: float) -> None:
+        match cmd:
+            case agent_events.Send():
+                self._send(cmd)
+            case agent_events.Log():
+                logs.decision(_LOG, cmd.kind, **cmd.fields)
+            case agent_events.Exit():
+                self._done.set()
+            case agent_events.AnswerConfig():
+                answer = self._platform.answer(cmd.after)
+                self._send(agent_events.Send(cmd.routing_id, answer))
+            case agent_events.Audit():
+                self._platform.audit(cmd, time.time() - now)
+            case _:
+                started = (
+                    self._platform.execute(cmd)
+                    or self._engine.execute(cmd)
+                    or self._service.execute(cmd)
+                )
+                assert started, f"no client for {type(cmd).__name__}"
+
+    def _send(self, cmd: agent_events.Send) -> None:
+        revision = self.tables.config.revision
+        if not self._transport.send(
+            cmd.routing_id, cmd.msg, revision, cmd.body
+        ):
+            self.emit(agent_events.SendFailed(cmd.routing_id))
+
+    def _set_metrics(self) -> None:
+        tables = self.tables
+        queued = tables.queue.queued_tokens()
+        for name, tokens in zip(messages.PRIORITIES, queued, strict=True):
+            metrics.QUEUED_TOKENS.labels(name).set(tokens)
+        metrics.LEASES.set(len(tables.leases))
--- a/src/apricottrestle/agent_drain.py
+++ b/src/apricottrestle/agent_drain.py
@@ -34,7 +34,7 @@
     grace_s = tables.params.grace_s
     tables.drain.deadline = now + grace_s
     draining = messages.Draining(int(grace_s * 1000))
-    out.extend(agent_events.Send(peer, draining) for peer in tables.peers)
+    out.extend(agent_events.Send(peer, draining) for peer in tables.reachable())
     out.append(agent_events.Log("drain", {"streams": len(tables.streams)}))
     for row in list(tables.streams.values()):
         if row.phase in {Phase.BODY, Phase.QUEUED}:
--- a/src/apricottrestle/agent_events.py
+++ b/src/apricottrestle/agent_events.py
@@ -369,9 +369,14 @@
 
 
 class FoldConfig(NamedTuple):
-    """Fold a peer's update; see ConfigChanged for `confirms`."""
+    """Fold a peer's update; see ConfigChanged for `confirms`.
+
+    `revision` is that of the peer; a fold that falls short of it confirms
+    nothing.
+    """
 
     update: messages.ConfigUpdate
+    revision: int
     confirms: int
 
 
--- a/src/apricottrestle/agent_orders.py
+++ b/src/apricottrestle/agent_orders.py
@@ -13,6 +13,7 @@
     agent_tables,
     messages,
     metrics,
+    queueing_fair,
 )
 
 READ_BACK_S: Final = 5.0
@@ -80,12 +81,21 @@
 
 
 def on_update(
-    tables: agent_tables.Tables, msg: messages.ConfigUpdate, out: Commands
+    tables: agent_tables.Tables,
+    got: messages.Received,
+    msg: messages.ConfigUpdate,
+    out: Commands,
 ) -> None:
-    """Has an update folded; it confirms only what was asked for."""
+    """Has an update folded.
+
+    It confirms the configuration only when it was asked for after the pause,
+    of a peer that is not behind itself.
+    """
     state = tables.catch_up
-    confirms = state.pause if state.needed and state.asked else 0
-    out.append(agent_events.FoldConfig(msg, confirms))
+    asked = state.needed and state.asked
+    ahead = got.config_rev >= max(tables.config.revision, 1)
+    confirms = state.pause if asked and ahead else 0
+    out.append(agent_events.FoldConfig(msg, got.config_rev, confirms))
 
 
 def on_changed(
@@ -98,6 +108,7 @@
     if event.state.revision > tables.config.revision:
         tables.config = event.state
         metrics.CONFIG_REVISION.set(event.state.revision)
+        _set_floors(tables)
         jitter_s = tables.rng.uniform(0, CHANGE_JITTER_S)
         tables.orders.next_read = min(tables.orders.next_read, now + jitter_s)
     if event.confirms == state.pause and state.needed:
@@ -106,6 +117,17 @@
         tables.orders.next_read = now
 
 
+def _set_floors(tables: agent_tables.Tables) -> None:
+    """Gives the queue policy the floors of the priority classes."""
+    specs = tables.config.priorities
+    if isinstance(tables.queue, queueing_fair.PriorityFairQueue) and specs:
+        floors = tuple(
+            specs[name].floor if name in specs else 0.0
+            for name in messages.PRIORITIES
+        )
+        tables.queue.set_floors(floors)
+
+
 def tick(tables: agent_tables.Tables, now: float, out: Commands) -> None:
     """Catches up after a pause, and reads the engine back."""
     state = tables.catch_up
--- a/src/apricottrestle/agent_queue.py
+++ b/src/apricottrestle/agent_queue.py
@@ -22,7 +22,7 @@
 HELD_BODY_BYTES: Final = 32 * 1024 * 1024
 """Bound of all prompt bodies held; half of a node's 64 MB for the agent."""
 
-ENGINE_DOWN_FAILURES: Final = 4
+ENGINE_DOWN_FAILURES: Final = 3
 """Failed load polls in a row, one a second, after which work is refused."""
 
 _RUN_LEASE_MARGIN_S: Final = 5.0
@@ -102,7 +102,7 @@
     retry_ms = _MIN_RETRY_MS
     if reason == "no_time":
         wait_s = tables.queue.expected_wait_s(
-            queue_item(tables, row, now), capacity(tables, now)
+            queue_item(tables, row, now), capacity(tables)
         )
         retry_ms = max(retry_ms, int(wait_s * 1000))
     refused = messages.Refused(msg.req_id, msg.attempt, reason, retry_ms)
@@ -147,7 +147,7 @@
     if row.kv_tokens > kv_tokens_total(tables):
         return "too_large"
     item = queue_item(tables, row, now)
-    wait_s = tables.queue.expected_wait_s(item, capacity(tables, now))
+    wait_s = tables.queue.expected_wait_s(item, capacity(tables))
     prefill_s = item.prompt_tokens / tables.params.prefill_tokens_per_s
     if now + wait_s + prefill_s > row.deadline:
         return "no_time"
@@ -305,14 +305,21 @@
     return reported + tables.engine.started_since_load
 
 
-def capacity(tables: agent_tables.Tables, now: float) -> queueing.Capacity:
+def capacity(tables: agent_tables.Tables) -> queueing.Capacity:
     """Returns what the engine can take."""
-    del now
+    prefills = [
+        row.msg.prompt_tokens
+        for row in map(tables.streams.__getitem__, tables.runs.values())
+        if len(row.tokens) == len(row.msg.forced_prefix)
+    ]
+    long = sum(size > queueing.LONG_PROMPT_TOKENS for size in prefills)
     return queueing.Capacity(
         tables.params.slots - len(tables.runs),
         kv_tokens_free(tables),
         prefill_tokens_left(tables),
         tables.params.prefill_tokens_per_s,
+        len(prefills),
+        long,
     )
 
 
@@ -324,7 +331,7 @@
         if row.phase is agent_tables.Phase.QUEUED and row.msg.group:
             _start_group(tables, row, now, out)
     while len(tables.queue):
-        item = tables.queue.pop(capacity(tables, now), now)
+        item = tables.queue.pop(capacity(tables), now)
         if item is None:
             return
         _start(tables, tables.streams[item.req_id], item, now, out)
--- a/src/apricottrestle/agent_reports.py
+++ b/src/apricottrestle/agent_reports.py
@@ -205,4 +205,4 @@
     cache.reset = False
     cache.added.clear()
     cache.removed.clear()
-    out.extend(agent_events.Send(peer, summary) for peer in tables.peers)
+    out.extend(agent_events.Send(peer, summary) for peer in tables.reachable())
--- a/src/apricottrestle/agent_step.py
+++ b/src/apricottrestle/agent_step.py
@@ -88,6 +88,7 @@
         peer = agent_tables.Peer(got.sender, now)
         tables.peers[event.routing_id] = peer
     peer.last_seen = now
+    peer.unsendable = False
     agent_orders.on_frame_revision(
         tables, event.routing_id, got.config_rev, now, out
     )
@@ -126,8 +127,13 @@
     now: float,
     out: Commands,
 ) -> None:
-    """Forgets the connection; its streams wait for an Attach."""
-    tables.peers.pop(event.routing_id, None)
+    """Sends no more until a frame shows that the connection works.
+
+    The row stays, because its count of submits goes with the connection.
+    """
+    peer = tables.peers.get(event.routing_id)
+    if peer is not None:
+        peer.unsendable = True
 
 
 def _on_unreachable(
@@ -191,7 +197,7 @@
         agent_events.AnswerConfig(peer, _as(messages.ConfigRequest, got).after)
     ),
     messages.ConfigUpdate: lambda t, peer, got, now, out: (
-        agent_orders.on_update(t, _as(messages.ConfigUpdate, got), out)
+        agent_orders.on_update(t, got, _as(messages.ConfigUpdate, got), out)
     ),
 }
 
--- a/src/apricottrestle/agent_streams.py
+++ b/src/apricottrestle/agent_streams.py
@@ -280,7 +280,8 @@
     for row in list(tables.streams.values()):
         if row.phase not in {Phase.RUNNING, Phase.DONE}:
             continue
-        if row.routing_id not in tables.peers:
+        peer = tables.peers.get(row.routing_id)
+        if peer is None or peer.unsendable:
             continue
         _flush_tokens(row, now, out)
         if _stalled(row, now):
--- a/src/apricottrestle/agent_tables.py
+++ b/src/apricottrestle/agent_tables.py
@@ -63,9 +63,23 @@
 
 
 class Peer:
-    """A connection from an entry."""
+    """A connection from an entry.
 
-    __slots__ = ("config_asked", "last_seen", "received", "sender")
+    Attributes:
+        sender: Id of the entry.
+        last_seen: Time of the last frame.
+        received: Submits received on this connection.
+        config_asked: Time of the last ConfigRequest sent on it.
+        unsendable: A send failed, and no frame has come since.
+    """
+
+    __slots__ = (
+        "config_asked",
+        "last_seen",
+        "received",
+        "sender",
+        "unsendable",
+    )
 
     def __init__(self, sender: str, now: float) -> None:
         """Starts with a first frame at `now`."""
@@ -73,6 +87,7 @@
         self.last_seen = now
         self.received = 0
         self.config_asked = -1e9
+        self.unsendable = False
 
 
 class Phase(enum.Enum):
@@ -454,6 +469,10 @@
         self.answer_bytes = 0
         self.call_log = CallLogState()
 
+    def reachable(self) -> list[bytes]:
+        """Returns the connections that messages to all entries go to."""
+        return [key for key, peer in self.peers.items() if not peer.unsendable]
+
     def remaining_s(self, remaining_ms: int, now: float) -> float:
         """Returns the time left of a frame that is handled at `now`.
 
