--- /dev/null
+++ b/tests/test_matrix_agent_requests.py
@@ -0,0 +1,296 @@
+"""Matrix cells of generations and group leases: G1 and G2 at the agent.
+
+Each cell brings a request and a group reservation to a step, applies the
+fault, and lets the agent run on. The engine's ledger decides: it expires
+nothing by itself.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import pytest
+
+from apricottrestle import agent_events, messages
+from tests import matrix_table
+from tests import test_agent_world as worlds
+
+Cell = matrix_table.Cell
+
+LIMIT_S: Final = 30.0
+GROUP: Final = "g1"
+ENDINGS: Final = (messages.Finished, messages.Failed, messages.Refused)
+
+_STEPS: Final = (
+    "accept",
+    "queue",
+    "dispatch",
+    "start",
+    "first token",
+    "mid-stream",
+    "last token",
+    "acknowledge",
+    "clean up",
+)
+_FAULTS: Final = (
+    "kill",
+    "freeze and thaw",
+    "silent connection",
+    "message late",
+    "message duplicated",
+    "messages swapped",
+    "answer lost after effect",
+    "load reports late",
+    "two faults at once",
+)
+
+CELLS: Final = tuple(
+    Cell(guarantee, fault, step, "proved", function)
+    for guarantee, function in (
+        ("G1", "test_request_ends_in_time"),
+        ("G2", "test_engine_memory_comes_back"),
+    )
+    for fault in _FAULTS
+    for step in _STEPS
+)
+
+
+def _submit(world: worlds.World, **changes: Any) -> None:
+    world.frame(worlds.submit(**changes), worlds.body_of("r1"))
+
+
+def _at_queue(world: worlds.World) -> None:
+    world.tables.params = world.tables.params._replace(slots=0)
+    _submit(world)
+    world.tick()
+    world.tables.params = world.tables.params._replace(slots=64)
+
+
+def _at_dispatch(world: worlds.World) -> None:
+    """The start was sent, and the engine has not begun to answer."""
+    world.engine.frozen = True
+    _submit(world)
+    world.until(lambda: world.engine.started)
+    world.engine.frozen = False
+
+
+def _at_start(world: worlds.World) -> None:
+    world.engine.tokens_per_tick = 0
+    _submit(world)
+    world.run(1)
+    world.engine.tokens_per_tick = 4
+
+
+def _at_tokens(count: int) -> Callable[[worlds.World], None]:
+    def reach(world: worlds.World) -> None:
+        world.engine.tokens_per_tick = 2
+        _submit(world)
+        world.until(lambda: len(world.tokens("r1")) >= count)
+
+    return reach
+
+
+def _at_last_token(world: worlds.World) -> None:
+    _submit(world, credit_tokens=39)
+    world.until(lambda: len(world.tokens("r1")) == 39)
+
+
+def _at_acknowledge(world: worlds.World) -> None:
+    _submit(world)
+    world.until(lambda: world.of(messages.Finished))
+
+
+def _at_clean_up(world: worlds.World) -> None:
+    _submit(world)
+    world.until(lambda: world.of(messages.Finished))
+    world.frame(messages.Cancel("r1", 1, "done"))
+    world.frame(messages.Release(GROUP))
+    world.tick()
+
+
+_REACH: Final[dict[str, Callable[[worlds.World], None]]] = {
+    "accept": _submit,
+    "queue": _at_queue,
+    "dispatch": _at_dispatch,
+    "start": _at_start,
+    "first token": _at_tokens(1),
+    "mid-stream": _at_tokens(20),
+    "last token": _at_last_token,
+    "acknowledge": _at_acknowledge,
+    "clean up": _at_clean_up,
+}
+
+
+def _kill(world: worlds.World) -> None:
+    world.inbox.extend(world.engine.kill())
+
+
+def _freeze(world: worlds.World) -> None:
+    world.freeze(LIMIT_S + 20)
+
+
+def _silence(world: worlds.World) -> None:
+    world.pinging.clear()
+
+
+def _late(world: worlds.World) -> None:
+    """Copies of all messages arrive long after."""
+    world.run(LIMIT_S + 5)
+    _submit(world)
+    world.frame(messages.Reserve(GROUP, 1600, 10_000))
+    world.frame(messages.Renew(GROUP, 10_000))
+
+
+def _duplicate(world: worlds.World) -> None:
+    world.duplicate = True
+    _submit(world)
+    world.frame(messages.Reserve(GROUP, 1600, 10_000))
+    world.frame(messages.Release(GROUP))
+
+
+def _swap(world: worlds.World) -> None:
+    world.swap = True
+    world.frame(messages.Reserve("g2", 1600, 10_000))
+    world.frame(messages.Release("g2"))
+    world.frame(messages.Renew(GROUP, 10_000))
+    world.frame(messages.Cancel("r2", 1, "swapped"))
+    world.frame(worlds.submit("r2"), worlds.body_of("r2"))
+
+
+def _lose_answers(world: worlds.World) -> None:
+    """Cancels and frees get lost once, and new reserves go unanswered."""
+    world.mute |= {agent_events.Allocate}
+    world.drop |= {agent_events.CancelRun, agent_events.FreeAllocation}
+    world.frame(messages.Reserve("g2", 1600, 10_000))
+    world.frame(messages.Cancel("r1", 1, "caller gone"))
+    world.run(2)
+    world.drop.clear()
+
+
+def _late_reports(world: worlds.World) -> None:
+    world.drop |= {agent_events.PollLoad}
+
+
+def _two(world: worlds.World) -> None:
+    """The agent freezes, and its engine dies meanwhile."""
+    world.drop |= {agent_events.CancelRun, agent_events.FreeAllocation}
+    world.freeze(20)
+    world.tick()
+    world.drop.clear()
+    world.inbox.extend(world.engine.kill())
+    world.pinging.clear()
+
+
+_INJECT: Final[dict[str, Callable[[worlds.World], None]]] = {
+    "kill": _kill,
+    "freeze and thaw": _freeze,
+    "silent connection": _silence,
+    "message late": _late,
+    "message duplicated": _duplicate,
+    "messages swapped": _swap,
+    "answer lost after effect": _lose_answers,
+    "load reports late": _late_reports,
+    "two faults at once": _two,
+}
+
+
+def _play(cell: Cell) -> tuple[worlds.World, float]:
+    """Runs a cell; returns the world and the time of the submit."""
+    world = worlds.World().ready()
+    world.frame(messages.Reserve(GROUP, 1600, 10_000))
+    world.until(lambda: world.of(messages.Reserved))
+    submitted = world.now
+    _REACH[cell.step](world)
+    _INJECT[cell.fault](world)
+    return world, submitted
+
+
+@pytest.mark.parametrize(
+    "cell", matrix_table.proved(CELLS, "test_request_ends_in_time")
+)
+def test_request_ends_in_time(cell: Cell) -> None:
+    """Fails when a request outlives its time, or its entry is told no end.
+
+    A frozen agent acts at its first step after the thaw, hence the tick.
+    """
+    world, submitted = _play(cell)
+    world.tick()
+    world.until(lambda: world.now > submitted + LIMIT_S + 1.0, 120)
+    assert "r1" not in world.tables.runs.values()
+    row = world.tables.streams.get("r1")
+    assert row is None or row.finished_sent
+    endings = [
+        sent
+        for sent in world.sent
+        if isinstance(sent.msg, ENDINGS) and sent.msg.req_id == "r1"
+    ]
+    if cell.step != "clean up" and cell.fault != "answer lost after effect":
+        assert endings, "the entry was told no ending"
+    world.run(40)
+    assert not world.tables.streams
+    assert world.engine.started.count("r1.1") <= 1
+
+
+@pytest.mark.parametrize(
+    "cell", matrix_table.proved(CELLS, "test_engine_memory_comes_back")
+)
+def test_engine_memory_comes_back(cell: Cell) -> None:
+    """Fails when an allocation stays in the engine without an owner."""
+    world, _ = _play(cell)
+    world.run(90)
+    assert world.engine.held() == 0
+    assert not world.tables.leases
+    assert not world.tables.engine.orphans
+
+
+@pytest.mark.parametrize("step", _STEPS)
+def test_restarted_agent_frees_what_the_last_one_held(step: str) -> None:
+    """Fails when memory of a dead incarnation stays allocated."""
+    world = worlds.World().ready()
+    world.frame(messages.Reserve(GROUP, 1600, 10_000))
+    world.until(lambda: world.of(messages.Reserved))
+    _REACH[step](world)
+    world.engine.tokens_per_tick = 0
+    after = worlds.World(
+        engine=world.engine, incarnation="inc2", now=world.now + 3
+    )
+    after.run(30)
+    assert world.engine.held() == 0
+
+
+def test_renew_after_a_freeze_does_not_revive_a_lapsed_lease() -> None:
+    """Fails when frames of before a pause are handled before expiry."""
+    world = worlds.World().ready()
+    world.frame(messages.Reserve(GROUP, 1600, 10_000))
+    world.until(lambda: world.of(messages.Reserved))
+    world.frame(messages.Renew(GROUP, 10_000))
+    world.freeze(60)
+    world.tick()
+    assert world.of(messages.Reserved)[-1].reason == "lapsed"
+    assert world.engine.held() == 0
+
+
+def test_submit_that_waited_through_a_freeze_is_not_run() -> None:
+    """Fails when the remaining time of an old frame counts from now."""
+    world = worlds.World().ready()
+    world.frame(worlds.submit(), worlds.body_of("r1"))
+    world.freeze(60)
+    world.run(5)
+    assert world.engine.started == []
+    assert world.of(messages.Refused)[0].reason == "deadline"
+
+
+def test_lapsed_group_lease_ends_the_leaders_run() -> None:
+    """Fails when a group goes on without one of its leases."""
+    world = worlds.World().ready()
+    world.frame(messages.Reserve(GROUP, 1600, 10_000))
+    world.until(lambda: world.of(messages.Reserved))
+    reserved = world.of(messages.Reserved)[0]
+    member = messages.GroupMember(
+        "agent-1", reserved.engine_url, reserved.allocation
+    )
+    world.engine.tokens_per_tick = 0
+    world.frame(worlds.submit(group=[member]), worlds.body_of("r1"))
+    world.until(lambda: world.engine.started)
+    world.run(12)
+    assert world.of(messages.Failed)[0].reason == "group_lease_lapsed"
+    assert world.engine.held() == 0
