Wait for ownerless engine memory before a drain ends

Change: a draining agent reads the engine's allocations each second and stays until none is without owner, at most 20 s past the grace period. Conclusion: a planned stop leaves no memory behind while the engine answers.

--- a/src/apricottrestle/agent_drain.py
+++ b/src/apricottrestle/agent_drain.py
@@ -20,7 +20,12 @@
 
 EXPORT_LEASE_MS: Final = 10_000
 LINGER_S: Final = 2.0
-"""Time between the last hand-over and the exit, for frames under way."""
+"""Time between the last hand-over and the exit, for frames under way and for
+a list of the engine's allocations."""
+
+ORPHAN_WAIT_S: Final = 20.0
+"""Longest stay after the grace period for memory without owner. It is freed
+after agent_leases.ORPHAN_GRACE_S, unless the engine doesn't answer."""
 
 Commands = list[agent_events.Command]
 Phase = agent_tables.Phase
@@ -128,11 +133,15 @@
 
 
 def _busy(tables: agent_tables.Tables, now: float) -> bool:
-    """Tells whether a stream, lease or call still needs this process."""
+    """Tells whether a stream, call or memory still needs this process."""
     streams = any(not row.finished_sent for row in tables.streams.values())
     calls = any(
         agent_calls.is_under_way(call, now) for call in tables.calls.values()
     )
     log = tables.call_log
     unlogged = bool(log.completions or log.batch_completions) and log.up
-    return streams or calls or unlogged or bool(tables.leases)
+    orphans = (
+        bool(tables.engine.orphans)
+        and now < tables.drain.deadline + ORPHAN_WAIT_S
+    )
+    return streams or calls or unlogged or orphans or bool(tables.leases)
--- a/src/apricottrestle/agent_leases.py
+++ b/src/apricottrestle/agent_leases.py
@@ -16,6 +16,9 @@
 )
 
 RECONCILE_S: Final = 5.0
+DRAIN_RECONCILE_S: Final = 1.0
+"""A draining agent looks more often, so that it sees its last runs go."""
+
 ORPHAN_GRACE_S: Final = 10.0
 """Longer than the delay between a start and its row in the engine's list."""
 
@@ -255,5 +258,7 @@
 def poll(tables: agent_tables.Tables, now: float, out: Commands) -> None:
     """Asks for the engine's allocations each RECONCILE_S."""
     if now >= tables.engine.next_allocations:
-        tables.engine.next_allocations = now + RECONCILE_S
+        draining = tables.drain.active
+        interval_s = DRAIN_RECONCILE_S if draining else RECONCILE_S
+        tables.engine.next_allocations = now + interval_s
         out.append(agent_events.PollAllocations())
--- a/tests/test_agent_world.py
+++ b/tests/test_agent_world.py
@@ -271,6 +271,10 @@
     def tick(self) -> None:
         """Advances the clock by one tick and runs one step."""
         self.now += TICK_S
+        if self.exited:
+            # The process is gone: nothing reaches it any more.
+            self.inbox = []
+            return
         if self.now >= self._next_ping:
             self._next_ping = self.now + 2.0
             for routing_id in self.pinging:
