--- /dev/null
+++ b/src/apricottrestle/entry_accept.py
@@ -0,0 +1,360 @@
+"""Checks of callers' requests: key, size, priority class, model, body.
+
+All functions are pure and raise RequestError with outcome "not_run". No message
+quotes a prompt or a key.
+"""
+
+import hashlib
+import posixpath
+import re
+import urllib.parse
+from collections.abc import Mapping
+from typing import Annotated, Final
+
+import msgspec
+
+from apricottrestle import (
+    config_state,
+    entry_events,
+    errors,
+    hashing,
+    messages,
+)
+
+MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+MAX_HEADER_BYTES: Final = 64 * 1024
+MAX_CALL_BODY_BYTES: Final = 3 * 1024 * 1024
+"""A call's body travels in one frame, which the transport limits to 4 MiB."""
+
+MAX_PROMPT_TOKENS: Final = 1_000_000
+MAX_OUTPUT_TOKENS: Final = 131_072
+"""Tokens so far travel in the envelope of a resubmitted request; this many fit
+into a frame."""
+
+MAX_KEY_CHARACTERS: Final = 512
+MAX_TIME_LIMIT_MS: Final = 3_600_000
+DEFAULT_TIME_LIMIT_S: Final = 120.0
+_DEFAULT_MAX_TOKENS: Final = 256
+_DEFAULT_PRIORITY: Final = "standard"
+
+_EVENT_ID: Final = re.compile(
+    r"([0-9a-f]{24})\.([A-Za-z0-9._-]{1,64})\.([0-9]{1,7})\.([0-9a-f]{16})"
+)
+_NOT_PASSED: Final = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "idempotency-key",
+        "keep-alive",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-priority",
+        "x-time-limit-ms",
+    }
+)
+"""Headers that end at the entry: hop by hop, or meant for it."""
+
+TokenId = Annotated[int, msgspec.Meta(ge=0)]
+OutputTokens = Annotated[int, msgspec.Meta(ge=1, le=MAX_OUTPUT_TOKENS)]
+Headers = Mapping[str, str]
+
+
+class CompletionBody(msgspec.Struct):
+    """Body of POST /v1/completions; other fields are ignored."""
+
+    model: str
+    prompt: str | list[TokenId]
+    max_tokens: OutputTokens = _DEFAULT_MAX_TOKENS
+    stream: bool = False
+    adapter: str = ""
+
+
+class KeyBody(msgspec.Struct):
+    """Body of POST /v1/idempotency-keys."""
+
+    service: str
+
+
+_COMPLETION: Final = msgspec.json.Decoder(CompletionBody)
+_KEY: Final = msgspec.json.Decoder(KeyBody)
+
+
+class TeamIndex:
+    """Teams by the digest of their keys, for one configuration at a time."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._teams: Mapping[str, config_state.TeamSpec] = {}
+        self._by_digest: dict[str, config_state.TeamSpec] = {}
+
+    def find(
+        self, state: config_state.ConfigState, headers: Headers
+    ) -> config_state.TeamSpec:
+        """Returns the team whose key the Authorization header carries.
+
+        Raises:
+            RequestError: The header is missing or the key unknown (401).
+        """
+        if self._teams is not state.teams:
+            self._teams = state.teams
+            self._by_digest = {
+                digest: team
+                for team in state.teams.values()
+                for digest in team.key_digests
+            }
+        scheme, _, key = headers.get("Authorization", "").partition(" ")
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        team = self._by_digest.get(digest)
+        if scheme.lower() != "bearer" or team is None:
+            raise _refused(
+                "send the team's key as 'Authorization: Bearer <key>'",
+                401,
+                "unauthorized",
+            )
+        return team
+
+
+def _refused(message: str, status: int, code: str) -> errors.RequestError:
+    return errors.RequestError(message, status=status, code=code, step="accept")
+
+
+def body_too_large(limit_bytes: int) -> errors.RequestError:
+    """Returns the error for a body over the limit."""
+    return _refused(
+        f"the body is over {limit_bytes} bytes", 413, "body_too_large"
+    )
+
+
+def priority_of(team: config_state.TeamSpec, headers: Headers) -> int:
+    """Returns the index of the priority class in messages.PRIORITIES.
+
+    Raises:
+        RequestError: The class is unknown (400) or not the team's (403).
+    """
+    name = headers.get("X-Priority", _DEFAULT_PRIORITY)
+    if name not in messages.PRIORITIES:
+        raise _refused(
+            f"X-Priority must be one of {', '.join(messages.PRIORITIES)}",
+            400,
+            "unknown_priority",
+        )
+    if name not in team.priorities:
+        raise _refused(
+            f"team {team.name} may not use priority class {name}",
+            403,
+            "priority_forbidden",
+        )
+    return messages.PRIORITIES.index(name)
+
+
+def time_limit_s(headers: Headers, default_s: float) -> float:
+    """Returns the time limit in seconds.
+
+    Raises:
+        RequestError: X-Time-Limit-Ms is not a number in range (400).
+    """
+    text = headers.get("X-Time-Limit-Ms")
+    if text is None:
+        return default_s
+    valid = text.isascii() and text.isdigit() and len(text) <= 9
+    if not valid or not 1 <= int(text) <= MAX_TIME_LIMIT_MS:
+        raise _refused(
+            f"X-Time-Limit-Ms must be 1 to {MAX_TIME_LIMIT_MS}",
+            400,
+            "invalid_time_limit",
+        )
+    return int(text) / 1000
+
+
+def generation(
+    state: config_state.ConfigState,
+    team: config_state.TeamSpec,
+    headers: Headers,
+    body: bytes,
+) -> entry_events.GenerationSpec:
+    """Checks a completion request.
+
+    Raises:
+        RequestError: With the first problem found.
+    """
+    priority = priority_of(team, headers)
+    try:
+        asked = _COMPLETION.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise _refused(f"bad JSON body: {exc}", 400, "bad_body") from exc
+    model = state.models.get(asked.model)
+    if model is None:
+        raise _refused("no such model", 404, "unknown_model")
+    _check_adapter(state, asked)
+    count, first = _measure(asked.prompt)
+    limit = min(model.max_prompt_tokens, MAX_PROMPT_TOKENS)
+    if count == 0:
+        raise _refused("the prompt is empty", 400, "empty_prompt")
+    if count > limit:
+        raise _refused(
+            f"the prompt has {count} tokens; the limit is {limit}",
+            413,
+            "prompt_too_long",
+        )
+    spec = state.priorities.get(messages.PRIORITIES[priority])
+    default_s = spec.time_limit_s if spec else DEFAULT_TIME_LIMIT_S
+    return entry_events.GenerationSpec(
+        team=team.name,
+        weight=team.weight,
+        priority=priority,
+        model=model.name,
+        version=model.version,
+        adapter=asked.adapter,
+        body=msgspec.msgpack.encode(asked.prompt),
+        prompt_tokens=count,
+        prefix_blocks=tuple(hashing.prefix_blocks(first)),
+        max_tokens=asked.max_tokens,
+        limit_s=time_limit_s(headers, default_s),
+        stream=asked.stream,
+        resume=_resume_point(headers) if asked.stream else None,
+    )
+
+
+def _check_adapter(
+    state: config_state.ConfigState, asked: CompletionBody
+) -> None:
+    if not asked.adapter:
+        return
+    adapter = state.adapters.get(asked.adapter)
+    if adapter is None or adapter.model != asked.model:
+        raise _refused("no such adapter for this model", 404, "unknown_adapter")
+
+
+def _measure(prompt: str | list[int]) -> tuple[int, list[int]]:
+    """Returns the number of tokens, and those that make prefix blocks.
+
+    Hashing a million words would hold up the event loop, and no block needs
+    the words behind the first ones.
+    """
+    needed = hashing.PREFIX_BLOCK_TOKENS * hashing.MAX_PREFIX_BLOCKS
+    if isinstance(prompt, str):
+        words = prompt.split()
+        return len(words), hashing.token_ids(" ".join(words[:needed]))
+    return len(prompt), prompt[:needed]
+
+
+def _resume_point(headers: Headers) -> entry_events.ResumePoint | None:
+    text = headers.get("Last-Event-ID", "")
+    if not text:
+        return None
+    match = _EVENT_ID.fullmatch(text)
+    if match is None:
+        raise _refused(
+            "Last-Event-ID is not an id of this API's events",
+            400,
+            "invalid_event_id",
+        )
+    req_id, agent_id, offset, digest = match.groups()
+    return entry_events.ResumePoint(req_id, agent_id, int(offset), digest)
+
+
+def key_service(state: config_state.ConfigState, body: bytes) -> str:
+    """Checks a request for an issued key and returns its service.
+
+    Raises:
+        RequestError: Bad body (400) or unknown service (404).
+    """
+    try:
+        asked = _KEY.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise _refused(f"bad JSON body: {exc}", 400, "bad_body") from exc
+    if asked.service not in state.services:
+        raise _refused("no such service", 404, "unknown_service")
+    return asked.service
+
+
+def call(
+    state: config_state.ConfigState,
+    team: config_state.TeamSpec,
+    service: str,
+    method: str,
+    path: str,
+    headers: Headers,
+    header_list: list[tuple[str, str]],
+    body: bytes,
+) -> entry_events.CallSpec:
+    """Checks a call to a plain service.
+
+    Args:
+        state: Configuration.
+        team: Team that calls.
+        service: Service name from the URL.
+        method: HTTP method.
+        path: Path and query behind the service name, with a leading slash.
+        headers: Headers for look-up, without regard to case.
+        header_list: The same headers in order.
+        body: HTTP body.
+
+    Raises:
+        RequestError: With the first problem found.
+    """
+    priority = priority_of(team, headers)
+    spec = state.services.get(service)
+    if spec is None:
+        raise _refused("no such service", 404, "unknown_service")
+    if len(body) > MAX_CALL_BODY_BYTES:
+        raise body_too_large(MAX_CALL_BODY_BYTES)
+    key = headers.get("Idempotency-Key", "")
+    if len(key) > MAX_KEY_CHARACTERS:
+        raise _refused(
+            f"Idempotency-Key is over {MAX_KEY_CHARACTERS} characters",
+            400,
+            "invalid_idempotency_key",
+        )
+    repeatable = is_repeatable(spec, method, path)
+    if not repeatable and not key:
+        raise _refused(
+            "this call needs an Idempotency-Key; "
+            "get one from POST /v1/idempotency-keys",
+            400,
+            "idempotency_key_required",
+        )
+    passed = tuple(
+        (name, value)
+        for name, value in header_list
+        if name.lower() not in _NOT_PASSED
+    )
+    return entry_events.CallSpec(
+        team=team.name,
+        priority=priority,
+        service=service,
+        method=method,
+        path=path,
+        headers=passed,
+        body=body,
+        key=key,
+        repeatable=repeatable,
+        limit_s=time_limit_s(headers, spec.time_limit_s),
+    )
+
+
+def is_repeatable(
+    spec: config_state.ServiceSpec, method: str, path: str
+) -> bool:
+    """Tells whether a call may run more than once.
+
+    The path is compared as sent and as a service may read it, so that another
+    spelling of a path doesn't make its calls repeatable.
+    """
+    plain = path.partition("?")[0]
+    single = re.sub("/+", "/", urllib.parse.unquote(plain))
+    normal = posixpath.normpath(single)
+    for rule in spec.not_repeatable:
+        rule_method, _, prefix = rule.partition(" ")
+        if rule_method.upper() != method.upper():
+            continue
+        if any(p.startswith(prefix) for p in (plain, normal, normal + "/")):
+            return False
+    return True
--- /dev/null
+++ b/src/apricottrestle/entry_attempts.py
@@ -0,0 +1,203 @@
+"""Attempts of a generation: start, retry, run anew.
+
+Invariant: failures use up the retry budgets of team and upstream and the limit
+of attempts; planned changes do not, since they must not end a request.
+"""
+
+from typing import Final
+
+from apricottrestle import (
+    entry_dispatch,
+    entry_ending,
+    entry_groups,
+    entry_tables,
+    hashing,
+)
+
+HANDOVER_REFUSALS: Final = frozenset(
+    {
+        "draining",
+        "wrong_upstream",
+        "not_ready",
+        "model_changing",
+        "version_not_served",
+        "adapter_not_loaded",
+    }
+)
+"""Refusals that a planned change explains; they use up no retry budget, since
+a planned change must not end a request."""
+
+
+def start(
+    t: entry_tables.Tables, row: entry_tables.RequestRow, now: float
+) -> None:
+    """Routes the next attempt, or waits when no agent can take it."""
+    if not row.tokens:
+        _adopt_version(t, row)
+    req = entry_dispatch.route_request(row, now)
+    decision = t.router.choose(req, t.upstreams, now)
+    agent_id = decision.agent_id
+    if not agent_id:
+        entry_dispatch.log_decision(t, row, [], decision.reason)
+        _wait(row, now)
+        return
+    tokens = entry_groups.needed_tokens(row)
+    if entry_groups.fits(t, agent_id, tokens):
+        entry_dispatch.log_decision(
+            t, row, [agent_id], decision.reason, decision.candidates
+        )
+        entry_dispatch.submit(t, row, agent_id, [], now)
+        return
+    _start_group(t, row, tokens, now)
+
+
+def _start_group(
+    t: entry_tables.Tables,
+    row: entry_tables.RequestRow,
+    tokens: int,
+    now: float,
+) -> None:
+    req = entry_dispatch.route_request(row, now)
+    agents = entry_groups.choose_members(t, req, tokens)
+    if not agents:
+        entry_dispatch.log_decision(t, row, [], "too_large_for_group")
+        _wait(row, now)
+    elif len(agents) == 1:
+        entry_dispatch.log_decision(t, row, agents, "only_one_large_enough")
+        entry_dispatch.submit(t, row, agents[0], [], now)
+    else:
+        entry_dispatch.log_decision(t, row, agents, "group_reserve")
+        entry_groups.start(t, row, agents, now)
+
+
+def _adopt_version(
+    t: entry_tables.Tables, row: entry_tables.RequestRow
+) -> None:
+    """Moves a request that has no token yet to the version now in force."""
+    model = t.sync.state.models.get(row.spec.model)
+    if model is not None:
+        row.version = model.version
+
+
+def _wait(row: entry_tables.RequestRow, now: float) -> None:
+    row.state = "waiting"
+    row.retry_at = now + entry_tables.RETRY_DELAY_S
+    row.excluded.clear()
+
+
+def retry(
+    t: entry_tables.Tables,
+    row: entry_tables.RequestRow,
+    reason: str,
+    now: float,
+    *,
+    counted: bool,
+    cancel: str = "",
+) -> None:
+    """Ends the attempt and makes another one if that is allowed.
+
+    Args:
+        t: Tables.
+        row: Request.
+        reason: Why the attempt ended.
+        now: Time.
+        counted: False when a planned change ended it, so that neither budget
+            nor the limit of attempts applies.
+        cancel: Reason to cancel the attempt at its agent, or "".
+    """
+    if row.state == "attaching":
+        run_anew(t, row, now)
+        return
+    row.excluded.add(row.agent_id)
+    entry_dispatch.end_attempt(t, row, cancel)
+    row.state = "waiting"
+    if now >= row.deadline:
+        entry_ending.deadline(t, row, now)
+        return
+    if counted:
+        row.failures += 1
+    if row.failures >= entry_tables.MAX_FAILURES:
+        fail_after(t, row, "attempts_exhausted", reason, now)
+        return
+    if row.attempt >= entry_tables.MAX_HOPS:
+        fail_after(t, row, "attempts_exhausted", reason, now)
+        return
+    if counted and not t.budget.spend(row.spec.team, row.spec.model, now):
+        fail_after(t, row, "retry_budget_exhausted", reason, now)
+        return
+    entry_dispatch.count_retry(reason)
+    if row.attempt > 0:
+        row.wait_until = row.deadline
+    start(t, row, now)
+
+
+def run_anew(
+    t: entry_tables.Tables, row: entry_tables.RequestRow, now: float
+) -> None:
+    """Runs a resumed request again under a new id.
+
+    The old id may still be in use at an agent out of reach; with a new one no
+    late message of that run can match. The prefix that the caller has is
+    checked against the event id as tokens arrive.
+    """
+    del t.requests[row.req_id]
+    row.req_id = t.new_req_id()
+    t.add_request(row)
+    entry_dispatch.end_attempt(t, row, "")
+    row.tokens = []
+    row.digest = hashing.StreamDigest()
+    row.attempt = 0
+    row.wait_until = row.deadline
+    start(t, row, now)
+
+
+def group_broken(
+    t: entry_tables.Tables,
+    row: entry_tables.RequestRow,
+    reason: str,
+    now: float,
+) -> None:
+    """Starts anew after a member refused, fell silent or lost its lease.
+
+    A group that is not complete has run nothing, so it waits for memory
+    without using up attempts.
+    """
+    if row.state != "reserving":
+        retry(t, row, reason, now, counted=True, cancel="group_broken")
+        return
+    entry_dispatch.end_attempt(t, row, "")
+    row.wait_until = row.deadline
+    _wait(row, now)
+    row.retry_at += t.rng.uniform(0.0, entry_tables.RETRY_DELAY_S)
+
+
+def fail_after(
+    t: entry_tables.Tables,
+    row: entry_tables.RequestRow,
+    code: str,
+    reason: str,
+    now: float,
+) -> None:
+    """Fails a request whose attempts have come to an end."""
+    if row.refusal and not row.maybe_ran:
+        retry_after_s = max(1.0, row.retry_after_ms / 1000)
+        entry_ending.fail(
+            t,
+            row,
+            now,
+            status=429,
+            code="overloaded",
+            message=f"all upstreams asked refused: {reason}",
+            step="dispatch",
+            retry_after_s=retry_after_s,
+        )
+        return
+    entry_ending.fail(
+        t,
+        row,
+        now,
+        status=502,
+        code=code,
+        message=f"the last attempt ended: {reason}",
+        step="mid-stream" if row.tokens else "start",
+    )
--- /dev/null
+++ b/src/apricottrestle/entry_call_end.py
@@ -0,0 +1,167 @@
+"""How a call or key request ends, and what its caller gets."""
+
+from apricottrestle import (
+    audit,
+    entry_events,
+    entry_tables,
+    errors,
+    messages,
+    metrics,
+)
+
+_RETRY_AFTER_S = 1.0
+
+
+def answer(
+    t: entry_tables.Tables,
+    row: entry_tables.CallRow,
+    msg: messages.CallResult,
+    body: bytes,
+    now: float,
+) -> None:
+    """Passes the service's answer on."""
+    if row.caller is not None:
+        t.emit(entry_events.Answer(row.caller, msg.status, msg.headers, body))
+    _end(t, row, "completed", now)
+
+
+def completed_unseen(
+    t: entry_tables.Tables, row: entry_tables.CallRow, status: int, now: float
+) -> None:
+    """Tells that the call completed, though its answer is lost."""
+    _emit_error(
+        t,
+        row,
+        409,
+        "answer_lost",
+        f"the call completed with status {status}; its answer is lost",
+        "completed",
+    )
+    _end(t, row, "completed", now)
+
+
+def give_key(
+    t: entry_tables.Tables, row: entry_tables.CallRow, now: float
+) -> None:
+    """Gives the caller the key that it asked for."""
+    if row.caller is not None:
+        t.emit(entry_events.Key(row.caller, row.text))
+    _end(t, row, "completed", now)
+
+
+def hand_out(
+    t: entry_tables.Tables, row: entry_tables.CallRow, now: float
+) -> None:
+    """Offers the issued key, since the log did not take the binding.
+
+    The outcome is "not_run" only when the log was read and showed no earlier
+    binding; otherwise an earlier attempt under the caller's key may have run.
+    """
+    _emit_error(
+        t,
+        row,
+        503,
+        "binding_unavailable",
+        "the log does not take the caller's key; when no earlier attempt was "
+        "made with it, use the issued key in idempotency_key instead",
+        _outcome(row),
+        issued_key=row.text,
+    )
+    _end(t, row, _outcome(row), now)
+
+
+def no_upstream(
+    t: entry_tables.Tables, row: entry_tables.CallRow, now: float
+) -> None:
+    """Fails for want of an agent."""
+    fail(
+        t,
+        row,
+        now,
+        503,
+        "no_upstream",
+        f"no upstream serves {row.service}",
+    )
+
+
+def deadline(
+    t: entry_tables.Tables, row: entry_tables.CallRow, now: float
+) -> None:
+    """Fails at the deadline."""
+    if row.state == "sent" and row.text == "":
+        row.maybe_ran = True
+    fail(t, row, now, 504, "deadline_exceeded", "the time limit is over")
+
+
+def fail(
+    t: entry_tables.Tables,
+    row: entry_tables.CallRow,
+    now: float,
+    status: int,
+    code: str,
+    message: str,
+) -> None:
+    """Ends a call with an error."""
+    outcome = _outcome(row)
+    _emit_error(t, row, status, code, message, outcome)
+    _end(t, row, outcome, now)
+
+
+def _outcome(row: entry_tables.CallRow) -> errors.Outcome:
+    return "unknown" if row.maybe_ran else "not_run"
+
+
+def _emit_error(
+    t: entry_tables.Tables,
+    row: entry_tables.CallRow,
+    status: int,
+    code: str,
+    message: str,
+    outcome: errors.Outcome,
+    issued_key: str = "",
+) -> None:
+    if row.caller is None:
+        return
+    error = errors.RequestError(
+        message,
+        status=status,
+        code=code,
+        step="start" if row.state == "sent" else "dispatch",
+        outcome=outcome,
+        peer=row.agent_id or errors.LOCAL_PEER,
+        retry_after_s=_RETRY_AFTER_S if status == 503 else None,
+    )
+    t.emit(entry_events.Fail(row.caller, error, issued_key))
+
+
+def _end(
+    t: entry_tables.Tables,
+    row: entry_tables.CallRow,
+    outcome: errors.Outcome,
+    now: float,
+) -> None:
+    if row.state == "sent":
+        t.upstreams.ended(row.agent_id)
+    del t.calls[row.req_id]
+    if row.caller is not None:
+        t.callers.pop(row.caller, None)
+    if row.spec is None:
+        return
+    metrics.CALLS.labels(outcome).inc()
+    wall = t.identity.wall_offset_s
+    t.audit.add(
+        audit.AuditRow(
+            req_id=row.req_id,
+            attempt=max(1, row.attempt),
+            team=row.team,
+            priority=messages.PRIORITIES[row.spec.priority],
+            upstream=row.service,
+            version="",
+            config_rev=row.config_rev,
+            peer=row.agent_id,
+            start=wall + row.admitted,
+            end=wall + now,
+            outcome=outcome,
+            tokens=0,
+        )
+    )
--- /dev/null
+++ b/src/apricottrestle/entry_calls.py
@@ -0,0 +1,465 @@
+"""Calls to plain services, and issued idempotency keys.
+
+A call with a key goes to the one agent incarnation that issued the key and
+nowhere else. Once that incarnation is gone, the log decides what became of it.
+
+Invariant: "not_run" is told for a keyed call only on the word of the key's
+agent, on a refusal that precedes any intent on the log, or when no earlier
+attempt can have been bound.
+"""
+
+import hashlib
+
+from apricottrestle import (
+    call_keys,
+    entry_call_end,
+    entry_events,
+    entry_peers,
+    entry_tables,
+    errors,
+    messages,
+)
+
+
+def accept(
+    t: entry_tables.Tables, event: entry_events.Call, now: float
+) -> None:
+    """Takes a call."""
+    spec = event.spec
+    row = entry_tables.CallRow(
+        t.new_req_id(),
+        event.caller,
+        spec.service,
+        spec.team,
+        spec,
+        spec.limit_s,
+        t.sync.revision,
+        now,
+    )
+    t.add_call(row)
+    if t.drain_started is not None:
+        entry_call_end.fail(t, row, now, 503, "draining", "entry is stopping")
+    elif not spec.key:
+        t.budget.earn(spec.team, spec.service, now)
+        _send_repeatable(t, row, now)
+    elif call_keys.is_issued(spec.key):
+        row.maybe_ran = True
+        _use_key(t, row, spec.key, now)
+    else:
+        row.maybe_ran = True
+        row.binding = binding_name(spec)
+        row.state = "binding"
+        t.emit(entry_events.FindBinding(row.req_id, row.binding))
+
+
+def accept_key(
+    t: entry_tables.Tables, event: entry_events.IssueKey, now: float
+) -> None:
+    """Takes a request for an issued key."""
+    row = entry_tables.CallRow(
+        t.new_req_id(),
+        event.caller,
+        event.service,
+        event.team,
+        None,
+        2 * entry_tables.KEY_TIMEOUT_S,
+        t.sync.revision,
+        now,
+    )
+    t.add_call(row)
+    if t.drain_started is not None:
+        entry_call_end.fail(t, row, now, 503, "draining", "entry is stopping")
+    else:
+        _ask_key(t, row, now)
+
+
+def binding_name(spec: entry_events.CallSpec) -> str:
+    """Returns the name under which a caller's own key is bound.
+
+    It covers team and service, so that two teams that choose the same key
+    never share a call, and it doesn't reveal the key on the log.
+    """
+    text = "\x00".join((spec.team, spec.service, spec.key))
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def _choose(
+    t: entry_tables.Tables, row: entry_tables.CallRow, reason: str
+) -> str:
+    """Returns the usable agent of the service with the fewest own calls."""
+    rows = [
+        candidate
+        for candidate in t.upstreams.by_upstream(row.service)
+        if candidate.agent_id not in row.excluded
+    ]
+    best = min(
+        rows,
+        key=lambda candidate: (candidate.outstanding, t.rng.random()),
+        default=None,
+    )
+    agent_id = best.agent_id if best is not None else ""
+    t.emit(
+        entry_events.Decision(
+            "route_call",
+            {
+                "req_id": row.req_id,
+                "team": row.team,
+                "service": row.service,
+                "candidates": len(rows),
+                "agents": [agent_id] if agent_id else [],
+                "reason": reason if agent_id else "no_candidate",
+            },
+        )
+    )
+    return agent_id
+
+
+def _ask_key(
+    t: entry_tables.Tables, row: entry_tables.CallRow, now: float
+) -> None:
+    row.state = "issuing"
+    row.step_until = now + entry_tables.KEY_TIMEOUT_S / 2
+    agent_id = _choose(t, row, "issue_key")
+    if not agent_id:
+        entry_call_end.no_upstream(t, row, now)
+        return
+    row.agent_id = agent_id
+    row.excluded.add(agent_id)
+    t.send(agent_id, messages.KeyRequest(row.req_id, row.service, 1))
+
+
+def _send_repeatable(
+    t: entry_tables.Tables, row: entry_tables.CallRow, now: float
+) -> None:
+    agent_id = _choose(t, row, "least_outstanding")
+    if not agent_id:
+        entry_call_end.no_upstream(t, row, now)
+        return
+    _submit(t, row, agent_id, now)
+
+
+def _submit(
+    t: entry_tables.Tables,
+    row: entry_tables.CallRow,
+    agent_id: str,
+    now: float,
+) -> None:
+    row.state = "sent"
+    row.attempt += 1
+    row.agent_id = agent_id
+    row.incarnation = t.peers[agent_id].incarnation
+    row.step_until = now + entry_tables.RESYNC_S
+    if agent_id in t.upstreams.rows:
+        t.upstreams.rows[agent_id].outstanding += 1
+    _send_submit(t, row, now)
+
+
+def _send_submit(
+    t: entry_tables.Tables, row: entry_tables.CallRow, now: float
+) -> None:
+    assert row.spec is not None, "key requests are never submitted"
+    spec = row.spec
+    msg = messages.CallSubmit(
+        row.req_id,
+        row.text,
+        spec.service,
+        spec.team,
+        spec.method,
+        spec.path,
+        list(spec.headers),
+        entry_tables.remaining_ms(row.deadline, now),
+    )
+    t.send(row.agent_id, msg, spec.body)
+
+
+def _use_key(
+    t: entry_tables.Tables,
+    row: entry_tables.CallRow,
+    text: str,
+    now: float,
+) -> None:
+    try:
+        key = call_keys.parse(text, t.identity.secret)
+    except errors.RequestError as exc:
+        row.maybe_ran = False
+        entry_call_end.fail(t, row, now, exc.status, exc.code, exc.message)
+        return
+    if key.service != row.service:
+        row.maybe_ran = False
+        entry_call_end.fail(
+            t,
+            row,
+            now,
+            400,
+            "invalid_idempotency_key",
+            f"the key was issued for service {key.service}",
+        )
+        return
+    row.text = text
+    row.key = key
+    row.agent_id = key.agent_id
+    _send_keyed(t, row, now, wait=True)
+
+
+def _send_keyed(
+    t: entry_tables.Tables,
+    row: entry_tables.CallRow,
+    now: float,
+    *,
+    wait: bool,
+) -> None:
+    """Sends to the key's incarnation, waits for it, or asks the log."""
+    assert row.key is not None, "only keyed calls come here"
+    agent_id = row.key.agent_id
+    peer = t.peers.get(agent_id)
+    listed = t.instances.get(agent_id)
+    if peer is None and listed is not None:
+        peer = entry_peers.connect(t, listed, now)
+        peer.pinned = True
+    if peer is not None and peer.state == "up":
+        if peer.incarnation == row.key.incarnation:
+            row.maybe_ran = True
+            _submit(t, row, agent_id, now)
+        else:
+            _resolve(t, row, now)
+    elif peer is None:
+        _resolve(t, row, now)
+    elif wait:
+        row.state = "connecting"
+        row.step_until = now + entry_tables.CONNECT_TIMEOUT_S
+
+
+def _resolve(
+    t: entry_tables.Tables, row: entry_tables.CallRow, now: float
+) -> None:
+    assert row.key is not None, "only keyed calls come here"
+    if not row.key.logged:
+        row.maybe_ran = True
+        entry_call_end.fail(
+            t, row, now, 502, "agent_lost", "the key's agent is gone"
+        )
+        return
+    row.state = "resolving"
+    row.step_until = now + entry_tables.RESOLVE_TIMEOUT_S
+    t.emit(entry_events.ResolveKey(row.req_id, row.key))
+
+
+def key_resolved(
+    t: entry_tables.Tables, event: entry_events.KeyResolved, now: float
+) -> None:
+    """Answers with what the log proves."""
+    row = t.calls.get(event.req_id)
+    if row is None or row.state != "resolving":
+        return
+    row.maybe_ran = event.outcome != "not_run"
+    if event.outcome == "completed":
+        entry_call_end.completed_unseen(t, row, event.status, now)
+        return
+    entry_call_end.fail(
+        t,
+        row,
+        now,
+        503 if event.outcome == "not_run" else 502,
+        "agent_lost",
+        f"the key's agent is gone; the log tells: {event.reason}",
+    )
+
+
+def key_bound(
+    t: entry_tables.Tables, event: entry_events.KeyBound, now: float
+) -> None:
+    """Goes on with the key that the log names, or asks for one."""
+    row = t.calls.get(event.req_id)
+    if row is None or row.state != "binding":
+        return
+    if event.failed:
+        row.handout = True
+        if row.text:
+            entry_call_end.hand_out(t, row, now)
+        else:
+            _ask_key(t, row, now)
+    elif event.issued:
+        _use_key(t, row, event.issued, now)
+    else:
+        row.maybe_ran = False
+        _ask_key(t, row, now)
+
+
+def key_issued(
+    t: entry_tables.Tables,
+    peer: entry_tables.PeerRow,
+    msg: messages.KeyIssued,
+    now: float,
+) -> None:
+    """Takes the issued key for the caller, or binds the caller's own."""
+    row = t.calls.get(msg.req_id)
+    if row is None or row.state != "issuing" or row.agent_id != peer.agent_id:
+        return
+    if not msg.keys:
+        _ask_key(t, row, now)
+        return
+    row.text = msg.keys[0]
+    if row.key_only:
+        entry_call_end.give_key(t, row, now)
+    elif row.handout:
+        entry_call_end.hand_out(t, row, now)
+    else:
+        row.state = "binding"
+        t.emit(entry_events.BindKey(row.req_id, row.binding, row.text))
+
+
+def call_result(
+    t: entry_tables.Tables,
+    peer: entry_tables.PeerRow,
+    received: messages.Received,
+    msg: messages.CallResult,
+    now: float,
+) -> None:
+    """Takes the word of the agent that has the call."""
+    row = t.calls.get(msg.req_id)
+    if row is None or row.agent_id != peer.agent_id or msg.key != row.text:
+        return
+    if row.state not in ("sent", "resolving"):
+        return
+    if row.key is not None and received.incarnation != row.key.incarnation:
+        return
+    if msg.outcome == "running":
+        return
+    if msg.outcome == "completed":
+        entry_call_end.answer(t, row, msg, received.body, now)
+    elif row.key is None:
+        failed = msg.outcome != "not_run"
+        row.maybe_ran = row.maybe_ran or failed
+        _retry(t, row, msg.reason, now)
+    else:
+        row.maybe_ran = msg.outcome != "not_run"
+        entry_call_end.fail(
+            t,
+            row,
+            now,
+            503 if msg.outcome == "not_run" else 502,
+            msg.reason or "call_failed",
+            f"the agent ended the call: {msg.reason}",
+        )
+
+
+def _retry(
+    t: entry_tables.Tables,
+    row: entry_tables.CallRow,
+    reason: str,
+    now: float,
+) -> None:
+    """Repeats a repeatable call elsewhere, within the budget."""
+    t.upstreams.ended(row.agent_id)
+    row.excluded.add(row.agent_id)
+    row.agent_id = ""
+    planned = reason == "draining"
+    row.failures += 0 if planned else 1
+    allowed = row.failures < entry_tables.MAX_FAILURES and (
+        planned or t.budget.spend(row.team, row.service, now)
+    )
+    if allowed:
+        _send_repeatable(t, row, now)
+        return
+    entry_call_end.fail(
+        t,
+        row,
+        now,
+        502 if row.maybe_ran else 503,
+        "call_failed",
+        f"the last attempt ended: {reason}",
+    )
+
+
+def unsent(
+    t: entry_tables.Tables,
+    msg: messages.CallSubmit,
+    agent_id: str,
+    now: float,
+) -> None:
+    """Handles a call that never left this process."""
+    row = t.calls.get(msg.req_id)
+    if row is None or row.agent_id != agent_id or row.state != "sent":
+        return
+    if row.key is None:
+        _retry(t, row, "unsent", now)
+    else:
+        _query(t, row, now)
+
+
+def peer_lost(t: entry_tables.Tables, agent_id: str, now: float) -> None:
+    """Settles what an agent had when it went, or when it restarted."""
+    for row in list(t.calls.values()):
+        if row.agent_id != agent_id:
+            continue
+        if row.state == "issuing":
+            _ask_key(t, row, now)
+        elif row.state == "sent" and row.key is None:
+            row.maybe_ran = True
+            _retry(t, row, "peer_lost", now)
+        elif row.state == "sent":
+            t.upstreams.ended(agent_id)
+            _resolve(t, row, now)
+        elif row.state == "connecting":
+            _send_keyed(t, row, now, wait=False)
+
+
+def reattach(t: entry_tables.Tables, agent_id: str, now: float) -> None:
+    """Submits all calls again on a new connection.
+
+    The agent joins a submit of a key or request id that it knows to the call
+    that runs already, and so learns where to send the answer.
+    """
+    for row in t.calls.values():
+        if row.agent_id == agent_id and row.state == "sent":
+            _send_submit(t, row, now)
+
+
+def _query(
+    t: entry_tables.Tables, row: entry_tables.CallRow, now: float
+) -> None:
+    row.step_until = now + entry_tables.RESYNC_S
+    t.send(row.agent_id, messages.CallQuery(row.req_id, row.text))
+
+
+def tick(t: entry_tables.Tables, now: float) -> None:
+    """Runs the timers of all calls."""
+    for row in list(t.calls.values()):
+        if now >= row.deadline:
+            entry_call_end.deadline(t, row, now)
+        elif row.state == "connecting":
+            _tick_connecting(t, row, now)
+        elif now >= row.step_until:
+            _tick_step(t, row, now)
+
+
+def _tick_connecting(
+    t: entry_tables.Tables, row: entry_tables.CallRow, now: float
+) -> None:
+    if now >= row.step_until:
+        _resolve(t, row, now)
+    else:
+        _send_keyed(t, row, now, wait=False)
+
+
+def _tick_step(
+    t: entry_tables.Tables, row: entry_tables.CallRow, now: float
+) -> None:
+    if row.state == "issuing":
+        _ask_key(t, row, now)
+    elif row.state == "sent" and row.text:
+        _query(t, row, now)
+    elif row.state == "resolving":
+        entry_call_end.fail(
+            t,
+            row,
+            now,
+            502,
+            "agent_lost",
+            "the key's agent is gone and the log doesn't answer",
+        )
+
+
+def caller_gone(row: entry_tables.CallRow) -> None:
+    """Lets the call go on without its caller: it may take effect once."""
+    row.caller = None
--- /dev/null
+++ b/src/apricottrestle/entry_completions.py
@@ -0,0 +1,168 @@
+"""Handler of generations: whole answers and server-sent events.
+
+What a caller's socket has not taken holds back the credits of its stream: the
+step learns of tokens as read only once tornado has flushed them.
+"""
+
+import asyncio
+import time
+from typing import Final
+
+from tornado import ioloop, iostream
+
+from apricottrestle import (
+    entry_accept,
+    entry_core,
+    entry_events,
+    entry_http,
+    entry_render,
+)
+
+WRITE_INTERVAL_S: Final = 0.02
+
+
+class CompletionsHandler(entry_http.ApiHandler):
+    """POST /v1/completions."""
+
+    async def post(self) -> None:
+        """Runs a generation."""
+        body = self.take_body()
+        team = self.admit()
+        spec = entry_accept.generation(
+            self.state, team, self.request.headers, body
+        )
+        del body
+        self._created = int(time.time())
+        self._model = spec.model
+        mailbox = self.open_mailbox()
+        self._ctx.core.post(entry_events.Generate(mailbox.caller, spec))
+        try:
+            if spec.stream:
+                await self._stream(mailbox)
+            else:
+                await self._collect(mailbox)
+        except iostream.StreamClosedError:
+            self._close_mailbox()
+
+    async def _collect(self, mailbox: entry_core.Mailbox) -> None:
+        tokens: list[int] = []
+        while True:
+            for command in await mailbox.take():
+                match command:
+                    case entry_events.Deliver():
+                        tokens += command.tokens
+                    case entry_events.Complete():
+                        self._write_whole(tokens, command)
+                        return
+                    case entry_events.Fail():
+                        self.fail(command.error)
+                        return
+
+    def _write_whole(
+        self, tokens: list[int], end: entry_events.Complete
+    ) -> None:
+        body = entry_render.completion(
+            _name(end.event_id),
+            self._created,
+            self._model,
+            tokens,
+            end.finish_reason,
+            entry_render.usage(
+                end.prompt_tokens, end.total_tokens, end.reused_tokens
+            ),
+        )
+        self.set_header("Content-Type", "application/json")
+        self.write(entry_render.encode(body))
+
+    async def _stream(self, mailbox: entry_core.Mailbox) -> None:
+        """Writes events, at most one write in each interval."""
+        loop = ioloop.IOLoop.current()
+        while True:
+            commands = await mailbox.take()
+            started = loop.time()
+            if await self._write_events(mailbox, commands):
+                return
+            pause_s = WRITE_INTERVAL_S - (loop.time() - started)
+            if pause_s > 0:
+                await asyncio.sleep(pause_s)
+
+    async def _write_events(
+        self,
+        mailbox: entry_core.Mailbox,
+        commands: list[entry_events.CallerCommand],
+    ) -> bool:
+        """Writes one batch; returns True at the end of the stream."""
+        delivers = [
+            cmd for cmd in commands if isinstance(cmd, entry_events.Deliver)
+        ]
+        last = commands[-1]
+        headers_sent = self._headers_written
+        fresh = not delivers and not headers_sent
+        if isinstance(last, entry_events.Fail) and fresh:
+            self.fail(last.error)
+            return True
+        if isinstance(last, entry_events.Abandon):
+            self._drop_connection()
+            return True
+        if not headers_sent:
+            self.set_header("Content-Type", "text/event-stream")
+            self.set_header("Cache-Control", "no-cache")
+            self.set_header("X-Accel-Buffering", "no")
+        if delivers:
+            self.write(self._piece(delivers))
+        ended = self._write_end(last)
+        await self.flush()
+        if delivers:
+            newest = delivers[-1]
+            upto = newest.offset + len(newest.tokens)
+            self._ctx.core.post(entry_events.CallerRead(mailbox.caller, upto))
+        return ended
+
+    def _piece(self, delivers: list[entry_events.Deliver]) -> bytes:
+        tokens = [token for cmd in delivers for token in cmd.tokens]
+        newest = delivers[-1]
+        body = entry_render.completion(
+            _name(newest.event_id), self._created, self._model, tokens, None
+        )
+        return entry_render.event(entry_render.encode(body), newest.event_id)
+
+    def _write_end(self, command: entry_events.CallerCommand) -> bool:
+        match command:
+            case entry_events.Complete():
+                self.write(self._last_piece(command) + entry_render.DONE)
+            case entry_events.Fail():
+                data = entry_render.error_body(command.error)
+                self.write(entry_render.event(data, kind="error"))
+            case entry_events.Reconnect():
+                data = entry_render.encode({"last_event_id": command.event_id})
+                self.write(
+                    entry_render.event(data, command.event_id, "reconnect")
+                )
+            case _:
+                return False
+        return True
+
+    def _last_piece(self, end: entry_events.Complete) -> bytes:
+        body = entry_render.completion(
+            _name(end.event_id),
+            self._created,
+            self._model,
+            [],
+            end.finish_reason,
+            entry_render.usage(
+                end.prompt_tokens, end.total_tokens, end.reused_tokens
+            ),
+        )
+        return entry_render.event(entry_render.encode(body), end.event_id)
+
+    def _drop_connection(self) -> None:
+        """Closes the connection without an end, so nobody takes it for one."""
+        conn = self.request.connection
+        if conn is not None:
+            stream = conn.detach()  # type: ignore[attr-defined]
+            stream.close()
+        self._finished = True
+
+
+def _name(event_id: str) -> str:
+    return event_id.partition(".")[0]
--- /dev/null
+++ b/src/apricottrestle/entry_config.py
@@ -0,0 +1,70 @@
+"""Configuration of an entry: log, peers that are ahead or behind, drains.
+
+Invariant: the state moves only through ConfigSync, which never goes back.
+"""
+
+import msgspec
+
+from apricottrestle import entry_tables, messages, platform_log
+
+
+class DrainRecord(msgspec.Struct):
+    """Data of a record of the drain stream."""
+
+    instance: str
+
+
+def log_notes(t: entry_tables.Tables, result: platform_log.ReadResult) -> None:
+    """Folds records of the release stream."""
+    t.sync.apply_records(result)
+
+
+def compare_revision(
+    t: entry_tables.Tables,
+    peer: entry_tables.PeerRow,
+    revision: int,
+    now: float,
+) -> None:
+    """Asks a peer that is ahead for what it knows."""
+    ask = now - peer.config_asked >= entry_tables.CONFIG_ASK_S
+    if revision > t.sync.revision and ask:
+        peer.config_asked = now
+        t.send(peer.agent_id, messages.ConfigRequest(t.sync.revision))
+
+
+def answer(
+    t: entry_tables.Tables,
+    peer: entry_tables.PeerRow,
+    msg: messages.ConfigRequest,
+) -> None:
+    """Sends a peer what it lacks."""
+    t.send(peer.agent_id, t.sync.answer(msg))
+
+
+def log_drains(
+    t: entry_tables.Tables, records: list[platform_log.LogRecord]
+) -> bool:
+    """Notes the instances that an operator wants drained.
+
+    A drain holds for the incarnation that runs at that time; without this, a
+    restarted instance would be drained again.
+
+    Returns:
+        True when this entry itself must drain.
+    """
+    own = False
+    for record in records:
+        try:
+            drain = msgspec.json.decode(record.data, type=DrainRecord)
+        except msgspec.DecodeError:
+            continue
+        own = own or drain.instance == t.identity.instance_id
+        peer = t.peers.get(drain.instance)
+        t.drains[drain.instance] = peer.incarnation if peer else ""
+    return own
+
+
+def bind_drain(t: entry_tables.Tables, peer: entry_tables.PeerRow) -> None:
+    """Binds a drain to the incarnation that a peer showed first."""
+    if t.drains.get(peer.agent_id) == "":
+        t.drains[peer.agent_id] = peer.incarnation
--- /dev/null
+++ b/src/apricottrestle/entry_core.py
@@ -0,0 +1,178 @@
+"""Runs the pure step in a process: events in, commands carried out.
+
+Invariant: the step never runs inside itself; an event that arises while
+commands are carried out waits for its turn.
+"""
+
+import asyncio
+import collections
+import logging
+import time
+from collections.abc import Callable
+from typing import Final
+
+from apricottrestle import (
+    entry_events,
+    entry_step,
+    entry_tables,
+    logs,
+    messages,
+    transport,
+)
+
+PlatformCommand = (
+    entry_events.ResolveKey | entry_events.FindBinding | entry_events.BindKey
+)
+
+_LOG: Final = logging.getLogger(__name__)
+
+
+class Mailbox:
+    """Commands for one caller, in order."""
+
+    def __init__(self, caller: int) -> None:
+        """Starts empty."""
+        self.caller = caller
+        self._commands: list[entry_events.CallerCommand] = []
+        self._filled = asyncio.Event()
+
+    def put(self, command: entry_events.CallerCommand) -> None:
+        """Adds a command."""
+        self._commands.append(command)
+        self._filled.set()
+
+    async def take(self) -> list[entry_events.CallerCommand]:
+        """Waits for commands and returns all that have come."""
+        await self._filled.wait()
+        self._filled.clear()
+        commands, self._commands = self._commands, []
+        return commands
+
+
+class Core:
+    """The step with its connections and callers.
+
+    Attributes:
+        tables: State of the step.
+        on_platform: Starts the work for a command that needs the log.
+    """
+
+    def __init__(
+        self,
+        tables: entry_tables.Tables,
+        net: transport.EntryTransport,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Stores what the step works on.
+
+        Args:
+            tables: State of the step.
+            net: Opens connections to agents.
+            clock: Monotonic seconds.
+        """
+        self.tables = tables
+        self._net = net
+        self.on_platform: Callable[[PlatformCommand], None] | None = None
+        self._clock = clock
+        self._conns: dict[int, transport.AgentConnection] = {}
+        self._mailboxes: dict[int, Mailbox] = {}
+        self._events: collections.deque[entry_events.Event] = (
+            collections.deque()
+        )
+        self._running = False
+        self._next_caller = 1
+
+    def post(self, *events: entry_events.Event) -> None:
+        """Runs the step over the events, and over those that follow."""
+        self._events.extend(events)
+        if self._running:
+            return
+        self._running = True
+        try:
+            self._run()
+            while self._events:
+                self._run()
+        finally:
+            self._running = False
+
+    def _run(self) -> None:
+        events = list(self._events)
+        self._events.clear()
+        for command in entry_step.step(self.tables, events, self._clock()):
+            self._carry_out(command)
+
+    def open_caller(self) -> Mailbox:
+        """Registers a caller and returns its mailbox."""
+        mailbox = Mailbox(self._next_caller)
+        self._next_caller += 1
+        self._mailboxes[mailbox.caller] = mailbox
+        return mailbox
+
+    def close_caller(self, caller: int) -> None:
+        """Forgets a caller; what it waited for learns that it is gone."""
+        if self._mailboxes.pop(caller, None) is not None:
+            self.post(entry_events.CallerGone(caller))
+
+    def close(self) -> None:
+        """Closes all connections to agents."""
+        for conn in self._conns.values():
+            conn.close()
+        self._conns.clear()
+
+    def _carry_out(self, command: entry_events.Command) -> None:
+        match command:
+            case entry_events.Send():
+                self._send(command)
+            case entry_events.SendBulk():
+                self._send_bulk(command)
+            case entry_events.Connect():
+                self._connect(command)
+            case entry_events.Close():
+                self._close(command.conn)
+            case entry_events.Decision():
+                logs.decision(_LOG, command.kind, **command.fields)
+            case (
+                entry_events.ResolveKey()
+                | entry_events.FindBinding()
+                | entry_events.BindKey()
+            ):
+                if self.on_platform is not None:
+                    self.on_platform(command)
+            case _:
+                mailbox = self._mailboxes.get(command.caller)
+                if mailbox is not None:
+                    mailbox.put(command)
+
+    def _connect(self, command: entry_events.Connect) -> None:
+        conn = command.conn
+
+        def on_frame(_routing_id: bytes, received: messages.Received) -> None:
+            self.post(entry_events.Frame(conn, received))
+
+        self._conns[conn] = self._net.connect(
+            command.control, command.bulk, on_frame
+        )
+
+    def _close(self, number: int) -> None:
+        conn = self._conns.pop(number, None)
+        if conn is not None:
+            # The connection's own callback may be running.
+            asyncio.get_running_loop().call_soon(conn.close)
+
+    def _send(self, command: entry_events.Send) -> None:
+        conn = self._conns.get(command.conn)
+        revision = self.tables.sync.revision
+        sent = conn is not None and conn.send(
+            command.msg, revision, command.body
+        )
+        if not sent:
+            self._events.append(entry_events.Unsent(command.conn, command.msg))
+
+    def _send_bulk(self, command: entry_events.SendBulk) -> None:
+        conn = self._conns.get(command.conn)
+        revision = self.tables.sync.revision
+        sent = conn is not None and conn.send_bulk(
+            command.msg, revision, command.body
+        )
+        if not sent:
+            self._events.append(entry_events.Unsent(command.conn, command.msg))
--- /dev/null
+++ b/src/apricottrestle/entry_daemon.py
@@ -0,0 +1,188 @@
+"""Process of an entry: wiring of the step, sockets, timers and platform."""
+
+import asyncio
+import logging
+import random
+import secrets
+import signal
+import sys
+import time
+import weakref
+from collections.abc import Callable
+from typing import Final
+
+from tornado import ioloop
+
+from apricottrestle import (
+    admission,
+    audit,
+    config_sync,
+    entry_accept,
+    entry_core,
+    entry_events,
+    entry_http,
+    entry_platform,
+    entry_server,
+    entry_tables,
+    logs,
+    messages,
+    metrics,
+    ops_http,
+    platform_instances,
+    platform_log,
+    routing,
+    routing_expected,
+    settings,
+    transport,
+)
+
+_STOP_CHECK_S: Final = 0.1
+_LAST_WRITES_S: Final = 0.5
+_LOG: Final = logging.getLogger(__name__)
+
+
+def run(
+    cfg: settings.EntrySettings,
+    make_router: Callable[[random.Random], routing.Router] = (
+        routing_expected.ExpectedFirstTokenRouter
+    ),
+) -> None:
+    """Runs an entry until it has drained after SIGTERM or SIGINT.
+
+    Args:
+        cfg: Settings.
+        make_router: Makes the routing policy.
+    """
+    logs.configure(sys.stderr)
+    asyncio.run(_run(cfg, make_router))
+
+
+async def _run(
+    cfg: settings.EntrySettings,
+    make_router: Callable[[random.Random], routing.Router],
+) -> None:
+    incarnation = secrets.token_hex(8)
+    tables = make_tables(cfg, incarnation, make_router)
+    log = platform_log.HttpLogService(cfg.platform.log)
+    instances = platform_instances.HttpInstanceList(cfg.platform.instances)
+    identity = transport.Identity(cfg.instance_id, incarnation)
+    with transport.EntryTransport(cfg.fleet_key, identity) as net:
+        core = entry_core.Core(tables, net)
+        loops = entry_platform.PlatformLoops(
+            tables, log, instances, _own_row(cfg), cfg.hmac_secret, core.post
+        )
+        core.on_platform = loops.handle
+        ctx = entry_http.ApiContext(
+            core,
+            entry_accept.TeamIndex(),
+            cfg.max_requests,
+            weakref.WeakSet(),
+        )
+        ops = ops_http.OpsServer(cfg.ops, lambda: not_ready(tables))
+        with entry_server.ApiServer(cfg.callers, ctx) as api, ops:
+            loops.start()
+            await _serve(core, api, loops)
+        core.close()
+    log.close()
+    instances.close()
+
+
+def make_tables(
+    cfg: settings.EntrySettings,
+    incarnation: str,
+    make_router: Callable[[random.Random], routing.Router],
+) -> entry_tables.Tables:
+    """Returns the tables of a new process."""
+    rng = random.Random(secrets.randbits(128))
+    identity = entry_tables.Identity(
+        cfg.instance_id,
+        cfg.data_centres,
+        cfg.hmac_secret,
+        cfg.grace_s,
+        time.time() - time.monotonic(),
+    )
+    return entry_tables.Tables(
+        identity,
+        config_sync.ConfigSync(cfg.platform.log_retention_s, rng),
+        make_router(rng),
+        admission.AdmissionControl(rng),
+        admission.RetryBudget(),
+        audit.AuditBuffer(
+            cfg.instance_id, "entry", incarnation, cfg.audit_rows
+        ),
+        rng,
+    )
+
+
+def not_ready(tables: entry_tables.Tables) -> list[str]:
+    """Returns why the entry should get no requests."""
+    reasons = []
+    if tables.drain_started is not None:
+        reasons.append("draining")
+    if not tables.sync.ready:
+        reasons.append("configuration not known yet")
+    return reasons
+
+
+def _own_row(cfg: settings.EntrySettings) -> platform_instances.InstanceRow:
+    return platform_instances.InstanceRow(
+        cfg.instance_id, "entry", cfg.data_centre, "", "", cfg.callers
+    )
+
+
+async def _serve(
+    core: entry_core.Core,
+    api: entry_server.ApiServer,
+    loops: entry_platform.PlatformLoops,
+) -> None:
+    """Ticks until a drain has ended."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(
+            number, lambda: core.post(entry_events.StartDrain())
+        )
+    policies = _PolicySync(core.tables)
+
+    def tick() -> None:
+        core.post()
+        policies.update()
+
+    ticks = ioloop.PeriodicCallback(tick, entry_tables.TICK_S * 1000)
+    ticks.start()
+    tables = core.tables
+    while tables.drain_started is None:
+        await asyncio.sleep(_STOP_CHECK_S)
+    _LOG.info("drain started", extra={"requests": len(tables.requests)})
+    await loops.announce("leaving")
+    while tables.requests or tables.calls:
+        api.close_idle()
+        await asyncio.sleep(_STOP_CHECK_S)
+    # Handlers write what the step gave them last.
+    await asyncio.sleep(_LAST_WRITES_S)
+    api.close_idle()
+    ticks.stop()
+    await loops.stop()
+    await loops.announce("gone")
+    _LOG.info("drained")
+
+
+class _PolicySync:
+    """Passes floors and weights to the policies when notes change them."""
+
+    def __init__(self, tables: entry_tables.Tables) -> None:
+        self._tables = tables
+        self._revision = -1
+
+    def update(self) -> None:
+        state = self._tables.sync.state
+        if state.revision == self._revision:
+            return
+        self._revision = state.revision
+        metrics.CONFIG_REVISION.set(state.revision)
+        specs = [state.priorities.get(name) for name in messages.PRIORITIES]
+        floors = tuple(spec.floor if spec else 0.0 for spec in specs)
+        weights = {team.name: team.weight for team in state.teams.values()}
+        self._tables.admission.configure(floors, weights)
+        router = self._tables.router
+        if isinstance(router, routing_expected.ExpectedFirstTokenRouter):
+            router.set_floors(floors)
--- /dev/null
+++ b/src/apricottrestle/entry_dispatch.py
@@ -0,0 +1,209 @@
+"""Routing of a generation and the messages that start, feed and stop it."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from apricottrestle import (
+    entry_events,
+    entry_tables,
+    messages,
+    metrics,
+    routing,
+)
+
+_LOGGED_CANDIDATES: Final = 4
+
+
+def route_request(
+    row: entry_tables.RequestRow, now: float
+) -> routing.RouteRequest:
+    """Returns the request as routing and admission see it."""
+    spec = row.spec
+    return routing.RouteRequest(
+        req_id=row.req_id,
+        team=spec.team,
+        priority=spec.priority,
+        model=spec.model,
+        version=row.version,
+        adapter=spec.adapter,
+        prompt_tokens=spec.prompt_tokens,
+        max_tokens=spec.max_tokens,
+        prefix_blocks=spec.prefix_blocks,
+        remaining_s=max(0.0, row.deadline - now),
+        excluded=frozenset(row.excluded),
+    )
+
+
+def log_decision(
+    t: entry_tables.Tables,
+    row: entry_tables.RequestRow,
+    agents: Sequence[str],
+    reason: str,
+    candidates: Sequence[routing.ScoredCandidate] = (),
+) -> None:
+    """Emits the log line of a routing decision."""
+    spec = row.spec
+    t.emit(
+        entry_events.Decision(
+            "route",
+            {
+                "req_id": row.req_id,
+                "attempt": row.attempt + 1,
+                "team": spec.team,
+                "priority": messages.PRIORITIES[spec.priority],
+                "model": spec.model,
+                "version": row.version,
+                "prompt_tokens": spec.prompt_tokens,
+                "agents": list(agents),
+                "reason": reason,
+                "candidates": [
+                    f"{cand.agent_id}={cand.first_token_s:.3f}s"
+                    for cand in candidates[:_LOGGED_CANDIDATES]
+                ],
+            },
+        )
+    )
+
+
+def submit(
+    t: entry_tables.Tables,
+    row: entry_tables.RequestRow,
+    agent_id: str,
+    group: list[messages.GroupMember],
+    now: float,
+) -> None:
+    """Sends the next attempt to an agent."""
+    spec = row.spec
+    row.attempt += 1
+    row.agent_id = agent_id
+    row.incarnation = t.peers[agent_id].incarnation
+    row.state = "sent"
+    row.finished = None
+    row.last_heard = now
+    row.last_attach = now - entry_tables.RESYNC_S
+    row.attach_open = False
+    row.next_chunk = 0
+    row.credit = credit_limit(row)
+    inline = len(spec.body) <= messages.INLINE_BODY_BYTES
+    msg = messages.Submit(
+        req_id=row.req_id,
+        attempt=row.attempt,
+        team=spec.team,
+        weight=spec.weight,
+        priority=spec.priority,
+        model=spec.model,
+        version=row.version,
+        adapter=spec.adapter,
+        prompt_tokens=spec.prompt_tokens,
+        max_tokens=spec.max_tokens,
+        remaining_ms=entry_tables.remaining_ms(row.deadline, now),
+        credit_tokens=row.credit,
+        prefix_blocks=list(spec.prefix_blocks),
+        forced_prefix=list(row.tokens),
+        body_bytes=len(spec.body),
+        group=group,
+        kv=row.kv,
+    )
+    row.kv = None
+    t.upstreams.dispatched(agent_id, spec.prompt_tokens, spec.priority)
+    t.send(agent_id, msg, spec.body if inline else b"")
+
+
+def send_chunks(
+    t: entry_tables.Tables, row: entry_tables.RequestRow, upto: int
+) -> None:
+    """Sends the body chunks numbered below `upto`."""
+    body = row.spec.body
+    size = messages.INLINE_BODY_BYTES
+    if len(body) <= size:
+        return
+    count = -(-len(body) // size)
+    conn = t.peers[row.agent_id].conn
+    while row.next_chunk < min(upto, count):
+        start = row.next_chunk * size
+        chunk = messages.BodyChunk(
+            row.req_id, row.attempt, row.next_chunk, row.next_chunk + 1 == count
+        )
+        t.emit(entry_events.SendBulk(conn, chunk, body[start : start + size]))
+        row.next_chunk += 1
+
+
+def attach(
+    t: entry_tables.Tables, row: entry_tables.RequestRow, now: float
+) -> None:
+    """Asks the agent for the stream from the first missing token on.
+
+    The credit of an Attach counts from its offset.
+    """
+    row.last_attach = now
+    row.attach_open = True
+    row.credit = credit_limit(row)
+    have = len(row.tokens)
+    msg = messages.Attach(
+        row.req_id,
+        row.spec.team,
+        have,
+        entry_tables.remaining_ms(row.deadline, now),
+        max(0, row.credit - have),
+    )
+    t.send(row.agent_id, msg)
+
+
+def credit_limit(row: entry_tables.RequestRow) -> int:
+    """Returns the offset up to which the agent may send.
+
+    Only a caller that reads a stream holds tokens back: other answers are
+    collected here as a whole.
+    """
+    base = row.flushed if row.spec.stream else len(row.tokens)
+    return base + entry_tables.WINDOW_TOKENS
+
+
+def extend_credit(t: entry_tables.Tables, row: entry_tables.RequestRow) -> None:
+    """Sends credit once a quarter of the window has been used."""
+    limit = credit_limit(row)
+    if limit - row.credit < entry_tables.WINDOW_TOKENS // 4:
+        return
+    if not row.agent_id or row.finished is not None:
+        return
+    row.credit = limit
+    t.send(row.agent_id, messages.Credit(row.req_id, row.attempt, limit))
+
+
+def end_attempt(
+    t: entry_tables.Tables, row: entry_tables.RequestRow, cancel: str
+) -> None:
+    """Frees what the current attempt holds.
+
+    Args:
+        t: Tables.
+        row: Request.
+        cancel: Reason to cancel the attempt at its agent; "" when the agent
+            has ended it, or is gone.
+    """
+    if row.agent_id:
+        if cancel:
+            msg = messages.Cancel(row.req_id, row.attempt, cancel)
+            t.send(row.agent_id, msg)
+        if row.state != "attaching":
+            t.upstreams.ended(row.agent_id)
+    release_group(t, row.group_id)
+    row.group_id = ""
+    row.agent_id = ""
+    row.incarnation = ""
+    row.finished = None
+
+
+def release_group(t: entry_tables.Tables, group_id: str) -> None:
+    """Ends a group reservation at all members that may hold a part of it."""
+    group = t.groups.pop(group_id, None)
+    if group is None:
+        return
+    asked = len(group.members) + 1
+    for agent_id in group.agents[:asked]:
+        t.send(agent_id, messages.Release(group_id))
+
+
+def count_retry(reason: str) -> None:
+    """Counts an attempt after the first."""
+    metrics.RETRIES.labels(reason).inc()
--- /dev/null
+++ b/src/apricottrestle/entry_events.py
@@ -0,0 +1,341 @@
+"""Events into, and commands out of, the entry's pure step.
+
+The daemon turns what happens on sockets and at the platform into events, and
+carries commands out. Commands name a connection or a caller by a number that is
+never used twice, so a late command cannot reach the wrong one.
+"""
+
+from typing import NamedTuple
+
+from apricottrestle import (
+    call_keys,
+    errors,
+    messages,
+    platform_instances,
+    platform_log,
+)
+
+
+class ResumePoint(NamedTuple):
+    """Content of a Last-Event-ID header.
+
+    Attributes:
+        req_id: Request id of the interrupted stream.
+        agent_id: Agent that ran it.
+        offset: Tokens that the caller already has.
+        digest: Digest of these tokens, 16 hex digits.
+    """
+
+    req_id: str
+    agent_id: str
+    offset: int
+    digest: str
+
+
+class GenerationSpec(NamedTuple):
+    """A checked generation request.
+
+    Attributes:
+        team: Team name.
+        weight: Share weight of the team.
+        priority: Index into messages.PRIORITIES.
+        model: Model name.
+        version: Model version in force at admission.
+        adapter: Adapter name or "".
+        body: Prompt as msgpack: a str or a list of token ids.
+        prompt_tokens: Number of prompt tokens.
+        prefix_blocks: Hashes of the prompt's first blocks.
+        max_tokens: Tokens to generate at most.
+        limit_s: Time limit in seconds.
+        stream: True when the caller reads server-sent events.
+        resume: Where to resume, or None.
+    """
+
+    team: str
+    weight: float
+    priority: int
+    model: str
+    version: str
+    adapter: str
+    body: bytes
+    prompt_tokens: int
+    prefix_blocks: tuple[int, ...]
+    max_tokens: int
+    limit_s: float
+    stream: bool
+    resume: ResumePoint | None
+
+
+class CallSpec(NamedTuple):
+    """A checked call to a plain service.
+
+    Attributes:
+        team: Team name.
+        priority: Index into messages.PRIORITIES.
+        service: Service name.
+        method: HTTP method.
+        path: Path and query within the service, with a leading slash.
+        headers: Headers to pass through.
+        body: HTTP body.
+        key: Idempotency key, issued or chosen by the caller; "" without one.
+        repeatable: True when the call may run more than once.
+        limit_s: Time limit in seconds.
+    """
+
+    team: str
+    priority: int
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    key: str
+    repeatable: bool
+    limit_s: float
+
+
+class Frame(NamedTuple):
+    """A message arrived on a connection."""
+
+    conn: int
+    received: messages.Received
+
+
+class Unsent(NamedTuple):
+    """A message could not be handed to the transport."""
+
+    conn: int
+    msg: messages.Message
+
+
+class Generate(NamedTuple):
+    """A caller asks for a generation."""
+
+    caller: int
+    spec: GenerationSpec
+
+
+class Call(NamedTuple):
+    """A caller asks for a call to a service."""
+
+    caller: int
+    spec: CallSpec
+
+
+class IssueKey(NamedTuple):
+    """A caller asks for an issued idempotency key."""
+
+    caller: int
+    service: str
+    team: str
+
+
+class CallerRead(NamedTuple):
+    """The caller's socket took all tokens with offsets below `upto`."""
+
+    caller: int
+    upto: int
+
+
+class CallerGone(NamedTuple):
+    """The caller's connection closed, or its handler is done with it."""
+
+    caller: int
+
+
+class Instances(NamedTuple):
+    """Rows of the instance list that changed."""
+
+    rows: list[platform_instances.InstanceRow]
+
+
+class LogNotes(NamedTuple):
+    """Answer to a read of the release stream."""
+
+    result: platform_log.ReadResult
+
+
+class LogDrains(NamedTuple):
+    """Records of the drain stream that are recent enough to act on."""
+
+    records: list[platform_log.LogRecord]
+
+
+class KeyResolved(NamedTuple):
+    """What the log proves about the key of a call whose agent is gone."""
+
+    req_id: str
+    outcome: errors.Outcome
+    status: int
+    reason: str
+
+
+class KeyBound(NamedTuple):
+    """Answer to FindBinding and BindKey.
+
+    Attributes:
+        req_id: Request id of the call.
+        issued: Issued key that the caller's key is bound to; "" when none.
+        failed: True when the log did not answer, so that nothing is known.
+    """
+
+    req_id: str
+    issued: str
+    failed: bool
+
+
+class StartDrain(NamedTuple):
+    """The entry must stop: SIGTERM or a drain record."""
+
+
+CallerEvent = Generate | Call | IssueKey | CallerRead | CallerGone
+
+PlatformEvent = (
+    Instances | LogNotes | LogDrains | KeyResolved | KeyBound | StartDrain
+)
+
+Event = Frame | Unsent | CallerEvent | PlatformEvent
+
+
+class Connect(NamedTuple):
+    """Open connection number `conn` to an agent."""
+
+    conn: int
+    agent_id: str
+    control: str
+    bulk: str
+
+
+class Close(NamedTuple):
+    """Close a connection."""
+
+    conn: int
+
+
+class Send(NamedTuple):
+    """Send a message on a connection's control socket."""
+
+    conn: int
+    msg: messages.Message
+    body: bytes = b""
+
+
+class SendBulk(NamedTuple):
+    """Send a chunk on a connection's bulk socket."""
+
+    conn: int
+    msg: messages.Message
+    body: bytes
+
+
+class Deliver(NamedTuple):
+    """Tokens for a caller; `event_id` resumes behind them."""
+
+    caller: int
+    offset: int
+    tokens: list[int]
+    event_id: str
+
+
+class Complete(NamedTuple):
+    """The generation is complete and checked."""
+
+    caller: int
+    total_tokens: int
+    prompt_tokens: int
+    reused_tokens: int
+    finish_reason: str
+    event_id: str
+
+
+class Fail(NamedTuple):
+    """The request ends with an error answer.
+
+    Attributes:
+        caller: Caller number.
+        error: What to answer.
+        issued_key: Key that the caller may use instead, or "".
+    """
+
+    caller: int
+    error: errors.RequestError
+    issued_key: str = ""
+
+
+class Reconnect(NamedTuple):
+    """The entry stops; the caller must resume at another one."""
+
+    caller: int
+    event_id: str
+
+
+class Abandon(NamedTuple):
+    """Another connection took the stream over; close this one."""
+
+    caller: int
+
+
+class Answer(NamedTuple):
+    """Answer of a plain service."""
+
+    caller: int
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class Key(NamedTuple):
+    """Issued idempotency key for a caller."""
+
+    caller: int
+    key: str
+
+
+class ResolveKey(NamedTuple):
+    """Append a refusal of the key to its agent's stream and read it back."""
+
+    req_id: str
+    key: call_keys.IssuedKey
+
+
+class FindBinding(NamedTuple):
+    """Look up the issued key that a caller's key is bound to."""
+
+    req_id: str
+    name: str
+
+
+class BindKey(NamedTuple):
+    """Bind a caller's key to an issued one unless it is bound already."""
+
+    req_id: str
+    name: str
+    issued: str
+
+
+class Decision(NamedTuple):
+    """One log line for a routing or placement decision."""
+
+    kind: str
+    fields: dict[str, str | int | float | list[str]]
+
+
+CallerCommand = Deliver | Complete | Fail | Reconnect | Abandon | Answer | Key
+
+Command = (
+    Connect
+    | Close
+    | Send
+    | SendBulk
+    | Deliver
+    | Complete
+    | Fail
+    | Reconnect
+    | Abandon
+    | Answer
+    | Key
+    | ResolveKey
+    | FindBinding
+    | BindKey
+    | Decision
+)
--- /dev/null
+++ b/src/apricottrestle/entry_groups.py
@@ -0,0 +1,185 @@
+"""Reservation of several engines for a prompt too large for one.
+
+Members are reserved one after the other in ascending order of agent id, and all
+or none. Two groups that want the same engines therefore meet at the first
+common one, and neither can hold what the other waits for in a circle.
+
+Invariant: a group row exists exactly as long as some member may hold memory for
+it; releasing it is the only way to drop the row, and leases end what a lost
+Release leaves.
+"""
+
+from typing import Literal
+
+from apricottrestle import (
+    entry_dispatch,
+    entry_peers,
+    entry_tables,
+    messages,
+    routing,
+    upstream_table,
+)
+
+Progress = Literal["none", "ready", "broken"]
+
+
+def needed_tokens(row: entry_tables.RequestRow) -> int:
+    """Returns the KV memory that the request needs at most, in tokens."""
+    return row.spec.prompt_tokens + row.spec.max_tokens
+
+
+def fits(t: entry_tables.Tables, agent_id: str, tokens: int) -> bool:
+    """Tells whether one engine can hold so many tokens at all.
+
+    An engine that has not told its size yet is left to its agent to judge.
+    """
+    total = t.upstreams.rows[agent_id].report.kv_tokens_total
+    return total == 0 or tokens <= total
+
+
+def choose_members(
+    t: entry_tables.Tables, req: routing.RouteRequest, tokens: int
+) -> list[str]:
+    """Returns the fewest engines that hold so many tokens together.
+
+    Returns:
+        Agent ids in ascending order; one when a larger engine can hold all;
+        none when the engines together are too small.
+    """
+    rows = [
+        row
+        for row in t.upstreams.by_upstream(req.model)
+        if routing.serves(row, req) and row.report.kv_tokens_total > 0
+    ]
+    rows.sort(key=lambda row: (-_free(row), row.outstanding, row.agent_id))
+    for count in range(1, entry_tables.MAX_GROUP_MEMBERS + 1):
+        share = -(-tokens // count)
+        able = [r for r in rows if r.report.kv_tokens_total >= share]
+        if len(able) >= count:
+            return sorted(row.agent_id for row in able[:count])
+    return []
+
+
+def _free(row: upstream_table.UpstreamRow) -> int:
+    return row.report.kv_tokens_free
+
+
+def start(
+    t: entry_tables.Tables,
+    row: entry_tables.RequestRow,
+    agents: list[str],
+    now: float,
+) -> None:
+    """Starts to reserve the members in their order."""
+    group_id = f"{row.req_id}.{row.attempt + 1}"
+    tokens = -(-needed_tokens(row) // len(agents))
+    group = entry_tables.GroupRow(group_id, row.req_id, agents, tokens)
+    group.renewed = now
+    t.groups[group_id] = group
+    row.group_id = group_id
+    row.state = "reserving"
+    _reserve_next(t, group, now)
+
+
+def _reserve_next(
+    t: entry_tables.Tables, group: entry_tables.GroupRow, now: float
+) -> None:
+    agent_id = group.agents[len(group.members)]
+    group.asked = now
+    msg = messages.Reserve(group.group_id, group.tokens, entry_tables.LEASE_MS)
+    t.send(agent_id, msg)
+
+
+def on_reserved(
+    t: entry_tables.Tables,
+    agent_id: str,
+    msg: messages.Reserved,
+    now: float,
+) -> tuple[Progress, str]:
+    """Notes the answer of a member.
+
+    Returns:
+        What became of the group, and its request id. "broken" means that the
+        group must be released: a member refused, or its lease lapsed.
+    """
+    group = t.groups.get(msg.group_id)
+    if group is None:
+        if msg.allocation:
+            t.send(agent_id, messages.Release(msg.group_id))
+        return "none", ""
+    if agent_id not in group.agents:
+        return "none", ""
+    if not msg.allocation:
+        return "broken", group.req_id
+    index = len(group.members)
+    if index >= len(group.agents) or group.agents[index] != agent_id:
+        return "none", ""
+    group.members.append(
+        messages.GroupMember(agent_id, msg.engine_url, msg.allocation)
+    )
+    if index + 1 < len(group.agents):
+        _reserve_next(t, group, now)
+        return "none", ""
+    return "ready", group.req_id
+
+
+def adopt(
+    t: entry_tables.Tables,
+    row: entry_tables.RequestRow,
+    members: list[messages.GroupMember],
+    now: float,
+) -> None:
+    """Takes over the renewal of a group that another entry reserved."""
+    if not members or row.group_id:
+        return
+    agents = [member.agent_id for member in members]
+    group_id = f"{row.req_id}.{row.attempt}"
+    group = entry_tables.GroupRow(group_id, row.req_id, agents, 0)
+    group.members = list(members)
+    t.groups[group_id] = group
+    for agent_id in agents:
+        listed = t.instances.get(agent_id)
+        if listed is not None and agent_id not in t.peers:
+            entry_peers.connect(t, listed, now)
+    row.group_id = group_id
+    _renew(t, group, now)
+
+
+def tick(t: entry_tables.Tables, now: float) -> list[str]:
+    """Renews leases.
+
+    Returns:
+        Request ids of groups that a member has not answered in time.
+    """
+    late = []
+    for group in t.groups.values():
+        waiting = len(group.members) < len(group.agents)
+        if waiting and now - group.asked >= entry_tables.RESERVE_TIMEOUT_S:
+            late.append(group.req_id)
+        elif now - group.renewed >= entry_tables.RENEW_S:
+            _renew(t, group, now)
+    return late
+
+
+def _renew(
+    t: entry_tables.Tables, group: entry_tables.GroupRow, now: float
+) -> None:
+    group.renewed = now
+    msg = messages.Renew(group.group_id, entry_tables.LEASE_MS)
+    for member in group.members:
+        t.send(member.agent_id, msg)
+
+
+def of_agent(t: entry_tables.Tables, agent_id: str) -> list[str]:
+    """Returns the request ids of groups that an agent is a member of."""
+    return [g.req_id for g in t.groups.values() if agent_id in g.agents]
+
+
+def submit_ready(
+    t: entry_tables.Tables, row: entry_tables.RequestRow, now: float
+) -> None:
+    """Submits a request whose members are all reserved to the leader."""
+    group = t.groups[row.group_id]
+    leader = group.agents[0]
+    entry_dispatch.log_decision(t, row, group.agents, "group_reserved")
+    entry_dispatch.submit(t, row, leader, list(group.members), now)
--- /dev/null
+++ b/src/apricottrestle/entry_http.py
@@ -0,0 +1,312 @@
+"""Handlers of the caller API, but for completions.
+
+Bodies are read as they come, so that an oversized body costs no memory and a
+caller that stalls is told so.
+"""
+
+import logging
+import time
+import weakref
+from typing import Any, Final, NamedTuple
+
+from tornado import ioloop, iostream, web
+
+from apricottrestle import (
+    config_state,
+    entry_accept,
+    entry_core,
+    entry_events,
+    entry_render,
+    errors,
+    metrics,
+)
+
+BODY_STALL_S: Final = 10.0
+_RETRY_AFTER_S: Final = 1.0
+
+_LOG: Final = logging.getLogger(__name__)
+
+
+class ApiContext(NamedTuple):
+    """What the handlers share.
+
+    Attributes:
+        core: The running step.
+        teams: Look-up of teams by key.
+        max_requests: Requests open at the same time.
+        active: Connections that a request uses.
+        body_stall_s: Time without a byte after which a body is given up.
+    """
+
+    core: entry_core.Core
+    teams: entry_accept.TeamIndex
+    max_requests: int
+    active: weakref.WeakSet[iostream.IOStream]
+    body_stall_s: float = BODY_STALL_S
+
+
+@web.stream_request_body
+class ApiHandler(web.RequestHandler):
+    """Base: body limits, authentication, errors as JSON."""
+
+    def initialize(self, ctx: ApiContext) -> None:
+        """Stores the shared context."""
+        self._ctx = ctx
+        self._mailbox: entry_core.Mailbox | None = None
+        self._chunks: list[bytes] = []
+        self._body_bytes = 0
+        self._last_byte = time.monotonic()
+        self._watch: object | None = None
+        self._stream_used: iostream.IOStream | None = None
+
+    def prepare(self) -> None:
+        """Starts to watch the body."""
+        stream = getattr(self.request.connection, "stream", None)
+        if stream is not None:
+            self._stream_used = stream
+            self._ctx.active.add(stream)
+        if self._ctx.core.tables.drain_started is not None:
+            self.set_header("Connection", "close")
+        self._last_byte = time.monotonic()
+        length = self.request.headers.get("Content-Length", "0")
+        if length != "0" or "Transfer-Encoding" in self.request.headers:
+            self._watch_body()
+
+    def _watch_body(self) -> None:
+        loop = ioloop.IOLoop.current()
+        self._watch = loop.call_later(
+            self._ctx.body_stall_s / 4, self._check_body
+        )
+
+    def _check_body(self) -> None:
+        idle_s = time.monotonic() - self._last_byte
+        if idle_s < self._ctx.body_stall_s:
+            self._watch_body()
+            return
+        self._watch = None
+        stalled = errors.RequestError(
+            f"no byte of the body for {self._ctx.body_stall_s:g} s",
+            status=408,
+            code="body_stalled",
+            step="accept",
+        )
+        self.set_header("Connection", "close")
+        self.fail(stalled)
+
+    def _end_watch(self) -> None:
+        if self._watch is not None:
+            ioloop.IOLoop.current().remove_timeout(self._watch)
+            self._watch = None
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collects the body up to its limit and drops what is over it."""
+        self._last_byte = time.monotonic()
+        self._body_bytes += len(chunk)
+        if self._body_bytes <= entry_accept.MAX_BODY_BYTES:
+            self._chunks.append(chunk)
+        else:
+            self._chunks.clear()
+
+    def take_body(self) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            RequestError: The body is over the limit (413).
+        """
+        self._end_watch()
+        if self._body_bytes > entry_accept.MAX_BODY_BYTES:
+            raise entry_accept.body_too_large(entry_accept.MAX_BODY_BYTES)
+        body = b"".join(self._chunks)
+        self._chunks.clear()
+        return body
+
+    def on_connection_close(self) -> None:
+        """Tells the step that the caller is gone."""
+        self._end_watch()
+        self._close_mailbox()
+
+    def on_finish(self) -> None:
+        """Frees what the request holds in the handler."""
+        self._end_watch()
+        if self._stream_used is not None:
+            self._ctx.active.discard(self._stream_used)
+        self._close_mailbox()
+
+    def _close_mailbox(self) -> None:
+        if self._mailbox is not None:
+            self._ctx.core.close_caller(self._mailbox.caller)
+            self._mailbox = None
+
+    @property
+    def state(self) -> config_state.ConfigState:
+        """Configuration in force."""
+        return self._ctx.core.tables.sync.state
+
+    def admit(self) -> config_state.TeamSpec:
+        """Checks readiness, key and the number of open requests.
+
+        Raises:
+            RequestError: The request can't be taken.
+        """
+        tables = self._ctx.core.tables
+        if not tables.sync.ready:
+            raise _unavailable("not_ready", "the configuration isn't known yet")
+        team = self._ctx.teams.find(self.state, self.request.headers)
+        open_requests = len(tables.requests) + len(tables.calls)
+        if open_requests >= self._ctx.max_requests:
+            raise _unavailable("overloaded", "too many open requests", 429)
+        return team
+
+    def open_mailbox(self) -> entry_core.Mailbox:
+        """Registers this handler as a caller."""
+        self._mailbox = self._ctx.core.open_caller()
+        return self._mailbox
+
+    def fail(self, exc: errors.RequestError, issued_key: str = "") -> None:
+        """Answers with an error."""
+        if self._finished:
+            return
+        self.set_status(exc.status)
+        self.set_header("Content-Type", "application/json")
+        if exc.retry_after_s is not None:
+            seconds = max(1, round(exc.retry_after_s))
+            self.set_header("Retry-After", str(seconds))
+        if exc.status == 401:
+            self.set_header("WWW-Authenticate", "Bearer")
+        self.finish(entry_render.error_body(exc, issued_key))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answers as JSON whatever went wrong."""
+        exc = kwargs.get("exc_info", (None, None, None))[1]
+        if isinstance(exc, errors.RequestError):
+            self.fail(exc)
+            return
+        known = isinstance(exc, web.HTTPError)
+        self.fail(
+            errors.RequestError(
+                self._reason if known else "internal error",
+                status=status_code,
+                code=f"http_{status_code}" if known else "internal",
+                step="accept",
+                outcome="not_run" if known else "unknown",
+            )
+        )
+
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Logs unexpected errors only, without anything of the request."""
+        if not isinstance(value, errors.RequestError | web.HTTPError):
+            _LOG.error("handler failed", exc_info=(typ, value, tb))
+
+
+def _unavailable(
+    code: str, message: str, status: int = 503
+) -> errors.RequestError:
+    metrics.REFUSALS.labels(code).inc()
+    return errors.RequestError(
+        message,
+        status=status,
+        code=code,
+        step="accept",
+        retry_after_s=_RETRY_AFTER_S,
+    )
+
+
+class NotFoundHandler(ApiHandler):
+    """Any other path."""
+
+    def prepare(self) -> None:
+        """Answers before the body is read."""
+        self.fail(
+            errors.RequestError(
+                "no such path", status=404, code="unknown_path", step="accept"
+            )
+        )
+
+
+class ModelsHandler(ApiHandler):
+    """GET /v1/models."""
+
+    def get(self) -> None:
+        """Lists the models in service."""
+        self.admit()
+        models = [
+            {"id": spec.name, "object": "model", "version": spec.version}
+            for spec in self.state.models.values()
+        ]
+        self.write({"object": "list", "data": models})
+
+
+class KeysHandler(ApiHandler):
+    """POST /v1/idempotency-keys."""
+
+    async def post(self) -> None:
+        """Issues a key for a service."""
+        body = self.take_body()
+        team = self.admit()
+        service = entry_accept.key_service(self.state, body)
+        mailbox = self.open_mailbox()
+        self._ctx.core.post(
+            entry_events.IssueKey(mailbox.caller, service, team.name)
+        )
+        for command in await mailbox.take():
+            if isinstance(command, entry_events.Key):
+                self.write({"idempotency_key": command.key})
+            elif isinstance(command, entry_events.Fail):
+                self.fail(command.error, command.issued_key)
+
+
+class ServiceHandler(ApiHandler):
+    """ANY /v1/services/<name>/<path>."""
+
+    SUPPORTED_METHODS = (
+        "GET",
+        "HEAD",
+        "POST",
+        "DELETE",
+        "PATCH",
+        "PUT",
+        "OPTIONS",
+    )
+
+    async def _pass(self, service: str, path: str) -> None:
+        body = self.take_body()
+        team = self.admit()
+        query = self.request.query
+        spec = entry_accept.call(
+            self.state,
+            team,
+            service,
+            self.request.method or "",
+            f"/{path}?{query}" if query else f"/{path}",
+            self.request.headers,
+            list(self.request.headers.get_all()),
+            body,
+        )
+        mailbox = self.open_mailbox()
+        self._ctx.core.post(entry_events.Call(mailbox.caller, spec))
+        for command in await mailbox.take():
+            if isinstance(command, entry_events.Answer):
+                self._answer(command)
+            elif isinstance(command, entry_events.Fail):
+                self.fail(command.error, command.issued_key)
+
+    get = head = post = delete = patch = put = options = _pass
+
+    def _answer(self, command: entry_events.Answer) -> None:
+        self.set_status(command.status)
+        self.clear_header("Content-Type")
+        self.clear_header("Server")
+        for name, value in command.headers:
+            if name.lower() not in _ENTRY_HEADERS:
+                self.add_header(name, value)
+        if command.status not in (204, 304):
+            self.write(command.body)
+
+    def compute_etag(self) -> str | None:
+        """Leaves entity tags to the service."""
+        return None
+
+
+_ENTRY_HEADERS: Final = frozenset(
+    {"content-length", "transfer-encoding", "connection", "keep-alive"}
+)
--- /dev/null
+++ b/src/apricottrestle/entry_peers.py
@@ -0,0 +1,318 @@
+"""Connections to agents: choice of peers, heartbeats and silent connections.
+
+A peer that falls silent gets a second connection before it is given up, because
+a connection can stop carrying frames while the process behind it is well.
+
+Invariant: only frames of a peer's connections in use count; frames of a closed
+connection are dropped, so an old connection cannot bring a lost peer back.
+"""
+
+from typing import Final
+
+from apricottrestle import (
+    entry_events,
+    entry_tables,
+    hashing,
+    messages,
+    platform_instances,
+    upstream_table,
+)
+
+_SUBSET_CHECK_S: Final = 2.0
+_PAST_INCARNATIONS: Final = 8
+
+
+def apply_instances(
+    t: entry_tables.Tables,
+    rows: list[platform_instances.InstanceRow],
+    now: float,
+) -> None:
+    """Stores changed rows of the instance list and reviews the subset.
+
+    A connected agent stays connected whatever the list says of it, since its
+    own word is newer.
+    """
+    for row in rows:
+        if row.role != "agent":
+            continue
+        t.instances[row.instance_id] = row
+        peer = t.peers.get(row.instance_id)
+        moved = peer is not None and peer.row.control != row.control
+        if peer is not None and moved and row.state == "live":
+            if peer.state == "connecting":
+                _reopen(t, peer, row, now)
+            else:
+                peer.row = row
+    choose_subset(t, now)
+
+
+def choose_subset(t: entry_tables.Tables, now: float) -> None:
+    """Connects to the agents that this entry should know."""
+    t.subset_checked = now
+    for agent_id in wanted_agents(t):
+        if agent_id not in t.peers:
+            connect(t, t.instances[agent_id], now)
+
+
+def wanted_agents(t: entry_tables.Tables) -> list[str]:
+    """Returns the live agents of the entry's subset.
+
+    The instance list doesn't tell what an agent serves, so the subset is a
+    random one by rendezvous hashing, large enough for several agents for each
+    upstream. It grows while an upstream in the configuration has no agent.
+    """
+    live = [
+        agent_id
+        for agent_id, row in t.instances.items()
+        if row.state == "live" and row.data_centre in t.identity.data_centres
+    ]
+    if len(live) <= entry_tables.FULL_MESH_AGENTS:
+        return live
+    state = t.sync.state
+    upstreams = [*state.models, *state.services]
+    count = entry_tables.AGENTS_PER_UPSTREAM * max(1, len(upstreams))
+    missing = [name for name in upstreams if not t.upstreams.by_upstream(name)]
+    if missing:
+        count = max(count, len(t.peers)) + entry_tables.AGENTS_PER_UPSTREAM
+    return hashing.rendezvous_top(t.identity.instance_id, live, count)
+
+
+def connect(
+    t: entry_tables.Tables, row: platform_instances.InstanceRow, now: float
+) -> entry_tables.PeerRow:
+    """Opens the connection to an agent and greets it."""
+    peer = entry_tables.PeerRow(row, 0, now)
+    t.peers[row.instance_id] = peer
+    peer.conn = _open(t, peer, now)
+    return peer
+
+
+def _open(
+    t: entry_tables.Tables, peer: entry_tables.PeerRow, now: float
+) -> int:
+    conn = t.next_conn
+    t.next_conn += 1
+    t.conns[conn] = peer.agent_id
+    peer.opened = now
+    row = peer.row
+    t.emit(entry_events.Connect(conn, row.instance_id, row.control, row.bulk))
+    _greet(t, conn)
+    return conn
+
+
+def _greet(t: entry_tables.Tables, conn: int) -> None:
+    hello = messages.Hello(t.identity.data_centres[0])
+    t.emit(entry_events.Send(conn, hello))
+
+
+def _close(t: entry_tables.Tables, conn: int | None) -> None:
+    if conn is not None and t.conns.pop(conn, None) is not None:
+        t.emit(entry_events.Close(conn))
+
+
+def _reopen(
+    t: entry_tables.Tables,
+    peer: entry_tables.PeerRow,
+    row: platform_instances.InstanceRow,
+    now: float,
+) -> None:
+    """Drops both connections and starts anew."""
+    _close(t, peer.conn)
+    _close(t, peer.spare)
+    peer.spare = None
+    peer.row = row
+    peer.state = "connecting"
+    peer.incarnation = ""
+    peer.conn = _open(t, peer, now)
+    peer.last_ping = now
+    peer.asked = now
+
+
+def heard(
+    t: entry_tables.Tables, conn: int, received: messages.Received, now: float
+) -> tuple[entry_tables.PeerRow | None, str]:
+    """Notes a frame of a connection.
+
+    Returns:
+        The peer, or None when the frame must be dropped; and "new" when the
+        agent answers for the first time, "restarted" when it answers with
+        another incarnation, "attach" when it answered on its second
+        connection, else "".
+    """
+    peer = t.peers.get(t.conns.get(conn, ""))
+    if peer is None or received.sender != peer.agent_id:
+        return None, ""
+    if received.incarnation in peer.past:
+        return None, ""
+    news = _promote(t, peer, conn, received)
+    if news == "drop":
+        return None, ""
+    peer.last_frame = now
+    peer.asked = None
+    peer.state = "up"
+    if received.incarnation != peer.incarnation:
+        news = "restarted" if peer.incarnation else "new"
+        if peer.incarnation:
+            peer.past = [*peer.past, peer.incarnation][-_PAST_INCARNATIONS:]
+        peer.incarnation = received.incarnation
+        peer.cache_seq = 0
+        return peer, news
+    return peer, news
+
+
+def _promote(
+    t: entry_tables.Tables,
+    peer: entry_tables.PeerRow,
+    conn: int,
+    received: messages.Received,
+) -> str:
+    """Settles which of two connections stays: the one that answered first."""
+    if peer.spare is None:
+        return "" if conn == peer.conn else "drop"
+    if conn == peer.conn:
+        _close(t, peer.spare)
+        peer.spare = None
+        return ""
+    if not isinstance(received.msg, messages.HelloReply):
+        return "drop"
+    _close(t, peer.conn)
+    peer.conn = conn
+    peer.spare = None
+    return "attach"
+
+
+def apply_report(
+    t: entry_tables.Tables,
+    peer: entry_tables.PeerRow,
+    report: messages.LoadReport,
+    now: float,
+) -> None:
+    """Stores a load report; the first of an incarnation makes a new row."""
+    row = t.upstreams.rows.get(peer.agent_id)
+    if row is not None and row.incarnation == peer.incarnation:
+        t.upstreams.apply_report(peer.agent_id, report, now)
+        return
+    t.upstreams.add(
+        upstream_table.UpstreamRow(
+            peer.agent_id,
+            peer.row.data_centre,
+            peer.incarnation,
+            report,
+            now,
+        )
+    )
+
+
+def apply_cache(
+    t: entry_tables.Tables,
+    peer: entry_tables.PeerRow,
+    msg: messages.CacheSummary,
+) -> None:
+    """Updates the hints of what an engine has cached; a gap discards them."""
+    row = t.upstreams.rows.get(peer.agent_id)
+    if row is None:
+        return
+    follows = peer.cache_seq > 0 and msg.seq == peer.cache_seq + 1
+    if msg.full or not follows:
+        row.cached_blocks.clear()
+        peer.cache_seq = 0
+    if not msg.full and not follows:
+        return
+    peer.cache_seq = msg.seq
+    for block in msg.removed:
+        row.cached_blocks.pop(block, None)
+    row.cached_blocks.update(dict.fromkeys(msg.added))
+    while len(row.cached_blocks) > upstream_table.MAX_CACHED_BLOCKS:
+        del row.cached_blocks[next(iter(row.cached_blocks))]
+
+
+def forget_upstream(t: entry_tables.Tables, agent_id: str) -> None:
+    """Takes an agent out of routing."""
+    t.upstreams.remove(agent_id)
+
+
+def suspend(t: entry_tables.Tables, agent_id: str) -> None:
+    """Keeps new work from an agent until its next report."""
+    if agent_id in t.upstreams.rows:
+        t.upstreams.set_usable(agent_id, False)
+
+
+def ping_now(t: entry_tables.Tables, agent_id: str, now: float) -> None:
+    """Pings an agent at once unless a ping is already unanswered."""
+    peer = t.peers.get(agent_id)
+    if peer is not None and peer.state == "up" and peer.asked is None:
+        _ping(t, peer, now)
+
+
+def _ping(
+    t: entry_tables.Tables, peer: entry_tables.PeerRow, now: float
+) -> None:
+    peer.ping_seq += 1
+    peer.last_ping = now
+    if peer.asked is None:
+        peer.asked = now
+    drain = bool(peer.incarnation) and (
+        t.drains.get(peer.agent_id) == peer.incarnation
+    )
+    t.emit(entry_events.Send(peer.conn, messages.Ping(peer.ping_seq, drain)))
+
+
+def tick(t: entry_tables.Tables, now: float) -> list[str]:
+    """Pings, opens second connections, and gives up silent peers.
+
+    Returns:
+        The agents that were lost.
+    """
+    lost = []
+    for peer in list(t.peers.values()):
+        if peer.state == "connecting":
+            _tick_connecting(t, peer, now)
+        elif peer.state == "up":
+            _tick_up(t, peer, now)
+        elif now - peer.opened >= entry_tables.SILENT_S:
+            lost.append(peer.agent_id)
+            forget_upstream(t, peer.agent_id)
+            _reopen(t, peer, peer.row, now)
+    if now - t.subset_checked >= _SUBSET_CHECK_S:
+        choose_subset(t, now)
+    return lost
+
+
+def _tick_connecting(
+    t: entry_tables.Tables, peer: entry_tables.PeerRow, now: float
+) -> None:
+    row = t.instances.get(peer.agent_id, peer.row)
+    if row.state != "live" and not peer.pinned:
+        _close(t, peer.conn)
+        del t.peers[peer.agent_id]
+    elif now - peer.opened >= entry_tables.RECONNECT_S:
+        _reopen(t, peer, row, now)
+    elif now - peer.last_ping >= entry_tables.PING_S:
+        peer.last_ping = now
+        _greet(t, peer.conn)
+
+
+def _tick_up(
+    t: entry_tables.Tables, peer: entry_tables.PeerRow, now: float
+) -> None:
+    if now - peer.last_ping >= entry_tables.PING_S:
+        _ping(t, peer, now)
+    silent = now - peer.last_frame >= entry_tables.SILENT_S
+    unanswered = (
+        peer.asked is not None
+        and now - peer.asked >= entry_tables.SILENT_S - entry_tables.OVERDUE_S
+    )
+    if silent and unanswered:
+        peer.state = "suspect"
+        peer.spare = _open(t, peer, now)
+        suspend(t, peer.agent_id)
+
+
+def excuse_silence(t: entry_tables.Tables, now: float) -> None:
+    """Restarts all silence clocks after this process itself was stopped."""
+    for peer in t.peers.values():
+        peer.last_frame = now
+        peer.opened = now
+        if peer.state == "up":
+            peer.asked = None
+            _ping(t, peer, now)
--- /dev/null
+++ b/src/apricottrestle/entry_platform.py
@@ -0,0 +1,260 @@
+"""The entry's work at the platform: log, instance list, bindings, outcomes.
+
+Each loop ends in an event for the step. A platform that doesn't answer changes
+nothing here but the age of what is known.
+"""
+
+import asyncio
+import contextlib
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from apricottrestle import (
+    audit,
+    call_keys,
+    call_log,
+    config_sync,
+    entry_bindings,
+    entry_core,
+    entry_events,
+    entry_tables,
+    errors,
+    platform_instances,
+    platform_log,
+)
+
+READ_LIMIT_RECORDS: Final = 1_000
+INSTANCES_POLL_S: Final = 2.0
+REGISTER_S: Final = 30.0
+DRAIN_MAX_AGE_S: Final = 120.0
+"""Older drain records are not acted on: the instances they name have stopped,
+and one that bears the name today is a new one."""
+
+_TRY_S: Final = 0.5
+_RESOLVE_TRIES: Final = 6
+_AUDIT_ROUNDS: Final = 5
+"""Checks of the audit buffer in each of its intervals."""
+
+_LOG: Final = logging.getLogger(__name__)
+
+
+class PlatformLoops:
+    """Loops and tasks of an entry that need the platform."""
+
+    def __init__(
+        self,
+        tables: entry_tables.Tables,
+        log: platform_log.LogService,
+        instances: platform_instances.InstanceList,
+        row: platform_instances.InstanceRow,
+        secret: bytes,
+        post: Callable[[entry_events.Event], None],
+    ) -> None:
+        """Stores the clients.
+
+        Args:
+            tables: State of the step; read only, but for the audit buffer.
+            log: Log service.
+            instances: Instance list.
+            row: This entry's row of the instance list.
+            secret: HMAC secret of issued keys.
+            post: Runs the step over an event.
+        """
+        self._tables = tables
+        self._log = log
+        self._instances = instances
+        self._row = row
+        self._bindings = entry_bindings.Bindings(log, secret)
+        self._post = post
+        self._audit_rounds = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self) -> None:
+        """Starts all loops."""
+        self._spawn(self._repeat(config_sync.POLL_S, self._read_notes))
+        self._spawn(self._read_drains())
+        for data_centre in self._tables.identity.data_centres:
+            self._spawn(self._read_instances(data_centre))
+        self._spawn(self._repeat(REGISTER_S, self._register))
+        self._spawn(
+            self._repeat(audit.ENTRY_INTERVAL_S / _AUDIT_ROUNDS, self._audit)
+        )
+
+    async def stop(self) -> None:
+        """Ends all loops and appends the last audit rows."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tables.audit.close()
+        try:
+            await self._append_audit()
+        except errors.PlatformError as exc:
+            _LOG.warning("audit rows lost", extra={"reason": str(exc)})
+
+    def handle(self, command: entry_core.PlatformCommand) -> None:
+        """Starts the work for a command of the step."""
+        match command:
+            case entry_events.ResolveKey():
+                self._spawn(self._resolve(command))
+            case entry_events.FindBinding():
+                self._spawn(self._find(command))
+            case entry_events.BindKey():
+                self._spawn(self._bind(command))
+
+    async def announce(self, state: platform_instances.InstanceState) -> None:
+        """Sets this entry's state in the instance list, if that answers."""
+        self._row = self._row._replace(state=state)
+        try:
+            await self._instances.register(self._row)
+        except errors.PlatformError as exc:
+            _LOG.info("not registered", extra={"reason": str(exc)})
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(_logged(work))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _repeat(
+        self, interval_s: float, work: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            try:
+                await work()
+            except errors.PlatformError as exc:
+                _LOG.info("platform failed", extra={"reason": str(exc)})
+            await asyncio.sleep(interval_s)
+
+    async def _register(self) -> None:
+        await self._instances.register(self._row)
+
+    async def _read_notes(self) -> None:
+        sync = self._tables.sync
+        while True:
+            result = await self._log.read(
+                platform_log.RELEASE_STREAM,
+                sync.read_after,
+                READ_LIMIT_RECORDS,
+            )
+            self._post(entry_events.LogNotes(result))
+            if len(result.records) < READ_LIMIT_RECORDS:
+                break
+        snapshot = sync.snapshot_due(time.time())
+        if snapshot is not None:
+            await self._log.append(platform_log.RELEASE_STREAM, *snapshot)
+
+    async def _read_drains(self) -> None:
+        after = 0
+
+        async def read() -> None:
+            nonlocal after
+            result = await self._log.read(
+                platform_log.DRAINS_STREAM, after, READ_LIMIT_RECORDS
+            )
+            if not result.records:
+                return
+            after = result.records[-1].offset
+            oldest = time.time() - DRAIN_MAX_AGE_S
+            recent = [rec for rec in result.records if rec.time >= oldest]
+            if recent:
+                self._post(entry_events.LogDrains(recent))
+
+        await self._repeat(config_sync.POLL_S, read)
+
+    async def _read_instances(self, data_centre: str) -> None:
+        version = 0
+
+        async def read() -> None:
+            nonlocal version
+            changes = await self._instances.changes(version, data_centre)
+            version = changes.version
+            if changes.rows:
+                self._post(entry_events.Instances(changes.rows))
+
+        await self._repeat(INSTANCES_POLL_S, read)
+
+    async def _audit(self) -> None:
+        self._audit_rounds += 1
+        full = len(self._tables.audit) >= audit.ENTRY_BATCH_ROWS
+        if full or self._audit_rounds % _AUDIT_ROUNDS == 0:
+            await self._append_audit()
+
+    async def _append_audit(self) -> None:
+        buffer = self._tables.audit
+        while (batch := buffer.take_batch()) is not None:
+            await audit.append(self._log, batch)
+            buffer.confirm(batch.seq)
+
+    async def _resolve(self, command: entry_events.ResolveKey) -> None:
+        result = call_log.KeyOutcome("unknown", 0, "log_unavailable")
+        for _ in range(_RESOLVE_TRIES):
+            try:
+                result = await resolve(self._log, command.key)
+            except (errors.PlatformError, errors.ProtocolError) as exc:
+                _LOG.info("key not resolved", extra={"reason": str(exc)})
+            else:
+                if result.reason != "no_record":
+                    break
+            await asyncio.sleep(_TRY_S)
+        self._post(
+            entry_events.KeyResolved(
+                command.req_id, result.outcome, result.status, result.reason
+            )
+        )
+
+    async def _find(self, command: entry_events.FindBinding) -> None:
+        try:
+            issued = await self._bindings.find(command.name)
+        except errors.PlatformError:
+            event = entry_events.KeyBound(command.req_id, "", True)
+        else:
+            event = entry_events.KeyBound(command.req_id, issued, False)
+        self._post(event)
+
+    async def _bind(self, command: entry_events.BindKey) -> None:
+        try:
+            issued = await self._bindings.bind(command.name, command.issued)
+        except errors.PlatformError:
+            event = entry_events.KeyBound(command.req_id, "", True)
+        else:
+            event = entry_events.KeyBound(command.req_id, issued, False)
+        self._post(event)
+
+
+async def _logged(work: Awaitable[None]) -> None:
+    try:
+        await work
+    except asyncio.CancelledError:
+        raise
+    except Exception:
+        _LOG.exception("task failed")
+
+
+async def resolve(
+    log: platform_log.LogService, key: call_keys.IssuedKey
+) -> call_log.KeyOutcome:
+    """Refuses a key on the log and returns what the log proves about it.
+
+    Raises:
+        PlatformError: The log does not answer.
+        ProtocolError: A record is malformed.
+    """
+    stream = call_log.stream_name(key.agent_id)
+    name = call_log.key_id(key)
+    refusal = call_log.CallEntry(call_log.EntryKind.REFUSAL, name)
+    # After a lost answer the read shows whether the refusal was stored.
+    with contextlib.suppress(errors.AppendUnknownError):
+        await log.append(stream, f"refusal/{name}", call_log.encode([refusal]))
+    records: list[call_log.CallRecord] = []
+    after, first = key.log_position, 0
+    while True:
+        result = await log.read(stream, after, READ_LIMIT_RECORDS)
+        first = max(first, result.first)
+        records += [
+            call_log.CallRecord(rec.offset, rec.data) for rec in result.records
+        ]
+        # A short page isn't the end: the log may limit its answers too.
+        if not result.records:
+            return call_log.outcome(records, key, first)
+        after = result.records[-1].offset
--- /dev/null
+++ b/src/apricottrestle/entry_render.py
@@ -0,0 +1,92 @@
+"""JSON and server-sent events of the caller API."""
+
+from typing import Any, Final
+
+import msgspec
+
+from apricottrestle import errors
+
+DONE: Final = b"data: [DONE]\n\n"
+_ENCODER: Final = msgspec.json.Encoder()
+
+
+def text_of(tokens: list[int]) -> str:
+    """Returns tokens as text: their ids, since engines answer in ids."""
+    return "".join(f" {token}" for token in tokens)
+
+
+def error_body(exc: errors.RequestError, issued_key: str = "") -> bytes:
+    """Returns the JSON of an error answer."""
+    body: dict[str, Any] = {
+        "code": exc.code,
+        "message": exc.message,
+        "outcome": exc.outcome,
+        "step": exc.step,
+        "peer": exc.peer,
+    }
+    if issued_key:
+        body["idempotency_key"] = issued_key
+    return _ENCODER.encode({"error": body})
+
+
+def completion(
+    name: str,
+    created: int,
+    model: str,
+    tokens: list[int],
+    finish_reason: str | None,
+    usage: dict[str, Any] | None = None,
+) -> dict[str, Any]:
+    """Returns the completions object that clients know.
+
+    Args:
+        name: Id of the answer.
+        created: Unix seconds.
+        model: Model name.
+        tokens: Token ids of the answer, or of its newest piece.
+        finish_reason: "stop" or "length" at the end, else None.
+        usage: Token counts, at the end.
+    """
+    body: dict[str, Any] = {
+        "id": f"cmpl-{name}",
+        "object": "text_completion",
+        "created": created,
+        "model": model,
+        "choices": [
+            {
+                "index": 0,
+                "text": text_of(tokens),
+                "token_ids": tokens,
+                "logprobs": None,
+                "finish_reason": finish_reason,
+            }
+        ],
+    }
+    if usage is not None:
+        body["usage"] = usage
+    return body
+
+
+def usage(prompt: int, output: int, reused: int) -> dict[str, Any]:
+    """Returns the token counts of an answer."""
+    return {
+        "prompt_tokens": prompt,
+        "completion_tokens": output,
+        "total_tokens": prompt + output,
+        "prompt_tokens_details": {"cached_tokens": reused},
+    }
+
+
+def encode(body: dict[str, Any]) -> bytes:
+    """Returns JSON."""
+    return _ENCODER.encode(body)
+
+
+def event(data: bytes, event_id: str = "", kind: str = "") -> bytes:
+    """Returns one server-sent event; JSON data has no line breaks."""
+    head = b""
+    if event_id:
+        head += f"id: {event_id}\n".encode()
+    if kind:
+        head += f"event: {kind}\n".encode()
+    return head + b"data: " + data + b"\n\n"
--- /dev/null
+++ b/src/apricottrestle/entry_requests.py
@@ -0,0 +1,179 @@
+"""Generations as their callers see them: accept, resume, read, leave."""
+
+from apricottrestle import (
+    entry_attempts,
+    entry_dispatch,
+    entry_ending,
+    entry_events,
+    entry_peers,
+    entry_tables,
+    errors,
+    hashing,
+    metrics,
+)
+
+
+def accept(
+    t: entry_tables.Tables, event: entry_events.Generate, now: float
+) -> None:
+    """Takes a new or resumed generation."""
+    resume = event.spec.resume
+    if resume is not None:
+        known = t.requests.get(resume.req_id)
+        if known is not None and known.spec.team == event.spec.team:
+            take_over(t, known, event.caller, resume, now)
+            return
+    if t.drain_started is not None:
+        _refuse(t, event.caller, "draining", "this entry is stopping", 1.0)
+        return
+    row = entry_tables.RequestRow(
+        resume.req_id if resume else t.new_req_id(),
+        event.caller,
+        event.spec,
+        t.sync.revision,
+        now,
+    )
+    if resume is not None:
+        t.add_request(row)
+        _attach_elsewhere(t, row, resume, now)
+    elif _admit(t, row, now):
+        t.add_request(row)
+        t.budget.earn(row.spec.team, row.spec.model, now)
+        row.wait_until = min(
+            row.deadline, now + entry_tables.WAIT_FOR_UPSTREAM_S
+        )
+        entry_attempts.start(t, row, now)
+
+
+def _refuse(
+    t: entry_tables.Tables,
+    caller: int,
+    code: str,
+    message: str,
+    retry_after_s: float,
+    status: int = 503,
+) -> None:
+    metrics.REFUSALS.labels(code).inc()
+    error = errors.RequestError(
+        message,
+        status=status,
+        code=code,
+        step="admit",
+        retry_after_s=retry_after_s,
+    )
+    t.emit(entry_events.Fail(caller, error))
+
+
+def _admit(
+    t: entry_tables.Tables, row: entry_tables.RequestRow, now: float
+) -> bool:
+    """Refuses what can't finish in time.
+
+    A request without any candidate waits for one instead, see `start`.
+    """
+    req = entry_dispatch.route_request(row, now)
+    decision = t.admission.check(req, t.upstreams, now)
+    if decision.admitted or decision.reason == "no_candidate":
+        return True
+    if row.caller is not None:
+        _refuse(
+            t,
+            row.caller,
+            decision.reason,
+            "the request can't finish within its time limit",
+            decision.retry_after_s,
+            status=429,
+        )
+    entry_ending.audit_row(t, row, "not_run", now)
+    return False
+
+
+def take_over(
+    t: entry_tables.Tables,
+    row: entry_tables.RequestRow,
+    caller: int,
+    resume: entry_events.ResumePoint,
+    now: float,
+) -> None:
+    """Gives a running stream to the caller's new connection."""
+    have = len(row.tokens)
+    if have >= resume.offset:
+        digest = hashing.StreamDigest()
+        digest.update(row.tokens[: resume.offset])
+        if digest.hexdigest() != resume.digest:
+            _refuse_resume(t, caller)
+            return
+    else:
+        row.resume = resume
+    if row.caller is not None:
+        t.emit(entry_events.Abandon(row.caller))
+        t.callers.pop(row.caller, None)
+    row.caller = caller
+    row.gone_at = None
+    row.flushed = resume.offset
+    row.flushed_at = now
+    t.callers[caller] = row.req_id
+    if have > resume.offset:
+        entry_ending.deliver(t, row, resume.offset)
+    entry_dispatch.extend_credit(t, row)
+
+
+def _refuse_resume(t: entry_tables.Tables, caller: int) -> None:
+    error = errors.RequestError(
+        "the event id doesn't belong to this stream",
+        status=409,
+        code="resume_mismatch",
+        step="accept",
+        outcome="unknown",
+    )
+    t.emit(entry_events.Fail(caller, error))
+
+
+def _attach_elsewhere(
+    t: entry_tables.Tables,
+    row: entry_tables.RequestRow,
+    resume: entry_events.ResumePoint,
+    now: float,
+) -> None:
+    """Asks the agent for a stream that another entry has lost.
+
+    The stream is fetched from its first token, so that the whole answer can be
+    checked against count and digest here as well.
+    """
+    listed = t.instances.get(resume.agent_id)
+    if listed is None and resume.agent_id not in t.peers:
+        entry_attempts.run_anew(t, row, now)
+        return
+    if listed is not None and resume.agent_id not in t.peers:
+        entry_peers.connect(t, listed, now)
+    row.state = "attaching"
+    row.agent_id = resume.agent_id
+    row.maybe_ran = True
+    row.wait_until = min(row.deadline, now + entry_tables.CONNECT_TIMEOUT_S)
+    entry_dispatch.attach(t, row, now)
+
+
+def caller_read(
+    t: entry_tables.Tables, event: entry_events.CallerRead, now: float
+) -> None:
+    """Extends the credit after the caller has taken tokens."""
+    row = t.requests.get(t.callers.get(event.caller, ""))
+    if row is None or event.upto <= row.flushed:
+        return
+    row.flushed = event.upto
+    row.flushed_at = now
+    entry_dispatch.extend_credit(t, row)
+
+
+def caller_gone(
+    t: entry_tables.Tables, row: entry_tables.RequestRow, now: float
+) -> None:
+    """Keeps a stream for its resume window; ends other requests at once."""
+    if row.caller is not None:
+        t.callers.pop(row.caller, None)
+    row.caller = None
+    row.gone_at = now
+    if not row.spec.stream:
+        entry_ending.drop(
+            t, row, entry_ending.outcome_now(row), now, cancel="caller_gone"
+        )
--- /dev/null
+++ b/src/apricottrestle/entry_step.py
@@ -0,0 +1,223 @@
+"""The entry's pure step: events in, commands out, all state in the tables.
+
+The same step runs in the daemon, the fault matrix, the state machines and the
+bench. It does no I/O and reads no clock.
+
+Invariant: systems run before events when a tick is due, so that a process that
+was stopped first ends what is past its deadline and only then reads its inbox.
+"""
+
+from collections.abc import Sequence
+
+from apricottrestle import (
+    entry_attempts,
+    entry_calls,
+    entry_config,
+    entry_events,
+    entry_groups,
+    entry_peers,
+    entry_requests,
+    entry_streams,
+    entry_tables,
+    entry_timers,
+    messages,
+)
+
+
+def step(
+    t: entry_tables.Tables,
+    events: Sequence[entry_events.Event],
+    now: float,
+) -> list[entry_events.Command]:
+    """Runs due systems, then handles the events in order.
+
+    Args:
+        t: Tables, changed in place.
+        events: What happened since the last step.
+        now: Monotonic seconds; never less than at the last step.
+
+    Returns:
+        Commands to carry out in order.
+    """
+    if t.last_tick is None or now - t.last_tick >= entry_tables.TICK_S:
+        _tick(t, now)
+    for event in events:
+        _handle(t, event, now)
+    commands, t.out = t.out, []
+    return commands
+
+
+def _tick(t: entry_tables.Tables, now: float) -> None:
+    paused = (
+        t.last_tick is not None and now - t.last_tick >= entry_tables.PAUSE_S
+    )
+    t.last_tick = now
+    if paused:
+        entry_peers.excuse_silence(t, now)
+        entry_timers.excuse_silence(t, now)
+    for agent_id in entry_peers.tick(t, now):
+        _peer_lost(t, agent_id, now)
+    entry_timers.tick(t, now)
+    entry_calls.tick(t, now)
+
+
+def _peer_lost(t: entry_tables.Tables, agent_id: str, now: float) -> None:
+    entry_timers.peer_lost(t, agent_id, now)
+    entry_calls.peer_lost(t, agent_id, now)
+
+
+def _handle(
+    t: entry_tables.Tables, event: entry_events.Event, now: float
+) -> None:
+    match event:
+        case entry_events.Frame():
+            _on_frame(t, event, now)
+        case entry_events.Unsent():
+            _on_unsent(t, event, now)
+        case (
+            entry_events.Generate()
+            | entry_events.Call()
+            | entry_events.IssueKey()
+            | entry_events.CallerRead()
+            | entry_events.CallerGone()
+        ):
+            _on_caller(t, event, now)
+        case _:
+            _on_platform(t, event, now)
+
+
+def _on_caller(
+    t: entry_tables.Tables, event: entry_events.CallerEvent, now: float
+) -> None:
+    match event:
+        case entry_events.Generate():
+            entry_requests.accept(t, event, now)
+        case entry_events.Call():
+            entry_calls.accept(t, event, now)
+        case entry_events.IssueKey():
+            entry_calls.accept_key(t, event, now)
+        case entry_events.CallerRead():
+            entry_requests.caller_read(t, event, now)
+        case entry_events.CallerGone():
+            _on_caller_gone(t, event, now)
+
+
+def _on_platform(
+    t: entry_tables.Tables, event: entry_events.PlatformEvent, now: float
+) -> None:
+    match event:
+        case entry_events.Instances():
+            entry_peers.apply_instances(t, event.rows, now)
+        case entry_events.LogNotes():
+            entry_config.log_notes(t, event.result)
+        case entry_events.LogDrains():
+            if entry_config.log_drains(t, event.records):
+                _start_drain(t, now)
+        case entry_events.KeyResolved():
+            entry_calls.key_resolved(t, event, now)
+        case entry_events.KeyBound():
+            entry_calls.key_bound(t, event, now)
+        case entry_events.StartDrain():
+            _start_drain(t, now)
+
+
+def _start_drain(t: entry_tables.Tables, now: float) -> None:
+    if t.drain_started is None:
+        t.drain_started = now
+
+
+def _on_caller_gone(
+    t: entry_tables.Tables, event: entry_events.CallerGone, now: float
+) -> None:
+    req_id = t.callers.pop(event.caller, "")
+    if req_id in t.requests:
+        entry_requests.caller_gone(t, t.requests[req_id], now)
+    elif req_id in t.calls:
+        entry_calls.caller_gone(t.calls[req_id])
+
+
+def _on_frame(
+    t: entry_tables.Tables, event: entry_events.Frame, now: float
+) -> None:
+    received = event.received
+    peer, news = entry_peers.heard(t, event.conn, received, now)
+    if peer is None:
+        return
+    if news in ("new", "restarted"):
+        entry_peers.forget_upstream(t, peer.agent_id)
+        entry_config.bind_drain(t, peer)
+    if news == "restarted":
+        _peer_lost(t, peer.agent_id, now)
+    entry_config.compare_revision(t, peer, received.config_rev, now)
+    _on_message(t, peer, received, now)
+    if news == "attach":
+        entry_timers.reattach(t, peer.agent_id, now)
+        entry_calls.reattach(t, peer.agent_id, now)
+
+
+def _on_message(
+    t: entry_tables.Tables,
+    peer: entry_tables.PeerRow,
+    received: messages.Received,
+    now: float,
+) -> None:
+    msg = received.msg
+    match msg:
+        case messages.HelloReply() | messages.Pong():
+            entry_peers.apply_report(t, peer, msg.load, now)
+        case messages.Draining():
+            entry_peers.suspend(t, peer.agent_id)
+        case messages.CacheSummary():
+            entry_peers.apply_cache(t, peer, msg)
+        case messages.ConfigRequest():
+            entry_config.answer(t, peer, msg)
+        case messages.ConfigUpdate():
+            t.sync.apply_update(msg)
+        case messages.KeyIssued():
+            entry_calls.key_issued(t, peer, msg, now)
+        case messages.CallResult():
+            entry_calls.call_result(t, peer, received, msg, now)
+        case messages.Reserved():
+            _on_reserved(t, peer, msg, now)
+        case (
+            messages.Accepted()
+            | messages.Refused()
+            | messages.Tokens()
+            | messages.Finished()
+            | messages.Failed()
+            | messages.Moved()
+            | messages.BodyCredit()
+        ):
+            entry_streams.receive(t, peer, msg, now)
+
+
+def _on_reserved(
+    t: entry_tables.Tables,
+    peer: entry_tables.PeerRow,
+    msg: messages.Reserved,
+    now: float,
+) -> None:
+    progress, req_id = entry_groups.on_reserved(t, peer.agent_id, msg, now)
+    row = t.requests.get(req_id)
+    if row is None:
+        return
+    if progress == "ready":
+        entry_groups.submit_ready(t, row, now)
+    elif progress == "broken":
+        entry_attempts.group_broken(t, row, msg.reason, now)
+
+
+def _on_unsent(
+    t: entry_tables.Tables, event: entry_events.Unsent, now: float
+) -> None:
+    """A submit that never left this process did not run."""
+    agent_id = t.conns.get(event.conn, "")
+    msg = event.msg
+    if isinstance(msg, messages.Submit):
+        row = t.requests.get(msg.req_id)
+        if row is None or row.agent_id != agent_id:
+            return
+        if row.attempt == msg.attempt:
+            entry_attempts.retry(t, row, "unsent", now, counted=True)
+    elif isinstance(msg, messages.CallSubmit):
+        entry_calls.unsent(t, msg, agent_id, now)
