--- a/src/apricottrestle/entry_server.py
+++ b/src/apricottrestle/entry_server.py
@@ -1,5 +1,6 @@
 """HTTP server of the caller API and its routes."""
 
+import socket
 import weakref
 from types import TracebackType
 from typing import Any, Final, Self
@@ -12,6 +13,10 @@
 """An oversized body up to this size is read and dropped, because closing with
 unread data resets the connection and the caller would not see the answer."""
 
+SEND_BUFFER_BYTES: Final = 64 * 1024
+"""Left to itself the kernel buffers megabytes for each caller that doesn't
+read, and its stream would run ahead by as much."""
+
 IDLE_S: Final = 75.0
 
 
@@ -66,6 +71,11 @@
         """
         sockets = netutil.bind_sockets(self.port, self._host)
         self.port = sockets[0].getsockname()[1]
+        for sock in sockets:
+            # Accepted connections inherit it.
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+            )
         self._server = _Server(
             self._app,
             max_header_size=entry_accept.MAX_HEADER_BYTES,
--- a/tests/test_entry_fakes.py
+++ b/tests/test_entry_fakes.py
@@ -5,8 +5,6 @@
 under test never judges itself.
 """
 
-import asyncio
-import contextlib
 import hashlib
 from typing import Any
 
@@ -62,9 +60,7 @@
     async def append(self, stream: str, record_id: str, data: str) -> int:
         if self.down:
             raise errors.PlatformError("down", step="append", peer="log")
-        records = self.streams.setdefault(stream, [])
-        offset = len(records) + 1
-        records.append(platform_log.LogRecord(offset, 0.0, record_id, data))
+        offset = self.store(stream, record_id, data)
         if self.lose_answers:
             raise errors.AppendUnknownError("lost", step="append", peer="log")
         return offset
@@ -83,9 +79,13 @@
         )
 
     def put(self, stream: str, entry: call_log.CallEntry) -> None:
-        data = call_log.encode([entry])
-        with contextlib.suppress(errors.AppendUnknownError):
-            asyncio.run(self.append(stream, "put", data))
+        self.store(stream, "put", call_log.encode([entry]))
+
+    def store(self, stream: str, record_id: str, data: str) -> int:
+        records = self.streams.setdefault(stream, [])
+        offset = len(records) + 1
+        records.append(platform_log.LogRecord(offset, 0.0, record_id, data))
+        return offset
 
 
 class Stream:
