--- a/src/apricottrestle/config_sync.py
+++ b/src/apricottrestle/config_sync.py
@@ -106,7 +106,9 @@
         applied: list[Applied] = []
         for record in result.records:
             applied += self._apply_record(record)
-        if self.read_after + 1 >= result.next_offset and not self.has_hole:
+        # Only an empty answer shows the end of the stream: the log may cut an
+        # answer at a smaller limit than the one asked for.
+        if not result.records and not self.has_hole:
             self.ready = True
         return applied
 
@@ -300,6 +302,36 @@
         return None
 
 
+async def catch_up(
+    log: platform_log.LogService,
+    sync: ConfigSync,
+    applied: list[Applied] | None = None,
+) -> list[Applied]:
+    """Reads the release stream to its end.
+
+    Args:
+        log: The log.
+        sync: Folds what was read.
+        applied: Receives the note records folded; keeps them when a later read
+            fails.
+
+    Returns:
+        The note records folded, after those that `applied` held before.
+
+    Raises:
+        PlatformError: The log is not reachable; what was read before stays
+            folded.
+    """
+    applied = [] if applied is None else applied
+    while True:
+        result = await log.read(
+            platform_log.RELEASE_STREAM, sync.read_after, READ_LIMIT_RECORDS
+        )
+        applied += sync.apply_records(result)
+        if not result.records:
+            return applied
+
+
 class _RecordMemory:
     """The newest records, bounded in bytes and number.
 
