Add the harness and tests on real processes

Kills, freezes, silent connections, log outages, planned stops and bad input need real processes. The harness starts a small fleet for each test and waits on observed states (readyz, ledgers, tokens received).

--- a/src/apricottrestle_standins/client.py
+++ b/src/apricottrestle_standins/client.py
@@ -121,9 +121,10 @@
         self._client.close()
 
     def next_url(self) -> str:
-        """Returns the base URL of the next entry in turn."""
+        """Returns the base URL of the next entry in turn, the first first."""
+        url = self._urls[self._next % len(self._urls)]
         self._next += 1
-        return self._urls[self._next % len(self._urls)]
+        return url
 
     async def call(
         self,
--- a/src/apricottrestle_standins/fleet.py
+++ b/src/apricottrestle_standins/fleet.py
@@ -262,6 +262,21 @@
         self.nodes[name] = node
         return node
 
+    def start_relay(self, port: int, target: int, faults_port: int) -> Node:
+        """Starts a TCP relay; its faults go to the node `relay-faults`."""
+        node = self.start_standin(
+            "relay",
+            "relay",
+            port=port,
+            target_port=target,
+            faults_port=faults_port,
+        )
+        del self.nodes["relay"]
+        faults = node._replace(url=f"http://{HOST}:{faults_port}")
+        self.nodes["relay-faults"] = faults
+        wait_for(lambda: _answers(faults), "the relay answers")
+        return node
+
     def wait_standins(self) -> None:
         """Waits until every HTTP stand-in answers."""
         for name, node in self.nodes.items():
--- /dev/null
+++ b/tests/test_process_bad_input.py
@@ -0,0 +1,133 @@
+"""Guards a real entry and agent against bad input from callers and the net."""
+
+import socket
+import urllib.parse
+from collections.abc import Iterator
+
+import pytest
+
+from apricottrestle_standins import fleet, notes
+from tests import process_harness as harness
+
+pytestmark = pytest.mark.process
+
+_MIB = 1024 * 1024
+
+
+@pytest.fixture(scope="module")
+def run() -> Iterator[fleet.Fleet]:
+    with harness.running_fleet(harness.Size(engines=1, entries=1)) as running:
+        yield running
+
+
+def _body(**fields: object) -> dict[str, object]:
+    return {
+        "model": notes.MODEL,
+        "prompt": [1, 2, 3],
+        "max_tokens": 2,
+    } | fields
+
+
+@pytest.mark.parametrize(
+    ("body", "headers", "statuses"),
+    [
+        (b"{", {}, (400,)),
+        (b"\xff\xfe", {}, (400,)),
+        (b"", {}, (400,)),
+        (b"[]", {}, (400,)),
+        (_body(prompt=7), {}, (400,)),
+        (_body(prompt=[]), {}, (400,)),
+        (_body(prompt=["a"]), {}, (400,)),
+        (_body(prompt=[-1]), {}, (400,)),
+        (_body(prompt=[2**64]), {}, (400,)),
+        (_body(max_tokens="two"), {}, (400,)),
+        (_body(max_tokens=-1), {}, (400,)),
+        (_body(model="none"), {}, (400, 404)),
+        (_body(adapter="none"), {}, (400, 404)),
+        (_body(prompt=[1] * 1_000_001), {}, (400, 413)),
+        (b" " * (17 * _MIB), {}, (413, 0)),
+        (_body(), {"Authorization": "Bearer wrong"}, (401,)),
+        (_body(), {"Authorization": ""}, (401,)),
+        (_body(), {"X-Priority": "highest"}, (400, 403)),
+        (
+            _body(),
+            harness.authorization(notes.KEYS["orders"])
+            | {"X-Priority": "batch"},
+            (403,),
+        ),
+        (_body(), {"X-Time-Limit-Ms": "soon"}, (400,)),
+        (_body(), {"X-Time-Limit-Ms": "-5"}, (400,)),
+        (_body(), {"Last-Event-ID": "nonsense"}, (400, 404, 409, 410)),
+    ],
+)
+def test_bad_completion_is_refused(
+    run: fleet.Fleet,
+    body: object,
+    headers: dict[str, str],
+    statuses: tuple[int, ...],
+) -> None:
+    """Each gets a clear error that proves not run, and loses nothing."""
+    url = run.nodes["entry-0"].url
+    answer = fleet.call(
+        "POST",
+        url + "/v1/completions",
+        body,
+        harness.authorization() | headers,
+        timeout_s=20.0,
+    )
+    assert answer.status in statuses, answer
+    if answer.status:
+        error = answer.json()["error"]
+        assert error["code"]
+        assert error["message"]
+        assert error["outcome"] == "not_run"
+    good = harness.ask([url], harness.make_prompt(10, 2), retries=2)
+    assert good.outcome == "ok", good
+
+
+def test_unknown_service_and_path(run: fleet.Fleet) -> None:
+    url = run.nodes["entry-0"].url
+    for path in ("/v1/services/none/x", "/v1/nothing"):
+        answer = fleet.call("GET", url + path, None, harness.authorization())
+        assert answer.status == 404, path
+        assert answer.json()["error"]["code"]
+
+
+def _connect(url: str) -> socket.socket:
+    parts = urllib.parse.urlsplit(url)
+    assert parts.hostname
+    assert parts.port
+    return socket.create_connection((parts.hostname, parts.port), timeout=20)
+
+
+def test_caller_that_stalls_in_its_body_gets_408(run: fleet.Fleet) -> None:
+    """A stalled body must not hold a request slot for ever."""
+    with _connect(run.nodes["entry-0"].url) as sock:
+        auth = harness.authorization()["Authorization"]
+        sock.sendall(
+            b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            b"Authorization: " + auth.encode() + b"\r\n"
+            b"Content-Length: 1000\r\n\r\n{"
+        )
+        answer = sock.recv(4096)
+    assert answer.startswith(b"HTTP/1.1 408"), answer[:200]
+
+
+@pytest.mark.parametrize(
+    "noise",
+    [b"\x00" * 64, b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 4096],
+    ids=["zeros", "http", "ones"],
+)
+def test_garbage_on_the_control_socket_harms_no_one(
+    run: fleet.Fleet, noise: bytes
+) -> None:
+    listed = run.nodes["instances"].url + "/instances?after=0"
+    rows = fleet.call("GET", listed).json()["rows"]
+    (row,) = [one for one in rows if one["id"] == "agent-0"]
+    for address in (row["control"], row["bulk"]):
+        with _connect(f"http://{address}") as sock:
+            sock.sendall(noise)
+    assert run.nodes["agent-0"].ready()
+    url = run.nodes["entry-0"].url
+    answer = harness.ask([url], harness.make_prompt(10, 2), retries=2)
+    assert answer.outcome == "ok", answer
--- /dev/null
+++ b/tests/test_process_drain.py
@@ -0,0 +1,73 @@
+"""Guards G5 on real processes: planned stops under load cut no request."""
+
+import itertools
+import signal
+
+import pytest
+
+from apricottrestle_standins import fleet
+from tests import process_harness as harness
+
+pytestmark = pytest.mark.process
+
+_STREAMS = 12
+_RETRIES = 5
+
+
+def _start_streams(run: fleet.Fleet, max_tokens: int) -> list[harness.Stream]:
+    urls = harness.entry_urls(run)
+    return [
+        harness.Stream(
+            urls[index % len(urls) :] + urls[: index % len(urls)],
+            harness.make_prompt(500 + index, max_tokens, salt=index),
+            retries=_RETRIES,
+        )
+        for index in range(_STREAMS)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("name", "max_tokens"),
+    [("agent-0", 40), ("agent-0", 400), ("entry-0", 40), ("entry-0", 400)],
+)
+def test_sigterm_under_load_cuts_no_request(name: str, max_tokens: int) -> None:
+    """Streams of 1 s fit the grace of 5 s, those of 10 s do not."""
+    with harness.running_fleet(harness.Size()) as run:
+        streams = _start_streams(run, max_tokens)
+        for stream in streams:
+            stream.wait_tokens(1)
+        run.nodes[name].process.send(signal.SIGTERM)
+        answers = [stream.answer() for stream in streams]
+        assert [answer.outcome for answer in answers] == ["ok"] * _STREAMS, [
+            answer.detail for answer in answers
+        ]
+        assert run.nodes[name].process.wait(15) == 0
+        if name.startswith("agent"):
+            assert not any(answer.resumes for answer in answers)
+        fleet.wait_for(
+            lambda: harness.blocks_used(run) == 0, "all memory is free"
+        )
+
+
+def test_drained_agent_gets_no_new_work() -> None:
+    with harness.running_fleet(harness.Size(entries=1)) as run:
+        log = run.nodes["log"].url
+        run.command("drain", "agent-0", "--log", log)
+        process = run.nodes["agent-0"].process
+        numbers = itertools.count()
+
+        def ends_while_work_comes() -> bool:
+            number = next(numbers)
+            prompt = harness.make_prompt(100 + number, 2, salt=number)
+            answer = harness.ask(harness.entry_urls(run), prompt, _RETRIES)
+            assert answer.outcome == "ok", answer
+            return not process.running()
+
+        fleet.wait_for(ends_while_work_comes, "the drained agent ends")
+        assert process.exit_code() == 0
+        before = len(run.ledger("engine-0")["runs"])
+        for salt in range(5):
+            prompt = harness.make_prompt(300, 2, salt=salt)
+            answer = harness.ask(harness.entry_urls(run), prompt, _RETRIES)
+            assert answer.outcome == "ok", answer
+        assert len(run.ledger("engine-0")["runs"]) == before
