Hand out ports below the ephemeral range

A trial of the demo failed with 'Address already in use': an outgoing connection had taken the free ephemeral port before its agent bound it. Ports now come from 15000 to 31999, each once per process.

--- a/src/apricottrestle_standins/demo.py
+++ b/src/apricottrestle_standins/demo.py
@@ -195,7 +195,7 @@
     )
     if answer.code != 200:
         return ""
-    return str(msgspec.json.decode(answer.body)["key"])
+    return str(msgspec.json.decode(answer.body)["idempotency_key"])
 
 
 def call_outcome(status: int, body: bytes) -> str:
--- a/src/apricottrestle_standins/fleet.py
+++ b/src/apricottrestle_standins/fleet.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import pathlib
+import random
 import secrets
 import signal
 import socket
@@ -30,22 +31,51 @@
 _CALL_TIMEOUT_S: Final = 5.0
 _LOG_TAIL_LINES: Final = 15
 _RETENTION_S: Final = 3600.0
+_FIRST_PORT: Final = 15_000
+_END_PORT: Final = 32_000
 
 
 class FleetError(Exception):
     """A process did not start, or an awaited state was not reached."""
 
 
+class _Ports:
+    """Hands out each port once.
+
+    Ports below the ephemeral range are used, because an outgoing connection of
+    another process could take an ephemeral one before its server binds it.
+    """
+
+    def __init__(self) -> None:
+        self._next = random.SystemRandom().randrange(_FIRST_PORT, _END_PORT)
+
+    def take(self) -> int:
+        for _ in range(_END_PORT - _FIRST_PORT):
+            port = self._next
+            self._next += 1
+            if self._next >= _END_PORT:
+                self._next = _FIRST_PORT
+            if _is_free(port):
+                return port
+        raise FleetError("no free port")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+_PORTS: Final = _Ports()
+
+
 def free_ports(count: int) -> list[int]:
-    """Returns loopback ports that are free at the moment."""
-    socks = [socket.socket() for _ in range(count)]
-    try:
-        for sock in socks:
-            sock.bind((HOST, 0))
-        return [sock.getsockname()[1] for sock in socks]
-    finally:
-        for sock in socks:
-            sock.close()
+    """Returns loopback ports that are free at the moment, each once."""
+    return [_PORTS.take() for _ in range(count)]
 
 
 class HttpAnswer(NamedTuple):
--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -206,7 +206,7 @@
         authorization(),
     )
     assert answer.status == 200, answer
-    return str(answer.json()["key"])
+    return str(answer.json()["idempotency_key"])
 
 
 def authorization(key: str = notes.KEYS["harvest"]) -> dict[str, str]:
