--- a/src/apricottrestle/agent_queue.py
+++ b/src/apricottrestle/agent_queue.py
@@ -22,7 +22,7 @@
 HELD_BODY_BYTES: Final = 32 * 1024 * 1024
 """Bound of all prompt bodies held; half of a node's 64 MB for the agent."""
 
-ENGINE_DOWN_FAILURES: Final = 4
+ENGINE_DOWN_FAILURES: Final = 3
 """Failed load polls in a row, one a second, after which work is refused."""
 
 _RUN_LEASE_MARGIN_S: Final = 5.0
@@ -102,7 +102,7 @@
     retry_ms = _MIN_RETRY_MS
     if reason == "no_time":
         wait_s = tables.queue.expected_wait_s(
-            queue_item(tables, row, now), capacity(tables, now)
+            queue_item(tables, row, now), capacity(tables)
         )
         retry_ms = max(retry_ms, int(wait_s * 1000))
     refused = messages.Refused(msg.req_id, msg.attempt, reason, retry_ms)
@@ -139,14 +139,15 @@
         return "body_mismatch"
     if msg.body_bytes > MAX_BODY_BYTES:
         return "too_large"
-    if tables.body_bytes + msg.body_bytes > HELD_BODY_BYTES:
+    full = tables.body_bytes + msg.body_bytes > HELD_BODY_BYTES
+    if full or len(tables.queue) >= tables.params.max_queued:
         return "queue_full"
     if msg.group:
         return _group_refusal(tables, msg)
     if row.kv_tokens > kv_tokens_total(tables):
         return "too_large"
     item = queue_item(tables, row, now)
-    wait_s = tables.queue.expected_wait_s(item, capacity(tables, now))
+    wait_s = tables.queue.expected_wait_s(item, capacity(tables))
     prefill_s = item.prompt_tokens / tables.params.prefill_tokens_per_s
     if now + wait_s + prefill_s > row.deadline:
         return "no_time"
@@ -182,7 +183,7 @@
     lease = tables.leases.get(leader.allocation)
     if leader.agent_id != tables.params.agent_id:
         return "not_group_leader"
-    if lease is None or not lease.granted or lease.consumed:
+    if lease is None or not lease.granted:
         return "no_reservation"
     return ""
 
@@ -268,7 +269,13 @@
     load = tables.engine.load
     if load is None:
         return 0
-    return load.kv_blocks_total * tables.params.kv_block_tokens
+    return load.kv_blocks_total * _block_tokens(tables)
+
+
+def _block_tokens(tables: agent_tables.Tables) -> int:
+    load = tables.engine.load
+    told = load.block_tokens if load is not None else 0
+    return told or tables.params.kv_block_tokens
 
 
 def kv_tokens_free(tables: agent_tables.Tables) -> int:
@@ -277,14 +284,13 @@
     The agent counts by itself, because the engine's report is late and the
     agent alone allocates.
     """
-    block = tables.params.kv_block_tokens
+    block = _block_tokens(tables)
     used = tables.engine.orphan_blocks * block
     for req_id in tables.runs.values():
         row = tables.streams[req_id]
         used += _round_up(row.kv_tokens, block)
     for lease in tables.leases.values():
-        if not lease.consumed:
-            used += _round_up(lease.tokens, block)
+        used += _round_up(lease.tokens, block)
     return max(kv_tokens_total(tables) - used, 0)
 
 
@@ -299,14 +305,21 @@
     return reported + tables.engine.started_since_load
 
 
-def capacity(tables: agent_tables.Tables, now: float) -> queueing.Capacity:
+def capacity(tables: agent_tables.Tables) -> queueing.Capacity:
     """Returns what the engine can take."""
-    del now
+    prefills = [
+        row.msg.prompt_tokens
+        for row in map(tables.streams.__getitem__, tables.runs.values())
+        if len(row.tokens) == len(row.msg.forced_prefix)
+    ]
+    long = sum(size > queueing.LONG_PROMPT_TOKENS for size in prefills)
     return queueing.Capacity(
         tables.params.slots - len(tables.runs),
         kv_tokens_free(tables),
         prefill_tokens_left(tables),
         tables.params.prefill_tokens_per_s,
+        len(prefills),
+        long,
     )
 
 
@@ -318,7 +331,7 @@
         if row.phase is agent_tables.Phase.QUEUED and row.msg.group:
             _start_group(tables, row, now, out)
     while len(tables.queue):
-        item = tables.queue.pop(capacity(tables, now), now)
+        item = tables.queue.pop(capacity(tables), now)
         if item is None:
             return
         _start(tables, tables.streams[item.req_id], item, now, out)
@@ -330,11 +343,9 @@
     now: float,
     out: Commands,
 ) -> None:
-    lease = tables.leases.get(row.msg.group[0].allocation)
-    if lease is None:
+    if row.msg.group[0].allocation not in tables.leases:
         agent_streams.refuse(tables, row, "no_reservation", now, out)
         return
-    lease.consumed = True
     _start(tables, row, queue_item(tables, row, now), now, out)
 
 
@@ -361,8 +372,7 @@
             msg.version,
             msg.forced_prefix,
             int(lease_s * 1000),
-            msg.group[1:],
-            msg.group[0].allocation if msg.group else "",
+            msg.group,
             msg.kv,
         )
     )
