--- a/src/apricottrestle/agent_drain.py
+++ b/src/apricottrestle/agent_drain.py
@@ -9,18 +9,23 @@
 from apricottrestle import (
     agent_calls,
     agent_events,
+    agent_leases,
     agent_streams,
     agent_tables,
     messages,
 )
 
-GRACE_S: Final = 30.0
 EXPORT_WAIT_S: Final = 2.0
 """Time for an export answer; then the run is handed over without KV cache."""
 
 EXPORT_LEASE_MS: Final = 10_000
 LINGER_S: Final = 2.0
-"""Time between the last hand-over and the exit, for frames under way."""
+"""Time between the last hand-over and the exit, for frames under way and for
+a list of the engine's allocations."""
+
+ORPHAN_WAIT_S: Final = 20.0
+"""Longest stay after the grace period for memory without owner. It is freed
+after agent_leases.ORPHAN_GRACE_S, unless the engine doesn't answer."""
 
 Commands = list[agent_events.Command]
 Phase = agent_tables.Phase
@@ -31,9 +36,10 @@
     if tables.drain.active:
         return
     tables.drain.active = True
-    tables.drain.deadline = now + GRACE_S
-    draining = messages.Draining(int(GRACE_S * 1000))
-    out.extend(agent_events.Send(peer, draining) for peer in tables.peers)
+    grace_s = tables.params.grace_s
+    tables.drain.deadline = now + grace_s
+    draining = messages.Draining(int(grace_s * 1000))
+    out.extend(agent_events.Send(peer, draining) for peer in tables.reachable())
     out.append(agent_events.Log("drain", {"streams": len(tables.streams)}))
     for row in list(tables.streams.values()):
         if row.phase in {Phase.BODY, Phase.QUEUED}:
@@ -106,14 +112,36 @@
         elif not row.exporting and not row.msg.group:
             row.exporting = True
             out.append(agent_events.ExportKv(row.run_id, EXPORT_LEASE_MS))
+    for lease in list(tables.leases.values()):
+        if lease.kind is agent_tables.LeaseKind.GROUP:
+            _end_reservation(tables, lease, now, out)
+
+
+def _end_reservation(
+    tables: agent_tables.Tables,
+    lease: agent_tables.Lease,
+    now: float,
+    out: Commands,
+) -> None:
+    """Tells the entry that the group loses this member, then ends it."""
+    if now >= tables.drain.deadline:
+        agent_leases.end(tables, lease, "draining", now, out)
+    elif lease.routing_id:
+        refused = messages.Reserved(lease.owner, "", "", "draining")
+        out.append(agent_events.Send(lease.routing_id, refused))
+        lease.routing_id = b""
 
 
 def _busy(tables: agent_tables.Tables, now: float) -> bool:
-    """Tells whether a stream, lease or call still needs this process."""
+    """Tells whether a stream, call or memory still needs this process."""
     streams = any(not row.finished_sent for row in tables.streams.values())
     calls = any(
         agent_calls.is_under_way(call, now) for call in tables.calls.values()
     )
     log = tables.call_log
     unlogged = bool(log.completions or log.batch_completions) and log.up
-    return streams or calls or unlogged or bool(tables.leases)
+    orphans = (
+        bool(tables.engine.orphans)
+        and now < tables.drain.deadline + ORPHAN_WAIT_S
+    )
+    return streams or calls or unlogged or orphans or bool(tables.leases)
--- a/src/apricottrestle/agent_leases.py
+++ b/src/apricottrestle/agent_leases.py
@@ -16,6 +16,9 @@
 )
 
 RECONCILE_S: Final = 5.0
+DRAIN_RECONCILE_S: Final = 1.0
+"""A draining agent looks more often, so that it sees its last runs go."""
+
 ORPHAN_GRACE_S: Final = 10.0
 """Longer than the delay between a start and its row in the engine's list."""
 
@@ -57,6 +60,7 @@
         now + lease_s,
     )
     lease.waiters.append(routing_id)
+    lease.routing_id = routing_id
     tables.leases[allocation] = lease
     tables.groups[msg.group_id] = allocation
     out.append(
@@ -134,14 +138,12 @@
         out.append(agent_events.Send(routing_id, lapsed))
         return
     lease = tables.leases[allocation]
+    lease.routing_id = routing_id
     lease_s = tables.remaining_s(min(msg.lease_ms, MAX_LEASE_MS), now)
     if now + lease_s <= lease.deadline:
         return
     lease.deadline = now + lease_s
-    if not lease.consumed:
-        out.append(
-            agent_events.RenewAllocation(allocation, int(lease_s * 1000))
-        )
+    out.append(agent_events.RenewAllocation(allocation, int(lease_s * 1000)))
 
 
 def on_release(
@@ -177,8 +179,7 @@
         return
     tables.groups.pop(lease.owner, None)
     _remember_group(tables, lease.owner)
-    if not lease.consumed:
-        out.append(agent_events.FreeAllocation(lease.allocation))
+    out.append(agent_events.FreeAllocation(lease.allocation))
     for routing_id in lease.waiters:
         refused = messages.Reserved(lease.owner, "", "", reason)
         out.append(agent_events.Send(routing_id, refused))
@@ -235,7 +236,7 @@
     tables.engine.orphan_blocks = blocks
     listed = {row.allocation for row in event.rows}
     for lease in list(tables.leases.values()):
-        if not lease.granted or lease.consumed:
+        if not lease.granted:
             continue
         lease.missing = 0 if lease.allocation in listed else lease.missing + 1
         if lease.missing >= 2:
@@ -257,5 +258,7 @@
 def poll(tables: agent_tables.Tables, now: float, out: Commands) -> None:
     """Asks for the engine's allocations each RECONCILE_S."""
     if now >= tables.engine.next_allocations:
-        tables.engine.next_allocations = now + RECONCILE_S
+        draining = tables.drain.active
+        interval_s = DRAIN_RECONCILE_S if draining else RECONCILE_S
+        tables.engine.next_allocations = now + interval_s
         out.append(agent_events.PollAllocations())
--- a/src/apricottrestle/agent_tables.py
+++ b/src/apricottrestle/agent_tables.py
@@ -40,8 +40,10 @@
         upstream_url: Base URL of the upstream.
         secret: Fleet secret that authenticates issued keys.
         slots: Requests or calls that the upstream runs at the same time.
-        kv_block_tokens: Tokens in a KV block of the engine.
+        kv_block_tokens: Tokens in a KV block, if the engine doesn't tell.
         prefill_tokens_per_s: Prefill rate of the engine.
+        grace_s: Time that a drain leaves running requests, in seconds.
+        max_queued: Requests queued at the same time.
         role: Role that orders give the engine.
     """
 
@@ -55,13 +57,29 @@
     slots: int = 64
     kv_block_tokens: int = 16
     prefill_tokens_per_s: float = 100_000.0
+    grace_s: float = 30.0
+    max_queued: int = 4_096
     role: str = "mixed"
 
 
 class Peer:
-    """A connection from an entry."""
+    """A connection from an entry.
 
-    __slots__ = ("config_asked", "last_seen", "received", "sender")
+    Attributes:
+        sender: Id of the entry.
+        last_seen: Time of the last frame.
+        received: Submits received on this connection.
+        config_asked: Time of the last ConfigRequest sent on it.
+        unsendable: A send failed, and no frame has come since.
+    """
+
+    __slots__ = (
+        "config_asked",
+        "last_seen",
+        "received",
+        "sender",
+        "unsendable",
+    )
 
     def __init__(self, sender: str, now: float) -> None:
         """Starts with a first frame at `now`."""
@@ -69,6 +87,7 @@
         self.last_seen = now
         self.received = 0
         self.config_asked = -1e9
+        self.unsendable = False
 
 
 class Phase(enum.Enum):
@@ -135,7 +154,9 @@
         self.chunks: dict[int, bytes] = {}
         self.next_chunk = 0
         self.last_chunk = now
-        self.kv_tokens = msg.prompt_tokens + msg.max_tokens
+        # A group's memory is held by its leases.
+        own_tokens = msg.prompt_tokens + msg.max_tokens
+        self.kv_tokens = 0 if msg.group else own_tokens
         self.tokens = array.array("Q", msg.forced_prefix)
         self.sent = len(msg.forced_prefix)
         self.credit = msg.credit_tokens
@@ -185,19 +206,19 @@
         tokens: Size.
         deadline: End of the lease; only the agent's clock decides.
         granted: The engine has confirmed the allocation.
-        consumed: The leader's run has taken the memory over.
         missing: Lists of the engine in a row that lack the allocation.
         waiters: Connections that wait for Reserved.
+        routing_id: Connection that reserved or renewed last.
     """
 
     __slots__ = (
         "allocation",
-        "consumed",
         "deadline",
         "granted",
         "kind",
         "missing",
         "owner",
+        "routing_id",
         "tokens",
         "waiters",
     )
@@ -217,9 +238,9 @@
         self.tokens = tokens
         self.deadline = deadline
         self.granted = False
-        self.consumed = False
         self.missing = 0
         self.waiters: list[bytes] = []
+        self.routing_id = b""
 
 
 class CallState(enum.Enum):
@@ -448,6 +469,10 @@
         self.answer_bytes = 0
         self.call_log = CallLogState()
 
+    def reachable(self) -> list[bytes]:
+        """Returns the connections that messages to all entries go to."""
+        return [key for key, peer in self.peers.items() if not peer.unsendable]
+
     def remaining_s(self, remaining_ms: int, now: float) -> float:
         """Returns the time left of a frame that is handled at `now`.
 
