Run the fault matrix of the audit on the real steps of entry and agent

Cause: G7 needs a proof at each step of a request. Change: a world that joins the entry's and the agent's real steps with audit buffers and a log in memory; 140 cells in 14 faults at 10 steps; the ledgers of engines and callers decide. 10 cells of 'fencing ignored' are not proved: the audit tells the version asked for, not the one that such an engine ran. Conclusion: every run and every answer is told or counted as a gap, and no gap is listed when nothing was lost.

--- /dev/null
+++ b/tests/audit_world.py
@@ -0,0 +1,211 @@
+"""Entries and agents as they are, joined on a fake clock, with audit buffers.
+
+Guards nothing by itself. The engines' ledgers and the callers decide what the
+audit should hold; the code under test never judges itself.
+"""
+
+import asyncio
+from typing import Any, NamedTuple
+from unittest import mock
+
+from apricottrestle import (
+    agent_events,
+    audit,
+    audit_export,
+    entry_events,
+    messages,
+)
+from tests import audit_rows, fake_log
+from tests import test_agent_world as agent_world
+from tests import test_entry_fakes as fakes
+from tests import test_entry_world as entry_world
+
+MAX_TOKENS = 40
+_CONFIG = fakes.CONFIG._replace(
+    versions=agent_world.config(1, ("v1",)).versions
+)
+
+
+class Started(NamedTuple):
+    """A run that an engine started, and who had it started."""
+
+    writer: str
+    incarnation: str
+    run_id: str
+
+
+class Agent(fakes.FakeAgent):
+    """An agent's real step in the place of a scripted one.
+
+    Attributes:
+        inner: World of the agent's step with its engine.
+        audit: Rows not yet on the log.
+        ledger: Runs that the engine started, of all incarnations.
+    """
+
+    def __init__(self, world: Any, agent_id: str, upstream: str) -> None:
+        super().__init__(world, agent_id, upstream)
+        self.ledger: list[Started] = []
+        self._number = 0
+        self.begin(agent_world.FakeEngine())
+
+    def begin(self, engine: agent_world.FakeEngine) -> None:
+        """Starts a new incarnation beside an engine."""
+        self._number += 1
+        self.incarnation = f"{self.agent_id}-i{self._number}"
+        self.inner = agent_world.World(
+            incarnation=self.incarnation, engine=engine, now=self.world.now
+        )
+        params = self.inner.tables.params
+        self.inner.tables.params = params._replace(agent_id=self.agent_id)
+        self.inner.config = _CONFIG
+        self.inner.inbox.append(agent_events.ModelAssigned("m"))
+        self.audit = audit.AuditBuffer(self.agent_id, "agent", self.incarnation)
+        self._seen = len(engine.started)
+        self._conns: dict[bytes, Any] = {}
+
+    def receive(self, conn: Any, msg: messages.Message, body: bytes) -> None:
+        name, number = conn
+        routing_id = f"{name}/{number}/{self.incarnation}".encode()
+        self._conns[routing_id] = conn
+        got = messages.Received(name, "i1", 1, msg, body)
+        self.inner.inbox.append(agent_events.FrameIn(routing_id, got))
+
+    def tick(self) -> None:
+        if self.inner.now + agent_world.TICK_S > self.world.now:
+            return
+        if self.frozen:
+            # The upstream goes on while the agent stands still.
+            self.inner.now += agent_world.TICK_S
+            self.inner.inbox.extend(self.inner.engine.produce())
+            return
+        self.inner.tick()
+        for cmd in self.inner.commands:
+            if isinstance(cmd, agent_events.Audit):
+                self.audit.add(_row(cmd))
+        for run_id in self.inner.engine.started[self._seen :]:
+            self.ledger.append(Started(self.agent_id, self.incarnation, run_id))
+        self._seen = len(self.inner.engine.started)
+        sent, self.inner.sent = self.inner.sent, []
+        self.config_rev = self.inner.tables.config.revision
+        for item in sent:
+            conn = self._conns.get(item.routing_id)
+            if conn is not None:
+                self.send(conn, item.msg, item.body)
+
+
+def _row(cmd: agent_events.Audit) -> audit.AuditRow:
+    fields = cmd._asdict()
+    fields["priority"] = messages.PRIORITIES[cmd.priority]
+    return audit.AuditRow(**fields)
+
+
+class Served(NamedTuple):
+    """A request at an entry, and its caller."""
+
+    entry: str
+    req_id: str
+    caller: entry_world.Caller
+
+
+class World(entry_world.World):
+    """Two entries, two agents, and the audit stream.
+
+    Attributes:
+        audit_log: The log of the audit stream.
+        served: Requests that callers have made.
+        killed: Entries that were killed; they neither act nor write.
+    """
+
+    def __init__(self) -> None:
+        with mock.patch.object(fakes, "FakeAgent", Agent):
+            super().__init__(engines=2, entries=2)
+        self.audit_log = fake_log.FakeLog()
+        self.served: list[Served] = []
+        self.killed: set[str] = set()
+        for entry in self.entries:
+            entry.tables.sync.state = _CONFIG
+        self.run(2.0)
+        self.flush()
+
+    def agent(self, agent_id: str) -> Agent:
+        found = self.agents[agent_id]
+        assert isinstance(found, Agent)
+        return found
+
+    def request(
+        self, index: int = 0, old: entry_world.Caller | None = None
+    ) -> Served:
+        """A caller makes a request at an entry, or resumes an earlier one."""
+        entry = self.entries[index]
+        if old is not None and old.event_id:
+            caller = entry.resume(old, max_tokens=MAX_TOKENS)
+        else:
+            caller = entry.generate(max_tokens=MAX_TOKENS)
+        name = entry.tables.identity.instance_id
+        req_id = entry.tables.callers.get(caller.number, "")
+        served = Served(name, req_id, caller)
+        self.served.append(served)
+        return served
+
+    def holder(self, served: Served) -> Agent:
+        """Returns the agent that has a request, or that had it last."""
+        row = self.entries[0].tables.requests.get(served.req_id)
+        if row is not None and row.agent_id:
+            return self.agent(row.agent_id)
+        for name in self.agents:
+            runs = self.agent(name).ledger
+            if any(run.run_id.startswith(served.req_id) for run in runs):
+                return self.agent(name)
+        return self.agent("a0")
+
+    def kill_entry(self, index: int = 0) -> None:
+        """Kills an entry; its audit buffer is lost."""
+        entry = self.entries[index]
+        entry.frozen = True
+        entry.conns.clear()
+        self.killed.add(entry.tables.identity.instance_id)
+
+    def kill_agent(self, agent: Agent) -> None:
+        """Kills an agent; the new process announces itself on the log."""
+        agent.begin(agent.inner.engine)
+        self._flush(agent.audit)
+
+    def flush(self, *, close: bool = False) -> None:
+        """All processes that live append what their buffers hold."""
+        buffers = [self.agent(name).audit for name in self.agents]
+        buffers += [
+            entry.tables.audit
+            for entry in self.entries
+            if entry.tables.identity.instance_id not in self.killed
+        ]
+        for buffer in buffers:
+            if close:
+                buffer.close()
+            self._flush(buffer)
+
+    def _flush(self, buffer: audit.AuditBuffer) -> None:
+        while (batch := buffer.take_batch()) is not None:
+            if not audit_rows.append(self.audit_log, batch):
+                break
+            buffer.confirm(batch.seq)
+
+    def settle(self) -> None:
+        """Faults are over; all requests end, and all processes stop."""
+        self.audit_log.down = False
+        self.audit_log.faults.clear()
+        self.mangle = lambda msg: [(0.0, msg)]
+        for entry in self.entries:
+            if entry.tables.identity.instance_id not in self.killed:
+                entry.frozen = False
+                entry.post(entry_events.Instances(self.rows()))
+        for name in self.agents:
+            self.agent(name).frozen = False
+        living = [item for item in self.served if item.entry not in self.killed]
+        self.run_until(lambda: all(item.caller.ends for item in living), 120.0)
+        self.run(20.0)
+        self.flush(close=True)
+
+    def export(self) -> audit_export.Export:
+        selection = audit_export.Selection(0.0, 1e12)
+        return asyncio.run(audit_export.export(self.audit_log, selection))
--- /dev/null
+++ b/tests/test_matrix_audit.py
@@ -0,0 +1,288 @@
+"""G7 at each step of a request, on the real steps of entries and agents.
+
+Guards against a run or an answer that the audit neither tells nor counts among
+its gaps, and against a gap that is listed although nothing was lost.
+"""
+
+import itertools
+from collections.abc import Callable
+
+import pytest
+
+from apricottrestle import (
+    agent_events,
+    audit_export,
+    entry_events,
+    messages,
+    platform_log,
+)
+from tests import audit_world, fake_log, matrix_table, notes
+from tests import test_agent_world as agent_world
+
+World = audit_world.World
+Served = audit_world.Served
+Cell = matrix_table.Cell
+
+_LATE_S = 1.0
+_FREEZE_S = 6.0
+
+
+def _to_step(world: World, served: Served, step: str) -> None:
+    """Runs until a request has reached a step."""
+    caller = served.caller
+    agent = world.holder(served)
+    half = audit_world.MAX_TOKENS // 2
+    reached: dict[str, Callable[[], bool]] = {
+        "admit": lambda: True,
+        "queue": lambda: served.req_id in agent.inner.tables.streams,
+        "dispatch": lambda: served.req_id in agent.inner.tables.streams,
+        "start": lambda: bool(agent.ledger),
+        "first token": lambda: bool(caller.tokens),
+        "mid-stream": lambda: len(caller.tokens) >= half,
+        "last token": lambda: (
+            bool(agent.ledger) and not agent.inner.engine.runs
+        ),
+        "acknowledge": lambda: bool(caller.ends),
+        "clean up": lambda: bool(caller.ends),
+    }
+    if step == "queue":
+        params = agent.inner.tables.params
+        agent.inner.tables.params = params._replace(slots=0)
+    world.run_until(reached[step])
+    if step == "dispatch":
+        world.run(agent_world.TICK_S)
+    if step == "clean up":
+        world.run(1.0)
+    agent.inner.tables.params = agent.inner.tables.params._replace(slots=64)
+
+
+# Faults. Each acts on a world in which the request stands at the step; what it
+# returns is the request that the caller makes instead, if it makes one.
+
+Fault = Callable[[World, Served | None], Served | None]
+
+
+def _holder(world: World, served: Served | None) -> audit_world.Agent:
+    return world.holder(served) if served else world.agent("a0")
+
+
+def _kill_agent(world: World, served: Served | None) -> None:
+    world.kill_agent(_holder(world, served))
+
+
+def _kill_entry(world: World, served: Served | None) -> Served | None:
+    world.kill_entry()
+    if served is None or served.caller.ends:
+        return None
+    return world.request(1, served.caller)
+
+
+def _freeze_agent(world: World, served: Served | None) -> None:
+    agent = _holder(world, served)
+    agent.frozen = True
+    world.run(_FREEZE_S)
+    agent.frozen = False
+
+
+def _freeze_entry(world: World, served: Served | None) -> None:
+    world.entry.frozen = True
+    world.run(_FREEZE_S)
+    world.entry.frozen = False
+
+
+def _silence(world: World, served: Served | None) -> None:
+    world.silence(_holder(world, served).agent_id)
+
+
+def _late(world: World, served: Served | None) -> None:
+    world.mangle = lambda msg: [(_LATE_S, msg)]
+
+
+def _duplicate(world: World, served: Served | None) -> None:
+    world.mangle = lambda msg: [(0.0, msg), (_LATE_S, msg)]
+
+
+def _swap(world: World, served: Served | None) -> None:
+    delays = itertools.cycle((0.3, 0.0))
+    world.mangle = lambda msg: [(next(delays), msg)]
+
+
+def _lose_answers(world: World, served: Served | None) -> None:
+    """Batches are appended, and again, since their answers got lost."""
+    world.audit_log.faults = [fake_log.STORED] * 3
+    world.flush()
+    world.audit_log.faults = [fake_log.STORED] * 3
+    world.flush()
+
+
+def _log_down(world: World, served: Served | None) -> None:
+    world.audit_log.down = True
+    world.flush()
+    world.run(5.0)
+    world.flush()
+
+
+def _expire(world: World, served: Served | None) -> None:
+    """What is on the log so far expires."""
+    world.flush()
+    stream = platform_log.AUDIT_STREAM
+    count = len(world.audit_log.streams[stream])
+    world.audit_log.first[stream] = count + 1
+
+
+def _wrong_list(world: World, served: Served | None) -> None:
+    """The list says that the agent that serves the request is gone."""
+    name = _holder(world, served).agent_id
+    rows = [
+        row._replace(state="gone")
+        for row in world.rows()
+        if row.instance_id == name
+    ]
+    world.entry.post(entry_events.Instances(rows))
+    world.run(1.0)
+
+
+def _cache_gap(world: World, served: Served | None) -> None:
+    engine = _holder(world, served).inner.engine
+    engine.cache = agent_events.CacheEvents(500, False, [])
+
+
+def _late_reports(world: World, served: Served | None) -> None:
+    def mangle(
+        msg: messages.Message,
+    ) -> list[tuple[float, messages.Message]]:
+        return [(_FREEZE_S if isinstance(msg, messages.Pong) else 0.0, msg)]
+
+    world.mangle = mangle
+
+
+def _race(world: World, served: Served | None) -> None:
+    """Of two racing notes the first one is in force from here on."""
+    sync = world.entry.tables.sync
+    records = [
+        platform_log.LogRecord(offset, 0.0, name, notes.share_note(name, 1))
+        for offset, name in ((2, "a"), (3, "b"))
+    ]
+    sync.apply_records(platform_log.ReadResult(1, 4, records))
+    assert sync.revision == 2
+
+
+def _two(world: World, served: Served | None) -> Served | None:
+    """The entry and the agent die while the log is down."""
+    _log_down(world, served)
+    _kill_agent(world, served)
+    return _kill_entry(world, served)
+
+
+_FAULTS: dict[str, tuple[Fault, ...]] = {
+    "kill": (_kill_agent, _kill_entry),
+    "freeze and thaw": (_freeze_agent, _freeze_entry),
+    "silent connection": (_silence,),
+    "message late": (_late,),
+    "message duplicated": (_duplicate,),
+    "messages swapped": (_swap,),
+    "answer lost after effect": (_lose_answers,),
+    "log down or slow": (_log_down,),
+    "log records past retention": (_expire,),
+    "instance list late or wrong": (_wrong_list,),
+    "cache events with gaps": (_cache_gap,),
+    "load reports late": (_late_reports,),
+    "operators racing": (_race,),
+    "two faults at once": (_two,),
+}
+_LOSSES = {"kill", "log records past retention", "two faults at once"}
+_FENCING = (
+    "an engine that runs another version than its read-back showed is not"
+    " modelled; the audit tells the version that was asked for"
+)
+
+CELLS = tuple(
+    Cell("G7", fault, step, "not proved", _FENCING)
+    if fault == "fencing ignored"
+    else Cell("G7", fault, step, "proved", "test_the_audit_tells_or_counts")
+    for fault in matrix_table.FAULTS
+    for step in matrix_table.REQUEST_STEPS
+)
+
+
+@pytest.mark.parametrize(
+    "cell", matrix_table.proved(CELLS, "test_the_audit_tells_or_counts")
+)
+def test_the_audit_tells_or_counts(cell: Cell) -> None:
+    for fault in _FAULTS[cell.fault]:
+        world = World()
+        if cell.step == "accept":
+            fault(world, None)
+            index = 1 if "e0" in world.killed else 0
+            world.request(index)
+        else:
+            served = world.request()
+            _to_step(world, served, cell.step)
+            fault(world, served)
+        world.run(3.0)
+        world.request(1)
+        world.settle()
+        export = world.export()
+        _check_runs(world, export)
+        _check_answers(world, export)
+        if cell.fault not in _LOSSES:
+            assert export.gaps == []
+            assert {item.missing for item in export.requests} == {""}
+
+
+def _lost(export: audit_export.Export) -> set[tuple[str, str]]:
+    """Returns the writers of which rows may be lost, as the export says."""
+    return {(gap.writer, gap.incarnation) for gap in export.gaps}
+
+
+def _check_runs(world: World, export: audit_export.Export) -> None:
+    """Every run that an engine started is told, or its writer has a gap."""
+    rows = [
+        (item.writer, item.incarnation, f"{item.row.req_id}.{item.row.attempt}")
+        for joined in export.requests
+        for item in joined.agents
+    ]
+    told = set(rows)
+    assert len(told) == len(rows)
+    lost = _lost(export)
+    started = [run for name in world.agents for run in world.agent(name).ledger]
+    assert started
+    for run in started:
+        has_gap = (run.writer, run.incarnation) in lost or ("", "") in lost
+        assert run in told or has_gap, run
+    for _, _, run_id in told:
+        assert any(run_id == run.run_id for run in started) or _not_run(
+            export, run_id
+        )
+
+
+def _not_run(export: audit_export.Export, run_id: str) -> bool:
+    return any(
+        f"{item.row.req_id}.{item.row.attempt}" == run_id
+        and item.row.outcome == "not_run"
+        for joined in export.requests
+        for item in joined.agents
+    )
+
+
+def _check_answers(world: World, export: audit_export.Export) -> None:
+    """What callers were told is what the entries' records say."""
+    rows = {
+        (item.writer, item.row.req_id): item.row
+        for joined in export.requests
+        for item in joined.entries
+    }
+    lost = _lost(export)
+    for served in world.served:
+        row = rows.get((served.entry, served.req_id))
+        if row is None:
+            has_gap = (served.entry, "i1") in lost or ("", "") in lost
+            assert has_gap, served
+            continue
+        assert row.version == "v1"
+        assert row.config_rev in (1, 2)
+        if served.caller.complete:
+            assert row.outcome == "completed"
+            assert row.tokens == audit_world.MAX_TOKENS
+        elif served.caller.error is not None:
+            assert row.outcome == served.caller.error.outcome
