--- a/src/apricottrestle/config_sync.py
+++ b/src/apricottrestle/config_sync.py
@@ -243,7 +243,7 @@
 
     def _adopt_from_peer(self, text: str) -> None:
         snapshot = _decode(text, "peer")
-        if snapshot is None or snapshot.state.revision <= self.revision:
+        if snapshot is None:
             return
         if self._needed_since is None:
             self._needed_since = snapshot.needed_since
@@ -251,14 +251,13 @@
 
     def _adopt(self, snapshot: release_fold.Snapshot) -> list[Applied]:
         """Takes a snapshot that is ahead; folds records held beyond it."""
-        if snapshot.position <= self.position:
-            return []
-        if snapshot.state.revision < self.revision:
+        offered = (snapshot.state.revision, snapshot.position)
+        if offered <= (self.revision, self.position):
             return []
         if snapshot.state.revision > self.revision:
             self._accepted.clear()
             self.state = snapshot.state
-        self.position = snapshot.position
+        self.position = max(self.position, snapshot.position)
         return self._fold_held()
 
     def _fold_held(self) -> list[Applied]:
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -318,6 +318,45 @@
     assert sync.state == _reference(log)
 
 
+def test_an_update_that_overlaps_brings_its_new_notes() -> None:
+    """A second answer may hold notes that a first one has brought already."""
+    log, peer = _chain(2)
+    sync = _sync()
+    sync.apply_update(peer.answer(messages.ConfigRequest(0)))
+    _publish(log, 1)
+    _read(log, peer)
+    sync.apply_update(peer.answer(messages.ConfigRequest(0)))
+    assert sync.state == _reference(log)
+
+
+def test_an_entry_with_a_hole_writes_no_snapshot() -> None:
+    """It would make the entries wait that could write a whole one."""
+    log, peer = _chain(2)
+    log.store(_STREAM, "bad", "not TOML")
+    log.store(_STREAM, "bad", "not TOML")
+    log.first[_STREAM] = 5
+    sync = _sync()
+    sync.apply_update(peer.answer(messages.ConfigRequest(0)))
+    _read(log, sync)
+    assert (sync.ready, sync.has_hole) == (True, True)
+    late = log.now + _RETENTION_S
+    assert sync.snapshot_due(late) is None
+    assert sync.snapshot_due(late + config_sync.SNAPSHOT_DELAY_S) is None
+
+
+def test_a_snapshot_of_a_lower_revision_is_not_adopted() -> None:
+    """Whatever position it claims."""
+    log, peer = _chain(3)
+    text = release_fold.encode_snapshot(
+        release_fold.Snapshot(99, 0.0, notes.fold_all(log.notes()[:2]))
+    )
+    assert not peer.apply_update(messages.ConfigUpdate(text, []))
+    assert peer.state == _reference(log)
+    _publish(log, 1)
+    _read(log, peer)
+    assert peer.state == _reference(log)
+
+
 def test_a_missing_note_stops_the_chain() -> None:
     _, peer = _chain(4)
     records = peer.answer(messages.ConfigRequest(0)).records
