Add stream tests and state machines of the agent

Cause: credits, attach and ownership were tested through cells only, and random orders of events find what tables of cells leave out. Change: tests of G3 at the agent; two hypothesis machines, one for generations and leases, one for issued keys; the successor of a killed agent issues the same sequence number.

--- /dev/null
+++ b/tests/test_agent_streams.py
@@ -0,0 +1,166 @@
+"""Guards output, credits and ownership of streams: G3 at the agent."""
+
+from typing import Any, Final
+
+import pytest
+
+from apricottrestle import agent_events, agent_streams, messages
+from tests import test_agent_world as worlds
+
+_WANT: Final = worlds.expected_tokens(worlds.body_of("r1"), 40)
+_SECOND: Final = b"conn-2"
+
+
+def _started(**changes: Any) -> worlds.World:
+    """Returns a world whose request has sent at least ten tokens."""
+    world = worlds.World().ready()
+    world.frame(worlds.submit(**changes), worlds.body_of("r1"))
+    world.until(lambda: len(world.tokens("r1")) >= 10)
+    return world
+
+
+def _attach(world: worlds.World, **changes: Any) -> None:
+    msg = messages.Attach("r1", "t", 0, 20_000, 10_000)
+    world.connect(_SECOND, "entry-2")
+    world.frame(msg._replace(**changes), routing_id=_SECOND)
+
+
+@pytest.mark.parametrize("offset", [0, 7, 10])
+def test_attached_entry_gets_the_rest(offset: int) -> None:
+    world = _started()
+    _attach(world, offset=offset)
+    world.until(lambda: world.of(messages.Finished, _SECOND))
+    assert world.tokens("r1", _SECOND) == _WANT[offset:]
+    assert world.of(messages.Accepted, _SECOND)
+
+
+@pytest.mark.parametrize(
+    "changes", [{"team": "other"}, {"offset": 4000}, {"req_id": "r9"}]
+)
+def test_attach_without_right_or_stream_fails(
+    changes: dict[str, Any],
+) -> None:
+    world = _started()
+    _attach(world, **changes)
+    world.run(1)
+    assert world.of(messages.Failed, _SECOND)[0].reason == "unknown_stream"
+    assert not world.of(messages.Tokens, _SECOND)
+
+
+def test_finished_stream_is_kept_for_an_attach() -> None:
+    world = _started()
+    world.until(lambda: world.of(messages.Finished))
+    world.run(10)
+    _attach(world, offset=35)
+    world.run(1)
+    assert world.tokens("r1", _SECOND) == _WANT[35:]
+    assert world.of(messages.Finished, _SECOND)
+    world.run(agent_streams.RETAIN_S + 1)
+    assert not world.tables.streams
+
+
+def test_former_owner_can_neither_cancel_nor_credit() -> None:
+    """An entry that was frozen thaws after another one has attached."""
+    world = _started(credit_tokens=12)
+    _attach(world, offset=10, credit_tokens=5)
+    world.run(1)
+    world.frame(messages.Credit("r1", 1, 10_000))
+    world.frame(messages.Cancel("r1", 1, "lost"))
+    world.run(1)
+    assert world.tokens("r1", _SECOND) == _WANT[10:15]
+    assert "r1" in world.tables.streams
+
+
+def test_tokens_stop_at_the_credit_until_the_stall_limit() -> None:
+    world = _started(credit_tokens=12, remaining_ms=90_000)
+    world.run(5)
+    assert world.tokens("r1") == _WANT[:12]
+    world.frame(messages.Credit("r1", 1, 20))
+    world.run(5)
+    assert world.tokens("r1") == _WANT[:20]
+    world.run(agent_streams.STALL_S)
+    assert world.of(messages.Failed)[0].reason == "stalled"
+
+
+@pytest.mark.parametrize(
+    ("event", "reason"),
+    [
+        (agent_events.RunTokens("r1.1", 39, [1], 0), "upstream_gap"),
+        (agent_events.RunTokens("r1.1", 0, [1] * 50, 0), "upstream_overrun"),
+        (agent_events.RunDone("r1.1", 40), "upstream_short"),
+        (agent_events.RunFailed("r1.1", "upstream_cut"), "upstream_cut"),
+    ],
+)
+def test_broken_upstream_stream_never_finishes(
+    event: agent_events.Event, reason: str
+) -> None:
+    world = _started()
+    world.inbox.append(event)
+    world.run(10)
+    assert world.of(messages.Failed)[0].reason == reason
+    assert not world.of(messages.Finished)
+    assert world.engine.held() == 0
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        agent_events.RunTokens("r1.1", 3, _WANT[3:9], 0),
+        agent_events.RunTokens("r1.2", 10, [1, 2], 0),
+        agent_events.RunTokens("r2.1", 10, [1, 2], 0),
+        agent_events.RunDone("r1.2", 3),
+        agent_events.RunFailed("r2.1", "upstream_cut"),
+    ],
+)
+def test_repeated_or_foreign_tokens_change_nothing(
+    event: agent_events.Event,
+) -> None:
+    world = _started()
+    world.inbox.append(event)
+    world.until(lambda: world.of(messages.Finished))
+    assert world.tokens("r1") == _WANT
+
+
+def test_higher_attempt_replaces_a_lower_one() -> None:
+    world = _started()
+    again = worlds.submit(attempt=2, forced_prefix=_WANT[:8])
+    world.frame(again, worlds.body_of("r1"))
+    world.frame(worlds.submit(), worlds.body_of("r1"))
+    world.until(lambda: world.of(messages.Finished))
+    assert world.engine.started == ["r1.1", "r1.2"]
+    finished = world.of(messages.Finished)[0]
+    assert (finished.attempt, finished.total_tokens) == (2, 40)
+    assert world.tokens("r1") == _WANT
+
+
+def test_cancel_that_overtakes_its_submit_holds() -> None:
+    world = worlds.World().ready()
+    world.frame(messages.Cancel("r1", 1, "gone"))
+    world.frame(worlds.submit(), worlds.body_of("r1"))
+    world.run(3)
+    assert world.engine.started == []
+    assert world.of(messages.Refused)[0].reason == "cancelled"
+
+
+def test_chunks_join_in_order_and_duplicates_are_dropped() -> None:
+    body = worlds.body_of("r1") + b"x" * (2 * messages.INLINE_BODY_BYTES)
+    size = messages.INLINE_BODY_BYTES
+    parts = [body[at : at + size] for at in range(0, len(body), size)]
+    world = worlds.World().ready()
+    world.frame(worlds.submit(body_bytes=len(body)))
+    world.run(0.2)
+    for index in (2, 1, 1, 0, 0):
+        last = index == len(parts) - 1
+        chunk = messages.BodyChunk("r1", 1, index, last)
+        world.frame(chunk, parts[index], routing_id=b"", sender="entry-1")
+    world.until(lambda: world.of(messages.Finished))
+    assert world.tokens("r1") == worlds.expected_tokens(body, 40)
+    assert world.tables.body_bytes == 0
+
+
+def test_body_that_stops_arriving_is_refused() -> None:
+    world = worlds.World().ready()
+    world.frame(worlds.submit(body_bytes=messages.INLINE_BODY_BYTES + 1))
+    world.run(12)
+    assert world.of(messages.Refused)[0].reason == "body_timeout"
+    assert world.tables.body_bytes == 0
--- /dev/null
+++ b/tests/test_machine_agent.py
@@ -0,0 +1,193 @@
+"""State machine of one agent: random traffic and faults, ledgers decide."""
+
+from typing import Any, Final
+
+from hypothesis import settings
+from hypothesis import stateful as st_machine
+from hypothesis import strategies as st
+
+from apricottrestle import agent_events, messages
+from tests import test_agent_world as worlds
+
+_REQS: Final = st.sampled_from([f"r{index}" for index in range(6)])
+_GROUPS: Final = st.sampled_from(["g1", "g2"])
+_ATTEMPTS: Final = st.integers(1, 2)
+_LOSSES: Final = (
+    agent_events.CancelRun,
+    agent_events.FreeAllocation,
+    agent_events.RenewAllocation,
+    agent_events.StartRun,
+)
+_LIMIT_MS: Final = 20_000
+
+
+class EngineAgent(st_machine.RuleBasedStateMachine):
+    """Requests and groups: endings, order of tokens, memory."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = worlds.World().ready()
+
+    @st_machine.rule(req_id=_REQS, attempt=_ATTEMPTS, credit=st.integers(0, 50))
+    def submit(self, req_id: str, attempt: int, credit: int) -> None:
+        msg = worlds.submit(
+            req_id,
+            attempt=attempt,
+            credit_tokens=credit,
+            remaining_ms=_LIMIT_MS,
+        )
+        self.world.frame(msg, worlds.body_of(req_id))
+
+    @st_machine.rule(req_id=_REQS, attempt=_ATTEMPTS)
+    def cancel(self, req_id: str, attempt: int) -> None:
+        self.world.frame(messages.Cancel(req_id, attempt, "test"))
+
+    @st_machine.rule(req_id=_REQS, attempt=_ATTEMPTS)
+    def credit(self, req_id: str, attempt: int) -> None:
+        self.world.frame(messages.Credit(req_id, attempt, 50))
+
+    @st_machine.rule(req_id=_REQS, offset=st.integers(0, 45))
+    def attach(self, req_id: str, offset: int) -> None:
+        self.world.frame(messages.Attach(req_id, "t", offset, 9_000, 50))
+
+    @st_machine.rule(group=_GROUPS, tokens=st.integers(1, 40_000))
+    def reserve(self, group: str, tokens: int) -> None:
+        self.world.frame(messages.Reserve(group, tokens, 10_000))
+
+    @st_machine.rule(group=_GROUPS, release=st.booleans())
+    def renew_or_release(self, group: str, release: bool) -> None:
+        msg = messages.Release(group) if release else messages.Renew(group, 9)
+        self.world.frame(msg)
+
+    @st_machine.rule(ticks=st.integers(1, 60))
+    def run(self, ticks: int) -> None:
+        for _ in range(ticks):
+            self.world.tick()
+
+    @st_machine.rule(seconds=st.integers(1, 40))
+    def freeze(self, seconds: int) -> None:
+        self.world.freeze(seconds)
+
+    @st_machine.rule(kinds=st.sets(st.sampled_from(_LOSSES)))
+    def lose(self, kinds: set[type]) -> None:
+        self.world.drop = kinds
+
+    @st_machine.rule(twice=st.booleans(), swap=st.booleans())
+    def disorder(self, twice: bool, swap: bool) -> None:
+        self.world.duplicate, self.world.swap = twice, swap
+
+    @st_machine.rule()
+    def kill_engine(self) -> None:
+        self.world.inbox.extend(self.world.engine.kill())
+
+    @st_machine.invariant()
+    def attempts_start_once_and_never_after_a_refusal(self) -> None:
+        started = self.world.engine.started
+        assert len(started) == len(set(started))
+        for msg in self.world.of(messages.Refused):
+            assert f"{msg.req_id}.{msg.attempt}" not in started
+
+    @st_machine.invariant()
+    def engine_memory_is_never_overcommitted(self) -> None:
+        leases = self.world.tables.leases.values()
+        assert sum(lease.tokens for lease in leases) <= 4096 * 16
+
+    def teardown(self) -> None:
+        world = self.world
+        world.drop = set()
+        world.run(90)
+        assert world.tables.streams == {}
+        assert world.tables.leases == {}
+        assert world.tables.body_bytes == 0
+        assert len(world.tables.queue) == 0
+        assert world.engine.held() == 0
+        for row in world.sent:
+            if isinstance(row.msg, messages.Tokens):
+                self._check_tokens(row.msg)
+
+    def _check_tokens(self, msg: messages.Tokens) -> None:
+        want = worlds.expected_tokens(worlds.body_of(msg.req_id), 40)
+        assert msg.tokens == want[msg.offset : msg.offset + len(msg.tokens)]
+
+
+class ServiceAgent(st_machine.RuleBasedStateMachine):
+    """Calls with issued keys: at most once, and `not_run` stays true."""
+
+    keys = st_machine.Bundle("keys")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = worlds.World("service").ready()
+        self.calls = 0
+
+    @st_machine.rule(target=keys)
+    def issue(self) -> Any:
+        world = self.world
+        world.frame(messages.KeyRequest(f"k{world.now}", "roster", 1))
+        world.run(0.3)
+        issued = world.of(messages.KeyIssued)
+        known = [key for msg in issued for key in msg.keys]
+        return known[-1] if known else ""
+
+    @st_machine.rule(key=keys, remaining_ms=st.integers(0, 6_000))
+    def submit(self, key: str, remaining_ms: int) -> None:
+        self.calls += 1
+        req_id = f"c{self.calls}"
+        self.world.frame(worlds.call(req_id, key, remaining_ms=remaining_ms))
+
+    @st_machine.rule(key=keys)
+    def query(self, key: str) -> None:
+        self.world.frame(messages.CallQuery("q", key))
+
+    @st_machine.rule(key=keys)
+    def refuse_on_log(self, key: str) -> None:
+        if key:
+            _, _, _, incarnation, seq, *_ = key.split("~")
+            self.world.log.refuse(f"{incarnation}~{seq}")
+
+    @st_machine.rule(ticks=st.integers(1, 60))
+    def run(self, ticks: int) -> None:
+        for _ in range(ticks):
+            self.world.tick()
+
+    @st_machine.rule(seconds=st.integers(1, 40))
+    def freeze(self, seconds: int) -> None:
+        self.world.freeze(seconds)
+
+    @st_machine.rule(down=st.booleans(), lost=st.booleans())
+    def log(self, down: bool, lost: bool) -> None:
+        self.world.log.down, self.world.log.loses_answers = down, lost
+
+    @st_machine.rule()
+    def cut_log(self) -> None:
+        self.world.log.cut()
+
+    @st_machine.rule(mode=st.sampled_from(["answer", "hold", "lose_answer"]))
+    def service(self, mode: str) -> None:
+        self.world.service.mode = mode
+        self.world.inbox.extend(self.world.service.held)
+        self.world.service.held.clear()
+
+    @st_machine.rule(twice=st.booleans(), swap=st.booleans())
+    def disorder(self, twice: bool, swap: bool) -> None:
+        self.world.duplicate, self.world.swap = twice, swap
+
+    @st_machine.invariant()
+    def words_and_effects_agree(self) -> None:
+        effects = self.world.service.effects
+        assert len(effects) == len(set(effects))
+        for msg in self.world.of(messages.CallResult):
+            fields = msg.key.split("~")
+            if len(fields) > 4 and msg.outcome == "not_run":
+                assert f"{fields[3]}~{fields[4]}" not in effects
+
+    def teardown(self) -> None:
+        self.world.log.down = False
+        self.world.run(30)
+        self.words_and_effects_agree()
+
+
+EngineAgent.TestCase.settings = settings(stateful_step_count=30)
+ServiceAgent.TestCase.settings = settings(stateful_step_count=30)
+TestEngineAgent = EngineAgent.TestCase
+TestServiceAgent = ServiceAgent.TestCase
--- a/tests/test_matrix_agent_calls.py
+++ b/tests/test_matrix_agent_calls.py
@@ -149,6 +149,9 @@
         service=old.service,
         now=old.now + 2,
     ).ready()
+    # The successor issues the same sequence number.
+    play.world.frame(messages.KeyRequest("k", "roster", 1))
+    play.world.run(1)
 
 
 def _freeze(play: _Play) -> None:
