Test the upstream clients and close gaps that mutations showed

The service client no longer passes on X-Http-Reason, which tornado adds to the answer of a service (seen in the new client test).

--- a/src/apricottrestle/service_client.py
+++ b/src/apricottrestle/service_client.py
@@ -35,9 +35,10 @@
         "upgrade",
         "content-encoding",
         "accept-encoding",
+        "x-http-reason",
     )
 )
-"""Headers of one connection; curl sets its own, and decodes the content."""
+"""Headers of one connection, or added by tornado; curl decodes the content."""
 
 
 class ServiceClient:
--- a/tests/test_agent_streams.py
+++ b/tests/test_agent_streams.py
@@ -133,6 +133,26 @@
     assert world.tokens("r1") == _WANT
 
 
+def test_engine_that_falls_silent_is_given_up() -> None:
+    world = _started(remaining_ms=90_000)
+    world.engine.frozen = True
+    world.run(agent_streams.ENGINE_SILENCE_S + 1)
+    assert world.of(messages.Failed)[0].reason == "upstream_silent"
+    assert world.engine.held() == 0
+
+
+def test_refused_attempt_stays_refused() -> None:
+    """A late duplicate must not run what was called not run."""
+    world = worlds.World().ready()
+    for remaining_ms in (0, 20_000):
+        msg = worlds.submit(remaining_ms=remaining_ms)
+        world.frame(msg, worlds.body_of("r1"))
+        world.run(1)
+    assert world.engine.started == []
+    reasons = [msg.reason for msg in world.of(messages.Refused)]
+    assert reasons == ["deadline", "deadline"]
+
+
 def test_cancel_that_overtakes_its_submit_holds() -> None:
     world = worlds.World().ready()
     world.frame(messages.Cancel("r1", 1, "gone"))
--- a/tests/test_matrix_agent_calls.py
+++ b/tests/test_matrix_agent_calls.py
@@ -133,15 +133,21 @@
 }
 
 
-def _kill(play: _Play) -> None:
-    """The agent dies; an entry refuses the key on the log and reads it."""
-    old = play.world
-    play.collect()
-    old.log.refuse(call_log.key_id(play.issued))
-    verdict = call_log.outcome(old.log.records, play.issued, old.log.first)
+def _ask_log(play: _Play) -> None:
+    """An entry refuses the key on the log and tells what the log proves."""
+    log = play.world.log
+    log.refuse(call_log.key_id(play.issued))
+    verdict = call_log.outcome(log.records, play.issued, log.first)
     play.results.append(
         messages.CallResult("log", play.key, verdict.outcome, 0, [], "log")
     )
+
+
+def _kill(play: _Play) -> None:
+    """The agent dies, and an entry asks the log."""
+    old = play.world
+    play.collect()
+    _ask_log(play)
     play.world = worlds.World(
         "service",
         incarnation="inc2",
@@ -197,8 +203,8 @@
 
 
 def _cut_log(play: _Play) -> None:
-    """Retention drops the records, a refusal among them."""
-    play.world.log.refuse(call_log.key_id(play.issued))
+    """An entry refuses the key, and retention drops the records."""
+    _ask_log(play)
     play.world.log.cut()
 
 
--- a/tests/test_matrix_agent_requests.py
+++ b/tests/test_matrix_agent_requests.py
@@ -269,6 +269,23 @@
     assert world.engine.held() == 0
 
 
+def test_allocation_confirmed_after_its_release_is_freed_at_once() -> None:
+    """Fails when only reconciliation frees a late grant."""
+    world = worlds.World().ready()
+    world.drop |= {agent_events.FreeAllocation}
+    world.mute |= {agent_events.Allocate}
+    world.frame(messages.Reserve(GROUP, 1600, 10_000))
+    world.tick()
+    world.frame(messages.Release(GROUP))
+    world.tick()
+    assert world.engine.held() > 0
+    world.drop.clear()
+    name = next(iter(world.engine.blocks))
+    world.inbox.append(agent_events.AllocationAnswer(name, True, ""))
+    world.tick()
+    assert world.engine.held() == 0
+
+
 def test_submit_that_waited_through_a_freeze_is_not_run() -> None:
     """Fails when the remaining time of an old frame counts from now."""
     world = worlds.World().ready()
