Bound the work and the memory of an agent's step

Cause: each step scanned all issued keys (up to 20,000) and all queued requests, chunks were joined once per chunk, and starts within the lag of the engine's load report were forgotten. Change: separate tables of active streams and live calls, expiry at most each 50 ms, one join per prompt, starts kept until a report covers them, smaller bounds on held bodies (20 MiB) and answers (8 MiB). Conclusion: the cost of a step no longer grows with keys that wait unused.

--- a/src/apricottrestle/agent_calls.py
+++ b/src/apricottrestle/agent_calls.py
@@ -25,7 +25,8 @@
 MAX_ANSWER_BYTES: Final = 3 * 1024 * 1024
 """Below the frame limit of the transport."""
 
-HELD_ANSWER_BYTES: Final = 16 * 1024 * 1024
+HELD_ANSWER_BYTES: Final = 8 * 1024 * 1024
+FORGET_INTERVAL_S: Final = 5.0
 MAX_QUEUED: Final = 1_000
 LATE_ANSWER_S: Final = 30.0
 """After its deadline a call is waited for so long, to record its result."""
@@ -102,6 +103,7 @@
     call.started = call.touched = now
     call.deadline = now + tables.remaining_s(msg.remaining_ms, now)
     call.waiters.append((routing_id, msg.req_id))
+    tables.live_calls[call.call_id] = call
     reason = _refusal(tables, call, msg, now)
     if reason:
         settle(tables, call, State.NOT_RUN, reason, now, out)
@@ -340,6 +342,7 @@
 ) -> None:
     """Ends a call in a final state and answers all who wait for it."""
     first = call.state not in _FINAL
+    tables.live_calls.pop(call.call_id, None)
     if call.state is State.RUNNING:
         tables.calls_running -= 1
     if state is not State.COMPLETED:
@@ -397,15 +400,17 @@
     A running call isn't cut: its caller is told unknown, and the answer is
     recorded when it comes.
     """
-    for call in list(tables.calls.values()):
-        if call.state in {State.APPENDING, State.QUEUED}:
-            if now >= call.deadline:
-                settle(tables, call, State.NOT_RUN, "deadline", now, out)
-        elif call.state is State.RUNNING:
-            if now >= call.deadline:
-                settle(tables, call, State.UNKNOWN, "deadline", now, out)
-        elif now - call.touched >= KEY_MEMORY_S:
-            _forget(tables, call)
+    for call in list(tables.live_calls.values()):
+        if now >= call.deadline:
+            running = call.state is State.RUNNING
+            state = State.UNKNOWN if running else State.NOT_RUN
+            settle(tables, call, state, "deadline", now, out)
+    if now >= tables.next_forget:
+        tables.next_forget = now + FORGET_INTERVAL_S
+        for call in list(tables.keys.values()):
+            idle = call.call_id not in tables.live_calls
+            if idle and now - call.touched >= KEY_MEMORY_S:
+                _forget(tables, call)
     _forget_oldest(tables)
 
 
@@ -416,9 +421,8 @@
         and tables.answer_bytes <= HELD_ANSWER_BYTES
     ):
         return
-    idle = {State.ISSUED, *_FINAL}
     for call in list(tables.keys.values()):
-        if call.state in idle:
+        if call.call_id not in tables.live_calls:
             _forget(tables, call)
         if (
             len(tables.keys) <= MAX_KEYS
--- a/src/apricottrestle/agent_queue.py
+++ b/src/apricottrestle/agent_queue.py
@@ -19,8 +19,8 @@
 BODY_WINDOW_CHUNKS: Final = 8
 BODY_STALL_S: Final = 10.0
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
-HELD_BODY_BYTES: Final = 32 * 1024 * 1024
-"""Bound of all prompt bodies held; half of a node's 64 MB for the agent."""
+HELD_BODY_BYTES: Final = 20 * 1024 * 1024
+"""Bound of all prompt bodies held: one of the largest and some small ones."""
 
 ENGINE_DOWN_FAILURES: Final = 3
 """Failed load polls in a row, one a second, after which work is refused."""
@@ -204,33 +204,34 @@
         or not row.next_chunk <= msg.chunk < row.next_chunk + BODY_WINDOW_CHUNKS
     ):
         return
+    if msg.chunk in row.chunks:
+        return
     row.chunks[msg.chunk] = body
+    row.body_received += len(body)
     row.last_chunk = now
-    _join_chunks(row)
-    if len(row.body) < row.msg.body_bytes:
+    while row.next_chunk in row.chunks:
+        row.next_chunk += 1
+    if row.body_received < row.msg.body_bytes:
         upto = row.next_chunk + BODY_WINDOW_CHUNKS
         credit = messages.BodyCredit(msg.req_id, msg.attempt, upto)
         out.append(agent_events.Send(row.routing_id, credit))
         return
-    if len(row.body) > row.msg.body_bytes:
+    complete = row.next_chunk == len(row.chunks)
+    if row.body_received > row.msg.body_bytes or not complete:
         agent_streams.refuse(tables, row, "body_mismatch", now, out)
         return
+    row.body = b"".join(row.chunks[index] for index in sorted(row.chunks))
+    row.chunks.clear()
     _enqueue(tables, row, now)
 
 
-def _join_chunks(row: agent_tables.Stream) -> None:
-    ready = [row.body]
-    while row.next_chunk in row.chunks:
-        ready.append(row.chunks.pop(row.next_chunk))
-        row.next_chunk += 1
-    row.body = b"".join(ready)
-
-
 def _enqueue(
     tables: agent_tables.Tables, row: agent_tables.Stream, now: float
 ) -> None:
     row.phase = agent_tables.Phase.QUEUED
-    if not row.msg.group:
+    if row.msg.group:
+        tables.queued_groups[row.msg.req_id] = row
+    else:
         tables.queue.push(queue_item(tables, row, now))
 
 
@@ -302,7 +303,7 @@
     """Returns prompt tokens of started requests not yet computed."""
     load = tables.engine.load
     reported = load.prefill_tokens_left if load is not None else 0
-    return reported + tables.engine.started_since_load
+    return reported + sum(tokens for _, tokens in tables.engine.starts)
 
 
 def capacity(tables: agent_tables.Tables) -> queueing.Capacity:
@@ -327,9 +328,8 @@
     """Starts what the queue policy lets start, and complete groups."""
     if tables.engine.failures >= ENGINE_DOWN_FAILURES:
         return
-    for row in list(tables.streams.values()):
-        if row.phase is agent_tables.Phase.QUEUED and row.msg.group:
-            _start_group(tables, row, now, out)
+    for row in list(tables.queued_groups.values()):
+        _start_group(tables, row, now, out)
     while len(tables.queue):
         item = tables.queue.pop(capacity(tables), now)
         if item is None:
@@ -360,7 +360,9 @@
     row.phase = agent_tables.Phase.RUNNING
     row.last_progress = now
     tables.runs[row.run_id] = msg.req_id
-    tables.engine.started_since_load += item.prompt_tokens
+    tables.active[msg.req_id] = row
+    tables.queued_groups.pop(msg.req_id, None)
+    tables.engine.starts.append((now, item.prompt_tokens))
     lease_s = row.deadline - now + _RUN_LEASE_MARGIN_S
     out.append(
         agent_events.StartRun(
--- a/src/apricottrestle/agent_reports.py
+++ b/src/apricottrestle/agent_reports.py
@@ -14,6 +14,9 @@
 )
 
 LOAD_POLL_S: Final = 1.0
+LOAD_TRANSIT_S: Final = 0.05
+"""Allowed for the way of a start to the engine and of the load back."""
+
 CACHE_POLL_S: Final = 1.0
 SUMMARY_S: Final = 2.0
 FULL_SUMMARY_S: Final = 120.0
@@ -47,7 +50,7 @@
         list(config.adapters) if config is not None else [],
         tables.drain.active,
         queued,
-        len(tables.runs) if is_engine else tables.calls_running,
+        len(tables.runs) if is_engine else len(tables.live_calls),
         agent_queue.prefill_tokens_left(tables),
         agent_queue.kv_tokens_total(tables),
         agent_queue.kv_tokens_free(tables),
@@ -101,11 +104,13 @@
 def on_load(
     tables: agent_tables.Tables, event: agent_events.EngineLoad, now: float
 ) -> None:
-    """Takes the engine's load; starts since then are in it."""
-    tables.engine.load = event
-    tables.engine.load_time = now
-    tables.engine.started_since_load = 0
-    tables.engine.failures = 0
+    """Takes the engine's load; starts before it was measured are in it."""
+    engine = tables.engine
+    engine.load = event
+    engine.load_time = now
+    engine.failures = 0
+    measured = now - event.age_s - LOAD_TRANSIT_S
+    engine.starts = [row for row in engine.starts if row[0] > measured]
 
 
 def on_cache(
--- a/src/apricottrestle/agent_step.py
+++ b/src/apricottrestle/agent_step.py
@@ -22,6 +22,9 @@
     messages,
 )
 
+EXPIRY_INTERVAL_S: Final = 0.05
+"""Events may come at a far higher rate than deadlines need to be checked."""
+
 Commands = list[agent_events.Command]
 
 
@@ -50,6 +53,9 @@
 
 
 def _expire(tables: agent_tables.Tables, now: float, out: Commands) -> None:
+    if now - tables.last_expiry < EXPIRY_INTERVAL_S:
+        return
+    tables.last_expiry = now
     agent_leases.expire(tables, now, out)
     agent_streams.expire(tables, now, out)
     agent_queue.expire_bodies(tables, now, out)
--- a/src/apricottrestle/agent_streams.py
+++ b/src/apricottrestle/agent_streams.py
@@ -38,6 +38,8 @@
     if row.phase in {Phase.BODY, Phase.QUEUED}:
         tables.body_bytes -= msg.body_bytes
         tables.queue.remove(msg.req_id)
+    tables.queued_groups.pop(msg.req_id, None)
+    tables.active.pop(msg.req_id, None)
     if tables.runs.pop(row.run_id, None) is not None and cancel:
         out.append(agent_events.CancelRun(row.run_id))
     del tables.streams[msg.req_id]
@@ -277,9 +279,7 @@
 
 def flush(tables: agent_tables.Tables, now: float, out: Commands) -> None:
     """Sends buffered tokens within the credits, then Finished."""
-    for row in list(tables.streams.values()):
-        if row.phase not in {Phase.RUNNING, Phase.DONE}:
-            continue
+    for row in list(tables.active.values()):
         peer = tables.peers.get(row.routing_id)
         if peer is None or peer.unsendable:
             continue
--- a/src/apricottrestle/agent_tables.py
+++ b/src/apricottrestle/agent_tables.py
@@ -1,7 +1,8 @@
 """Tables of an agent: all state that its step reads and changes.
 
-Times are monotonic seconds. Invariant: a request id has at most one row in
-`streams`, and `runs` names exactly the rows that the engine runs.
+Times are monotonic seconds. Invariants: a request id has at most one row in
+`streams`; `runs` names exactly the rows that the engine runs; `active` holds
+the rows that run or have finished; `live_calls` holds the calls under way.
 """
 
 import array
@@ -110,6 +111,7 @@
     __slots__ = (
         "accepted",
         "body",
+        "body_received",
         "chunks",
         "config_rev",
         "credit",
@@ -152,6 +154,7 @@
         self.phase = Phase.BODY
         self.body = b""
         self.chunks: dict[int, bytes] = {}
+        self.body_received = 0
         self.next_chunk = 0
         self.last_chunk = now
         # A group's memory is held by its leases.
@@ -350,13 +353,16 @@
 
 
 class EngineState:
-    """What the agent knows of its engine."""
+    """What the agent knows of its engine.
+
+    `starts` holds time and prompt tokens of starts that `load` lacks.
+    """
 
     def __init__(self) -> None:
         """Starts unknown."""
         self.load: agent_events.EngineLoad | None = None
         self.load_time = 0.0
-        self.started_since_load = 0
+        self.starts: list[tuple[float, int]] = []
         self.failures = 0
         self.config: agent_events.EngineConfig | None = None
         self.orphans: dict[str, float] = {}
@@ -446,6 +452,9 @@
         self.entries: dict[str, float] = {}
         self.streams: dict[str, Stream] = {}
         self.runs: dict[str, str] = {}
+        self.active: dict[str, Stream] = {}
+        self.queued_groups: dict[str, Stream] = {}
+        self.last_expiry = now
         self.body_bytes = 0
         self.ended: collections.OrderedDict[str, Ended] = (
             collections.OrderedDict()
@@ -462,6 +471,8 @@
         self.drain = DrainState()
         self.cache = CacheState()
         self.calls: dict[str, Call] = {}
+        self.live_calls: dict[str, Call] = {}
+        self.next_forget = now
         self.keys: dict[int, Call] = {}
         self.call_queue: collections.deque[str] = collections.deque()
         self.calls_running = 0
