Give each group reservation an id of its own, and refresh late reports

Requests waited up to a ping interval for engines that had changed their version, and logged each look. Change: a reservation takes an attempt number; agents of a model that requests wait for are pinged each 0.5 s; a wait is logged once. Conclusion: groups that are refused once get through.

--- a/src/apricottrestle/entry_attempts.py
+++ b/src/apricottrestle/entry_attempts.py
@@ -38,15 +38,14 @@
     decision = t.router.choose(req, t.upstreams, now)
     agent_id = decision.agent_id
     if not agent_id:
-        entry_dispatch.log_decision(t, row, [], decision.reason)
-        _wait(row, now)
+        _wait_for(t, row, decision.reason, now)
         return
     tokens = entry_groups.needed_tokens(row)
     if entry_groups.fits(t, agent_id, tokens):
+        entry_dispatch.submit(t, row, agent_id, [], now)
         entry_dispatch.log_decision(
             t, row, [agent_id], decision.reason, decision.candidates
         )
-        entry_dispatch.submit(t, row, agent_id, [], now)
         return
     _start_group(t, row, tokens, now)
 
@@ -60,14 +59,13 @@
     req = entry_dispatch.route_request(row, now)
     agents = entry_groups.choose_members(t, req, tokens)
     if not agents:
-        entry_dispatch.log_decision(t, row, [], "too_large_for_group")
-        _wait(row, now)
+        _wait_for(t, row, "too_large_for_group", now)
     elif len(agents) == 1:
-        entry_dispatch.log_decision(t, row, agents, "only_one_large_enough")
         entry_dispatch.submit(t, row, agents[0], [], now)
+        entry_dispatch.log_decision(t, row, agents, "only_one_large_enough")
     else:
-        entry_dispatch.log_decision(t, row, agents, "group_reserve")
         entry_groups.start(t, row, agents, now)
+        entry_dispatch.log_decision(t, row, agents, "group_reserve")
 
 
 def _adopt_version(
@@ -79,6 +77,20 @@
         row.version = model.version
 
 
+def _wait_for(
+    t: entry_tables.Tables,
+    row: entry_tables.RequestRow,
+    reason: str,
+    now: float,
+) -> None:
+    """Waits for an upstream; logs the decision unless it is the last again."""
+    if row.waits_for != reason:
+        row.waits_for = reason
+        entry_dispatch.log_decision(t, row, [], reason)
+    t.wanted_models.add(row.spec.model)
+    _wait(row, now)
+
+
 def _wait(row: entry_tables.RequestRow, now: float) -> None:
     row.state = "waiting"
     row.retry_at = now + entry_tables.RETRY_DELAY_S
@@ -120,7 +132,8 @@
     if row.failures >= entry_tables.MAX_FAILURES:
         fail_after(t, row, "attempts_exhausted", reason, now)
         return
-    if row.attempt >= entry_tables.MAX_HOPS:
+    row.hops += 1
+    if row.hops >= entry_tables.MAX_HOPS:
         fail_after(t, row, "attempts_exhausted", reason, now)
         return
     if counted and not t.budget.spend(row.spec.team, row.spec.model, now):
--- a/src/apricottrestle/entry_dispatch.py
+++ b/src/apricottrestle/entry_dispatch.py
@@ -48,7 +48,7 @@
             "route",
             {
                 "req_id": row.req_id,
-                "attempt": row.attempt + 1,
+                "attempt": row.attempt,
                 "team": spec.team,
                 "priority": messages.PRIORITIES[spec.priority],
                 "model": spec.model,
@@ -74,7 +74,9 @@
 ) -> None:
     """Sends the next attempt to an agent."""
     spec = row.spec
-    row.attempt += 1
+    if not group:
+        row.attempt += 1
+    row.waits_for = ""
     row.agent_id = agent_id
     row.incarnation = t.peers[agent_id].incarnation
     row.state = "sent"
--- a/src/apricottrestle/entry_groups.py
+++ b/src/apricottrestle/entry_groups.py
@@ -70,8 +70,13 @@
     agents: list[str],
     now: float,
 ) -> None:
-    """Starts to reserve the members in their order."""
-    group_id = f"{row.req_id}.{row.attempt + 1}"
+    """Starts to reserve the members in their order.
+
+    Each try has an attempt number of its own: agents refuse a group id that
+    was released, since a late Reserve of it may still be on its way.
+    """
+    row.attempt += 1
+    group_id = f"{row.req_id}.{row.attempt}"
     tokens = -(-needed_tokens(row) // len(agents))
     group = entry_tables.GroupRow(group_id, row.req_id, agents, tokens)
     group.renewed = now
--- a/src/apricottrestle/entry_peers.py
+++ b/src/apricottrestle/entry_peers.py
@@ -273,11 +273,31 @@
             lost.append(peer.agent_id)
             forget_upstream(t, peer.agent_id)
             _reopen(t, peer, peer.row, now)
+    _refresh(t, now)
     if now - t.subset_checked >= _SUBSET_CHECK_S:
         choose_subset(t, now)
     return lost
 
 
+def _refresh(t: entry_tables.Tables, now: float) -> None:
+    """Asks for new reports of models that requests wait for.
+
+    A request waits while engines change their version; the regular ping would
+    tell up to PING_S too late that one is ready.
+    """
+    if not t.wanted_models:
+        return
+    for row in t.upstreams.rows.values():
+        peer = t.peers.get(row.agent_id)
+        if peer is None or peer.state != "up":
+            continue
+        if now - peer.last_ping < entry_tables.REFRESH_S:
+            continue
+        if row.report.upstream in t.wanted_models:
+            _ping(t, peer, now)
+    t.wanted_models.clear()
+
+
 def _tick_connecting(
     t: entry_tables.Tables, peer: entry_tables.PeerRow, now: float
 ) -> None:
--- a/src/apricottrestle/entry_tables.py
+++ b/src/apricottrestle/entry_tables.py
@@ -32,6 +32,9 @@
 
 PING_S: Final = 2.0
 OVERDUE_S: Final = 1.0
+REFRESH_S: Final = 0.5
+"""Interval of pings to agents whose next report a request waits for."""
+
 SILENT_S: Final = 2.0
 """Without a frame for this long a second connection is opened; the peer is lost
 when that one stays silent as long."""
@@ -170,6 +173,8 @@
         state: Step of its life.
         attempt: Attempt number, 0 before the first.
         failures: Attempts that ended by a failure.
+        hops: Attempts that ended in any way but success.
+        waits_for: Reason of the wait that was logged last, or "".
         agent_id: Agent of the current attempt, "" when there is none.
         incarnation: Incarnation of that agent.
         maybe_ran: True when an attempt may have run on an engine.
@@ -210,6 +215,7 @@
         "flushed_at",
         "gone_at",
         "group_id",
+        "hops",
         "incarnation",
         "kv",
         "last_attach",
@@ -226,6 +232,7 @@
         "tokens",
         "version",
         "wait_until",
+        "waits_for",
     )
 
     def __init__(
@@ -250,6 +257,8 @@
         self.state: RequestState = "waiting"
         self.attempt = 0
         self.failures = 0
+        self.hops = 0
+        self.waits_for = ""
         self.agent_id = ""
         self.incarnation = ""
         self.maybe_ran = False
@@ -420,6 +429,8 @@
         drain_started: Time at which this entry began to drain, or None.
         last_tick: Time of the last run of the systems, or None.
         next_conn: Next connection number.
+        wanted_models: Models that requests wait for, whose agents are asked for
+            a new report.
         subset_checked: Time of the last check of the peer subset.
         out: Commands of the current step.
     """
@@ -454,6 +465,7 @@
         self.drain_started: float | None = None
         self.last_tick: float | None = None
         self.next_conn = 1
+        self.wanted_models: set[str] = set()
         self.subset_checked = -1e9
         self.out: list[entry_events.Command] = []
 
--- a/tests/test_entry_fakes.py
+++ b/tests/test_entry_fakes.py
@@ -136,6 +136,7 @@
         self.ran: list[str] = []
         self.results: dict[str, messages.CallResult] = {}
         self.reserved: dict[str, int] = {}
+        self.released: set[str] = set()
         self.log_of_reserves: list[str] = []
         self.pings: list[messages.Ping] = []
         self.next_seq = 1
@@ -250,6 +251,9 @@
 
     def on_reserve(self, conn: Any, msg: messages.Reserve, body: bytes) -> None:
         self.log_of_reserves.append(msg.group_id)
+        if msg.group_id in self.released:
+            self.send(conn, messages.Reserved(msg.group_id, "", "", "ended"))
+            return
         if self.refuse or self.draining:
             reason = self.refuse or "draining"
             self.send(conn, messages.Reserved(msg.group_id, "", "", reason))
@@ -264,6 +268,7 @@
             self.send(conn, messages.Reserved(msg.group_id, "", "", "lapsed"))
 
     def on_release(self, conn: Any, msg: messages.Release, body: bytes) -> None:
+        self.released.add(msg.group_id)
         self.reserved.pop(msg.group_id, None)
 
     def on_keyrequest(
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -57,6 +57,7 @@
     world = worlds.World()
     for agent in world.agents.values():
         agent.refuse = reason
+        agent.draining = reason == "draining"
     caller = world.entry.generate()
     world.run(8.0)
     assert caller.error is not None
@@ -255,6 +256,39 @@
     assert not world.agents["a0"].reserved
 
 
+def test_group_refused_once_is_reserved_again() -> None:
+    """Agents remember released groups, so each try needs an id of its own."""
+    world = worlds.World(engines=2)
+    world.agents["a1"].refuse = "no_memory"
+    caller = world.entry.generate(prompt_tokens=1500)
+    world.run(1.0)
+    world.agents["a1"].refuse = ""
+    world.run_until(lambda: bool(caller.ends), 10.0)
+    worlds.check_whole(caller)
+
+
+def test_waiting_request_learns_soon_that_an_engine_is_ready() -> None:
+    """A request must not wait for the next regular ping."""
+    world = worlds.World()
+    for agent in world.agents.values():
+        agent.version = "v0"
+    world.run(3.0)
+    caller = world.entry.generate()
+    world.run(2.0)
+    for agent in world.agents.values():
+        agent.version = "v1"
+    changed = world.now
+    world.run_until(lambda: bool(world.starts()))
+    assert world.now - changed <= 1.0
+    waits = [
+        decision
+        for decision in world.entry.decisions
+        if decision.fields["reason"] == "no_candidate"
+    ]
+    assert len(waits) == 1
+    assert not caller.ends
+
+
 @pytest.mark.parametrize("member", ["a0", "a1"])
 def test_group_member_lost_ends_the_whole_group(member: str) -> None:
     """A run whose memory is partly gone must not go on."""
