--- a/src/apricottrestle/admission.py
+++ b/src/apricottrestle/admission.py
@@ -114,7 +114,7 @@
                 False, "no_candidate", MIN_RETRY_AFTER_S, math.inf
             )
         expected_s = DECODE_S_PER_TOKEN * req.max_tokens + min(
-            routing_score.expected_first_token_s(row, req, self._score)
+            routing_score.expected_first_token_s(row, req, self._score, now)
             for row in rows
         )
         late_s = expected_s - req.remaining_s
--- a/src/apricottrestle/queueing.py
+++ b/src/apricottrestle/queueing.py
@@ -10,8 +10,10 @@
 
 from apricottrestle import messages
 
-LONG_PROMPT_TOKENS: Final = 32_768
-"""Prompts above this count as long: about 1.5 s of prefill on one engine."""
+LONG_PROMPT_TOKENS: Final = 4_096
+"""Prompts above this count as long: one at a time is in prefill, so a short
+request shares the engine with one of them at most. 4k gave shorter waits than
+8k, 16k or 32k (docs/measurements.md)."""
 
 
 class QueueItem(NamedTuple):
--- a/src/apricottrestle/queueing_fair.py
+++ b/src/apricottrestle/queueing_fair.py
@@ -55,7 +55,7 @@
     by_priority: bool = True
     by_team: bool = True
     short_first: bool = True
-    max_prefills: tuple[int, ...] = (4, 3, 2)
+    max_prefills: tuple[int, ...] = (3, 3, 3)
     max_long_prefills: int = 1
     headroom_slots: tuple[int, ...] = (0, 2, 4)
     headroom_kv_tokens: tuple[int, ...] = (0, 0, 0)
@@ -100,6 +100,16 @@
     return max(1, item.prompt_tokens + item.max_tokens)
 
 
+def engine_priority(item: queueing.QueueItem) -> int:
+    """Returns the priority to give an engine that schedules by priority.
+
+    0 is the most urgent. Short requests of all classes go before long ones:
+    the queue lets few of them run at a time, so they hardly delay a long one.
+    """
+    is_long = item.prompt_tokens > queueing.LONG_PROMPT_TOKENS
+    return item.priority + (CLASSES if is_long else 0)
+
+
 class PriorityFairQueue(queueing.RequestQueue):
     """Priority classes with floors, fair between teams, short ones first."""
 
--- a/src/apricottrestle/routing_expected.py
+++ b/src/apricottrestle/routing_expected.py
@@ -8,7 +8,10 @@
 
 from apricottrestle import routing, routing_score, upstream_table
 
-SAMPLED_CANDIDATES: Final = 8
+SAMPLED_CANDIDATES: Final = 5
+"""With reports that lag, fewer candidates than 8 keep entries apart better;
+fewer than 5 miss idle engines (docs/measurements.md)."""
+
 CACHED_CANDIDATES: Final = 2
 
 
@@ -48,25 +51,30 @@
         now: float,
     ) -> routing.RouteDecision:
         """Chooses among sampled rows and those with a cached prefix."""
-        del now
-        rows = self._candidates(req, table)
-        if not rows:
+        scored = self._score(self._candidates(req, table), req, now)
+        if not scored:
             return routing.NO_CANDIDATE
-        scored = sorted(
+        return routing.RouteDecision(
+            scored[0].agent_id, "expected_first_token", scored
+        )
+
+    def _score(
+        self,
+        rows: list[upstream_table.UpstreamRow],
+        req: routing.RouteRequest,
+        now: float,
+    ) -> list[routing.ScoredCandidate]:
+        """Returns the rows with their estimates, best first."""
+        estimate = routing_score.expected_first_token_s
+        return sorted(
             (
                 routing.ScoredCandidate(
-                    row.agent_id,
-                    routing_score.expected_first_token_s(
-                        row, req, self._settings.score
-                    ),
+                    row.agent_id, estimate(row, req, self._settings.score, now)
                 )
                 for row in rows
             ),
             key=lambda candidate: candidate.first_token_s,
         )
-        return routing.RouteDecision(
-            scored[0].agent_id, "expected_first_token", scored
-        )
 
     def _candidates(
         self, req: routing.RouteRequest, table: upstream_table.UpstreamTable
--- a/src/apricottrestle/routing_score.py
+++ b/src/apricottrestle/routing_score.py
@@ -30,6 +30,8 @@
         cached_prefix: Subtract prompt tokens that the engine has cached.
         running_factor: Weight of running prefills beside the request's own
             tokens; their rest is the upper bound.
+        drain: Share of the engine's rate at which reported prefill work is
+            taken to shrink as the report ages; 0 to 1.
     """
 
     floors: tuple[float, ...] = (0.0, 0.1, 0.05)
@@ -37,6 +39,7 @@
     own_dispatches: bool = True
     cached_prefix: bool = True
     running_factor: float = SHARED_PREFILL_FACTOR
+    drain: float = 1.0
 
 
 def cached_tokens(
@@ -55,6 +58,7 @@
     row: upstream_table.UpstreamRow,
     req: routing.RouteRequest,
     settings: ScoreSettings,
+    now: float,
 ) -> float:
     """Returns the expected time to first token at an agent, in seconds."""
     report = row.report
@@ -62,11 +66,13 @@
     if settings.cached_prefix and row.cached_blocks:
         own -= cached_tokens(row, req)
     rate = max(report.prefill_tokens_per_s, MIN_RATE_TOKENS_PER_S)
-    running = min(
-        float(report.prefill_tokens_left), settings.running_factor * own
-    )
-    queued_s = _queued_tokens(row, req.priority, settings) / rate
-    seconds = queued_s + (running + own) / rate
+    drained = settings.drain * rate * max(now - row.report_time, 0.0)
+    left = max(report.prefill_tokens_left - drained, 0.0)
+    running = left
+    if not is_long(req):
+        running = min(left, settings.running_factor * own)
+    queued = _queued_tokens(row, req.priority, settings)
+    seconds = (queued + running + own) / rate
     if req.prompt_tokens + req.max_tokens > report.kv_tokens_free:
         seconds += MEMORY_WAIT_S
     return seconds
