Refuse token ids over 63 bits and bad event ids on plain requests

Change: the body's decoder bounds token ids; the event id is checked before the body whether or not the request streams. The matrix check skips parameters without an id. Ruled out: the bound at the engine; nothing had reached it. Before: 2 cases failed. After: all of test_process_bad_input and test_entry pass. Conclusion: both are refused with 400 and not_run.

--- a/src/apricottrestle/entry_accept.py
+++ b/src/apricottrestle/entry_accept.py
@@ -61,7 +61,7 @@
 )
 """Headers that end at the entry: hop by hop, or meant for it."""
 
-TokenId = Annotated[int, msgspec.Meta(ge=0)]
+TokenId = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 OutputTokens = Annotated[int, msgspec.Meta(ge=1, le=MAX_OUTPUT_TOKENS)]
 Headers = Mapping[str, str]
 
@@ -185,6 +185,7 @@
         RequestError: With the first problem found.
     """
     priority = priority_of(team, headers)
+    resume = _resume_point(headers)
     try:
         asked = _COMPLETION.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
@@ -218,7 +219,7 @@
         max_tokens=asked.max_tokens,
         limit_s=time_limit_s(headers, default_s),
         stream=asked.stream,
-        resume=_resume_point(headers) if asked.stream else None,
+        resume=resume if asked.stream else None,
     )
 
 
--- a/tests/test_page_matrix.py
+++ b/tests/test_page_matrix.py
@@ -32,6 +32,7 @@
                 for mark in function.pytestmark
                 if mark.name == "parametrize"
                 for param in mark.args[1]
+                if hasattr(param, "id")
             }
             assert matrix_table.cell_id(cell) in ids, cell
 
