Handle frames that arrived before a send outside a handler

Cause: the demo showed first tokens of 1.8 to 2.3 s at p95 for prompts below 4k tokens, and test_sigterm_under_load_cuts_no_request saw a first token after 2.17 s. ZeroMQ's file descriptor is edge-triggered: a direct send consumed the wake-up of a frame that had already arrived, which then waited for the next heartbeat (2 s). Ruled out: queueing at the agent (p50 was 25 ms), the engines' rates. Change: after each send the endpoint asks the socket for waiting frames and has them handled by a callback. The new test in test_transport failed before and passes after. Conclusion: the lost wake-up was the cause; the rest of p95 is queueing.

--- a/src/apricottrestle/transport.py
+++ b/src/apricottrestle/transport.py
@@ -67,6 +67,7 @@
         self._sock = sock
         self._name = name
         self._on_frame = on_frame
+        self._recheck_due = False
         self._is_router = sock.type == zmq.ROUTER
         self._stream = ZMQStream(sock)
         self._stream.on_recv(self._receive)
@@ -97,9 +98,28 @@
                 "frame not sent", extra={"peer": self._name, "reason": str(exc)}
             )
             return False
+        finally:
+            self._recheck()
         metrics.FRAME_BYTES_SENT.inc(sum(map(len, frames)))
         return True
 
+    def _recheck(self) -> None:
+        """Has frames handled that arrived before a send.
+
+        The socket's file descriptor is edge-triggered and a send resets it, so
+        a frame that has arrived would wait for the next one.
+        """
+        arrived = int(self._sock.get(zmq.EVENTS)) & zmq.POLLIN
+        if self._recheck_due or not arrived:
+            return
+        self._recheck_due = True
+        self._stream.io_loop.add_callback(self._handle_arrived)
+
+    def _handle_arrived(self) -> None:
+        self._recheck_due = False
+        if not self._sock.closed:
+            self._stream.flush(zmq.POLLIN)
+
     def close(self) -> None:
         self._stream.close(linger=_LINGER_MS)
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import socket
+import threading
+import time
 from collections.abc import Callable
 
 import pytest
@@ -96,3 +98,65 @@
     at_agent, at_entry = asyncio.run(_exchange(fleet, mixed))
     assert at_agent == []
     assert at_entry == []
+
+
+def _answer_pings(
+    control: str, bulk: str, key: transport.FleetKey, ready: threading.Event
+) -> None:
+    """Answers one Ping, in an event loop of its own thread."""
+
+    async def serve() -> None:
+        done = asyncio.Event()
+
+        def on_frame(routing_id: bytes, got: messages.Received) -> None:
+            if isinstance(got.msg, messages.Ping):
+                agent.send(routing_id, messages.Draining(7), 0)
+            elif isinstance(got.msg, messages.Cancel):
+                done.set()
+
+        agent = transport.AgentTransport(
+            control, bulk, key, transport.Identity("a1", "ia"), on_frame
+        )
+        with agent:
+            ready.set()
+            await asyncio.wait_for(done.wait(), _TIMEOUT_S)
+
+    asyncio.run(serve())
+
+
+def test_send_does_not_hide_a_frame_that_has_arrived() -> None:
+    """A send from outside a handler consumed the wake-up of the socket.
+
+    The frame then waited for the next event, which made first tokens late by
+    up to a heartbeat.
+    """
+    key = _new_key()
+    control, bulk = _free_addresses()
+    ready = threading.Event()
+    thread = threading.Thread(
+        target=_answer_pings, args=(control, bulk, key, ready)
+    )
+    thread.start()
+    assert ready.wait(_TIMEOUT_S)
+
+    async def exchange() -> bool:
+        got: list[messages.Received] = []
+        entry = transport.EntryTransport(key, transport.Identity("e", "i"))
+        with entry:
+            conn = entry.connect(control, bulk, lambda _, msg: got.append(msg))
+            conn.send(messages.Ping(1, False), 0)
+            assert await _wait(lambda: bool(got))
+            got.clear()
+            conn.send(messages.Ping(2, False), 0)
+            # The answer arrives while the event loop is busy.
+            time.sleep(0.2)
+            conn.send(messages.Credit("r", 1, 1), 0)
+            arrived = await _wait(lambda: bool(got))
+            conn.send(messages.Cancel("r", 1, ""), 0)
+            await asyncio.sleep(0)
+            conn.close()
+        return arrived
+
+    arrived = asyncio.run(exchange())
+    thread.join()
+    assert arrived
