--- a/src/apricottrestle/audit.py
+++ b/src/apricottrestle/audit.py
@@ -6,6 +6,8 @@
 """
 
 import collections
+import time
+from collections.abc import Callable
 from typing import Final, Literal, NamedTuple
 
 import msgspec
@@ -16,6 +18,9 @@
 ENTRY_BATCH_ROWS: Final = 512
 ENTRY_INTERVAL_S: Final = 5.0
 AGENT_INTERVAL_S: Final = 60.0
+HEARTBEAT_S: Final = 600.0
+"""A writer without rows appends an empty batch after this time, so that an
+export of a late time need not read the whole stream to know the writers."""
 _MAX_BATCH_ROWS: Final = 2_048
 
 Role = Literal["entry", "agent"]
@@ -86,8 +91,19 @@
         role: Role,
         incarnation: str,
         limit_rows: int = DEFAULT_LIMIT_ROWS,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Starts empty; beyond `limit_rows` new rows are dropped."""
+        """Starts empty.
+
+        Args:
+            writer: Instance id.
+            role: Role of the writer.
+            incarnation: Incarnation of the writer.
+            limit_rows: Rows held at most; further ones are dropped.
+            clock: Monotonic seconds.
+        """
+        self._clock = clock
+        self._last_batch = clock()
         self._writer = writer
         self._role: Role = role
         self._incarnation = incarnation
@@ -136,14 +152,17 @@
     def _has_news(self) -> bool:
         # The first batch is due at once, empty or not: a writer that dies
         # before its first rows are appended must be known to the export.
-        is_new = self._seq == 0
-        return bool(is_new or self._rows or self._dropped or self._closed)
+        if self._seq == 0 or self._closed:
+            return True
+        is_idle = self._clock() - self._last_batch >= HEARTBEAT_S
+        return bool(is_idle or self._rows or self._dropped)
 
     def _make_batch(self, max_rows: int) -> AuditBatch:
         count = min(max_rows, len(self._rows))
         rows = [self._rows.popleft() for _ in range(count)]
         dropped, self._dropped = self._dropped, 0
         self._seq += 1
+        self._last_batch = self._clock()
         return AuditBatch(
             self._writer,
             self._role,
--- a/src/apricottrestle/audit_export.py
+++ b/src/apricottrestle/audit_export.py
@@ -16,6 +16,10 @@
 _TIME_SLACK_S: Final = 60.0
 """Rows can carry times later than their record's, as clocks differ."""
 
+READ_MARGIN_S: Final = release_note.MAX_TIME_LIMIT_S + audit.HEARTBEAT_S
+"""An export reads from so long before its time: the longest request, and any
+writer that was cut off from the log for less than a day, show up in it."""
+
 GapKind = Literal[
     "dropped_rows",
     "missing_batches",
@@ -52,7 +56,7 @@
             records past retention, or a record that can't be decoded.
         writer: Instance id, or "" when all are concerned.
         incarnation: Incarnation, or "".
-        first_seq: First batch number concerned.
+        first_seq: First batch number concerned; 0 when not known.
         last_seq: Last batch number concerned; 0 when open.
         rows: Rows lost; -1 when not known.
         since: Earliest time that the rows concern, Unix seconds of the log;
@@ -140,6 +144,11 @@
         )
         self._gaps: list[Gap] = []
         self._retained_from = 0.0
+        self._read_from = 0.0
+
+    def read_from(self, time: float) -> None:
+        """Notes that records before a time, Unix seconds, were not read."""
+        self._read_from = time
 
     def note_lost(self, until: float) -> None:
         """Notes that records before a time are past retention.
@@ -178,7 +187,8 @@
         requests.sort(key=_start)
         gaps = [*self._gaps]
         for writer, seen in self._seen.items():
-            gaps += _sequence_gaps(writer, seen, self._retained_from)
+            first = _first_expected(seen, self._read_from)
+            gaps += _sequence_gaps(writer, seen, first, self._retained_from)
         return Export(requests, [gap for gap in gaps if self._concerns(gap)])
 
     def _note_dropped(self, batch: audit.AuditBatch, time: float) -> None:
@@ -214,22 +224,37 @@
         return earliest < chosen.until
 
 
-async def export(log: platform_log.LogService, selection: Selection) -> Export:
+async def export(
+    log: platform_log.LogService,
+    selection: Selection,
+    *,
+    read_all: bool = False,
+) -> Export:
     """Reads the audit stream to its end and joins it.
 
     The stream is read twice, because rows of one request lie apart and only
-    some of them may lie in the selected time.
+    some of them may lie in the selected time. It is read from READ_MARGIN_S
+    before that time on, or whole.
+
+    Args:
+        log: The log.
+        selection: What to export.
+        read_all: Read all records that the log retains.
 
     Raises:
         PlatformError: The log is not reachable; an export is never partial.
     """
+    read_from = 0.0 if read_all else selection.since - READ_MARGIN_S
+    start = await seek(log, read_from)
     req_ids: set[str] = set()
-    async for result in _pages(log):
+    async for result in _pages(log, start):
         for record in result.records:
             req_ids.update(selected(record, selection))
     exporter = Exporter(selection, req_ids)
-    after = 0
-    async for result in _pages(log):
+    if start:
+        exporter.read_from(read_from)
+    after = start
+    async for result in _pages(log, start):
         if result.first > after + 1:
             records = result.records
             exporter.note_lost(records[0].time if records else 0.0)
@@ -239,11 +264,38 @@
     return exporter.finish()
 
 
+async def seek(log: platform_log.LogService, time: float) -> int:
+    """Returns an offset before which all records are older than a time.
+
+    The log gives no access by time, so single records are probed: at doubling
+    offsets first, then by bisection.
+    """
+
+    async def probe(after: int) -> int:
+        """Returns the next record's offset if it is too old, else 0."""
+        result = await log.read(platform_log.AUDIT_STREAM, after, 1)
+        if result.records and result.records[0].time < time:
+            return result.records[0].offset
+        return 0
+
+    # Records up to `low` are too old, the first one after `high` is not.
+    low, high = 0, 0
+    while old := await probe(high):
+        low, high = old, 2 * old
+    while low < high:
+        middle = (low + high) // 2
+        old = await probe(middle)
+        if old:
+            low = old
+        else:
+            high = middle
+    return low
+
+
 async def _pages(
-    log: platform_log.LogService,
+    log: platform_log.LogService, after: int
 ) -> AsyncIterator[platform_log.ReadResult]:
     """Yields the answers of all reads, the empty one at the end included."""
-    after = 0
     while True:
         result = await log.read(platform_log.AUDIT_STREAM, after, _READ_LIMIT)
         yield result
@@ -282,11 +334,25 @@
     return min(item.row.start for item in rows), joined.req_id
 
 
+def _first_expected(seen: dict[int, _Seen], read_from: float) -> int:
+    """Returns the batch number from which a writer's batches must be there."""
+    first = min(seen)
+    if not read_from:
+        return 1
+    is_late = seen[first].time - read_from > READ_MARGIN_S
+    # A writer appends a batch each HEARTBEAT_S at least, so the one before it
+    # would have been read.
+    return 0 if is_late and first > 1 else first
+
+
 def _sequence_gaps(
-    writer: tuple[str, str], seen: dict[int, _Seen], retained_from: float
+    writer: tuple[str, str],
+    seen: dict[int, _Seen],
+    expected: int,
+    retained_from: float,
 ) -> list[Gap]:
     gaps = []
-    expected, before = 1, retained_from
+    before = retained_from
     for seq in sorted(seen):
         if seq > expected:
             gaps.append(
--- a/src/apricottrestle/cli_audit.py
+++ b/src/apricottrestle/cli_audit.py
@@ -55,6 +55,11 @@
         metavar="K/N",
         help="export the K-th of N parts of the requests, to save memory",
     )
+    parser.add_argument(
+        "--all",
+        action="store_true",
+        help="read all that the log retains, not only from a day before on",
+    )
     cli_platform.add_log_options(parser)
     parser.set_defaults(run=_run, parser=parser)
 
@@ -75,7 +80,7 @@
     args: argparse.Namespace, selection: audit_export.Selection
 ) -> audit_export.Export:
     with cli_platform.open_log(args) as log:
-        return await audit_export.export(log, selection)
+        return await audit_export.export(log, selection, read_all=args.all)
 
 
 def _lines(result: audit_export.Export) -> list[str]:
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -1,6 +1,7 @@
 """A log in memory with outages, lost answers, late appends and retention."""
 
 import asyncio
+import bisect
 import collections
 from collections.abc import Callable
 
@@ -27,6 +28,7 @@
         reads_down: Reads fail.
         faults: Faults of the next appends, "" for none.
         read_faults: Whether each of the next reads fails.
+        reads: Reads so far.
         before_append: Called once before the next append is stored.
         after_append: Called once after it was stored, before the answer.
         max_answer: Records in one answer at most, whatever limit is asked.
@@ -38,6 +40,7 @@
         self.reads_down = False
         self.faults: list[str] = []
         self.read_faults: list[bool] = []
+        self.reads = 0
         self.before_append: Callable[[], None] | None = None
         self.after_append: Callable[[], None] | None = None
         self.max_answer = 1_000
@@ -84,7 +87,11 @@
         self, stream: str, after: int, limit: int
     ) -> platform_log.ReadResult:
         records = self.streams[stream]
-        start = max(after, self.first[stream] - 1)
+        start = bisect.bisect_right(
+            records,
+            max(after, self.first[stream] - 1),
+            key=lambda rec: rec.offset,
+        )
         found = records[start : start + min(limit, self.max_answer)]
         next_offset = found[-1].offset + 1 if found else len(records) + 1
         return platform_log.ReadResult(
@@ -119,6 +126,7 @@
         self, stream: str, after: int, limit: int
     ) -> platform_log.ReadResult:
         await asyncio.sleep(0)
+        self.reads += 1
         fault = self.read_faults.pop(0) if self.read_faults else False
         if self.down or self.reads_down or fault:
             raise errors.PlatformError("down", step="read", peer="log")
--- a/tests/test_audit_buffer.py
+++ b/tests/test_audit_buffer.py
@@ -52,6 +52,19 @@
     assert finals == [False, True]
 
 
+def test_an_idle_writer_shows_that_it_lives() -> None:
+    now = 100.0
+    buffer = audit.AuditBuffer("e1", "entry", "i1", clock=lambda: now)
+    seqs = []
+    for minutes in range(25):
+        now = 100.0 + 60.0 * minutes
+        batch = buffer.take_batch()
+        if batch is not None:
+            buffer.confirm(batch.seq)
+            seqs.append((minutes, batch.seq, len(batch.rows)))
+    assert seqs == [(0, 1, 0), (10, 2, 0), (20, 3, 0)]
+
+
 def test_an_idle_writer_closes_with_an_empty_batch() -> None:
     buffer = _buffer()
     buffer.close()
--- a/tests/test_audit_export.py
+++ b/tests/test_audit_export.py
@@ -240,3 +240,72 @@
     assert all(parts)
     ids = sorted(joined.req_id for part in parts for joined in part)
     assert ids == sorted(row.req_id for row in rows)
+
+
+_DAY_S = 86_400.0
+
+
+def _days(log: fake_log.FakeLog, days: int) -> audit.AuditBuffer:
+    """Writes a row an hour with a writer that goes on."""
+    writer = _writer("e1")
+    for hour in range(24 * days):
+        log.now += 3600.0
+        row = audit_rows.row(f"r{hour}", start=log.now - 30.0)
+        _write(log, writer, row, close=False)
+    return writer
+
+
+@pytest.mark.parametrize("lost", [0, 3])
+def test_an_export_of_a_late_time_reads_the_end_of_the_stream(
+    lost: int,
+) -> None:
+    log = fake_log.FakeLog()
+    start = log.now
+    _days(log, 10)
+    log.first[_STREAM] = lost + 1
+    selection = audit_export.Selection(start + 9 * _DAY_S, 1e12)
+    log.max_answer = 10
+    result = _export(log, selection)
+    reads = log.reads
+    whole = asyncio.run(audit_export.export(log, selection, read_all=True))
+    assert len(result.requests) == 24
+    assert result.requests == whole.requests
+    assert [gap.kind for gap in result.gaps] == ["open_end"]
+    # Two days of 24 records in pages of 10, read twice, and some probes.
+    assert reads <= 2 * 6 + 20
+
+
+def test_a_batch_missing_at_the_start_of_the_read_is_found() -> None:
+    """The writer's heartbeats before the time given are not on the log."""
+    log = fake_log.FakeLog()
+    start = log.now
+    _days(log, 4)
+    records = log.streams[_STREAM]
+    kept = [rec for rec in records if rec.time <= start + _DAY_S]
+    late = [rec for rec in records if rec.time > start + 3 * _DAY_S + 3600]
+    log.streams[_STREAM] = kept + late
+    since = start + 3 * _DAY_S
+    result = _export(log, audit_export.Selection(since, 1e12))
+    gap = result.gaps[0]
+    assert (gap.kind, gap.first_seq, gap.last_seq) == (
+        "missing_batches",
+        0,
+        late[0].offset - 1,
+    )
+
+
+@pytest.mark.parametrize("count", [0, 1, 2, 7, 64, 65])
+@pytest.mark.parametrize("step", [1, 3])
+def test_seek_finds_every_border(count: int, step: int) -> None:
+    """Offsets that count over all streams leave holes in each of them."""
+    log = fake_log.FakeLog()
+    records = [
+        platform_log.LogRecord(1 + index * step, float(index), "x", "{}")
+        for index in range(count)
+    ]
+    log.streams[_STREAM] = records
+    for border in range(count + 2):
+        time = border - 0.5
+        after = asyncio.run(audit_export.seek(log, time))
+        left = [rec.time for rec in records if rec.offset > after]
+        assert left == [rec.time for rec in records if rec.time >= time]
