Try a failed read again in the operators' commands

Cause: one lost answer to a read ended a publish with code 4 before anything was appended. Seen: test_publish_finds_a_note_whose_answer_was_lost failed (KeyError: 'verdict'), because the lost answer was that of the first read. Change: commands try a read up to 3 times, 0.5 s apart or as the log says; appends are passed on as they are. Conclusion: a transient read failure no longer ends a command.

--- a/src/apricottrestle/cli_platform.py
+++ b/src/apricottrestle/cli_platform.py
@@ -34,7 +34,7 @@
 @contextlib.contextmanager
 def open_log(
     args: argparse.Namespace,
-) -> Iterator[platform_log.HttpLogService]:
+) -> Iterator[platform_log.LogService]:
     """Opens the log that the command names, on the running event loop.
 
     Raises:
@@ -43,6 +43,6 @@
     url = args.log or settings.load(args.settings).platform.log
     log = platform_log.HttpLogService(url)
     try:
-        yield log
+        yield platform_log.RetryingReads(log)
     finally:
         log.close()
--- a/src/apricottrestle/platform_log.py
+++ b/src/apricottrestle/platform_log.py
@@ -5,19 +5,27 @@
 """
 
 import abc
+import asyncio
 import urllib.parse
+from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple
 
 import msgspec
 
-from apricottrestle import platform_http
+from apricottrestle import errors, platform_http
 
 RELEASE_STREAM: Final = "release"
 DRAINS_STREAM: Final = "drains"
 AUDIT_STREAM: Final = "audit"
 
+READ_TRIES: Final = 3
+READ_RETRY_S: Final = 0.5
+READ_MAX_WAIT_S: Final = 5.0
+
 _PEER: Final = "log"
 
+Sleep = Callable[[float], Awaitable[None]]
+
 
 class LogRecord(NamedTuple):
     """A record of a stream.
@@ -127,5 +135,38 @@
         self._http.close()
 
 
+class RetryingReads(LogService):
+    """Tries a failed read again; for commands, which have no next poll.
+
+    An append is passed on as it is: only its caller knows whether another try
+    is harmless.
+    """
+
+    def __init__(self, log: LogService, sleep: Sleep = asyncio.sleep) -> None:
+        """Wraps a log.
+
+        Args:
+            log: The log.
+            sleep: Waits for a number of seconds.
+        """
+        self._log = log
+        self._sleep = sleep
+
+    async def append(self, stream: str, record_id: str, data: str) -> int:
+        """See LogService.append."""
+        return await self._log.append(stream, record_id, data)
+
+    async def read(self, stream: str, after: int, limit: int) -> ReadResult:
+        """See LogService.read."""
+        for _ in range(READ_TRIES - 1):
+            try:
+                return await self._log.read(stream, after, limit)
+            except errors.RateLimitedError as exc:
+                await self._sleep(min(exc.retry_after_s, READ_MAX_WAIT_S))
+            except errors.PlatformError:
+                await self._sleep(READ_RETRY_S)
+        return await self._log.read(stream, after, limit)
+
+
 def _path(stream: str) -> str:
     return f"/streams/{urllib.parse.quote(stream, safe='/')}"
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -15,6 +15,7 @@
     platform_weights,
 )
 from apricottrestle_standins import log_service
+from tests import fake_log
 
 _CUT = b""
 
@@ -160,6 +161,31 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("failures", [0, 1, 2, 3])
+def test_a_command_tries_a_failed_read_again(failures: int) -> None:
+    """One lost answer must not end an export or a publish."""
+    fake = fake_log.FakeLog()
+    fake.read_faults = [True] * failures
+    time = fake_log.FakeTime()
+    log = platform_log.RetryingReads(fake, time.sleep)
+    if failures < platform_log.READ_TRIES:
+        assert asyncio.run(log.read("s", 0, 10)).records == []
+    else:
+        with pytest.raises(errors.PlatformError):
+            asyncio.run(log.read("s", 0, 10))
+    waits = min(failures, platform_log.READ_TRIES - 1)
+    assert time.now == waits * platform_log.READ_RETRY_S
+
+
+def test_a_lost_append_is_not_tried_again() -> None:
+    fake = fake_log.FakeLog()
+    fake.faults = [fake_log.STORED]
+    log = platform_log.RetryingReads(fake)
+    with pytest.raises(errors.AppendUnknownError):
+        asyncio.run(log.append("s", "id", "data"))
+    assert len(fake.streams["s"]) == 1
+
+
 def test_the_weight_store_client_speaks_the_protocol() -> None:
     async def run() -> None:
         async with _server(_http("200 OK", '{"bytes": 70000}')) as url:
