Show that an agent killed in its first minute leaves no gap

Cause: an agent appends its first audit batch 60 s after its start, so that until then the log doesn't know its incarnation. Seen: test_a_killed_agent_leaves_a_gap: the requests are exported with their agent's record missing, but gaps is [] instead of an open end of agent-0.

--- a/tests/test_audit_process.py
+++ b/tests/test_audit_process.py
@@ -60,3 +60,18 @@
         assert entry["outcome"] == agent["outcome"] == "completed"
         assert entry["config_rev"] == agent["config_rev"] == 1
         assert abs(entry["end"] - agent["end"]) < 5.0
+
+
+def test_a_killed_agent_leaves_a_gap(run: fleet.Fleet) -> None:
+    """Its rows are lost; the entry's records and an open end tell of them."""
+    _serve(run)
+    process = run.nodes["agent-0"].process
+    process.send(signal.SIGKILL)
+    process.wait(10)
+    _stop(run, "entry-0")
+    export = _export(run)
+    missing = [item["missing"] for item in export["requests"]]
+    assert missing.count("agent") >= len(_PROMPT_TOKENS)
+    assert "entry" not in missing
+    gaps = [(gap["kind"], gap["writer"]) for gap in export["gaps"]]
+    assert gaps == [("open_end", "agent-0")]
