Tell which address a daemon can't bind

Cause: a daemon whose address is taken ended with a traceback and no advice. Change: the command names the instance and the error, says what to check, and ends with code 1. Tests: test_cli_commands.py passes, with 4 new cases for OSError and ZMQError. Conclusion: a start on a taken address says what to do.

--- a/src/apricottrestle/cli.py
+++ b/src/apricottrestle/cli.py
@@ -9,6 +9,8 @@
 import sys
 from typing import Any
 
+import zmq
+
 from apricottrestle import (
     cli_audit,
     cli_drain,
@@ -70,14 +72,26 @@
 
 
 def _run_entry(args: argparse.Namespace) -> int:
-    cfg = settings.load_entry(args.settings)
-    importlib.import_module("apricottrestle.entry_daemon").run(cfg)
-    return cli_output.EXIT_OK
+    return _run_daemon("entry_daemon", settings.load_entry(args.settings))
 
 
 def _run_agent(args: argparse.Namespace) -> int:
-    cfg = settings.load_agent(args.settings)
-    importlib.import_module("apricottrestle.agent_daemon").run(cfg)
+    return _run_daemon("agent_daemon", settings.load_agent(args.settings))
+
+
+def _run_daemon(
+    name: str, cfg: settings.EntrySettings | settings.AgentSettings
+) -> int:
+    daemon = importlib.import_module(f"apricottrestle.{name}")
+    try:
+        daemon.run(cfg)
+    except (OSError, zmq.ZMQError) as exc:
+        cli_output.complain(
+            [f"{cfg.instance_id}: {type(exc).__name__}: {exc}"],
+            "Check that the addresses of its settings belong to this machine"
+            " and that no other process uses them.",
+        )
+        return cli_output.EXIT_FAILED
     return cli_output.EXIT_OK
 
 
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -1,11 +1,13 @@
 """Guards against a command whose exit code or output misleads its operator."""
 
 import contextlib
+import importlib
 import json
 import pathlib
 from collections.abc import Iterator
 
 import pytest
+import zmq
 
 from apricottrestle import (
     audit,
@@ -282,3 +284,24 @@
 ) -> None:
     got = shell.run(daemon, "--settings", _note(tmp_path, "colour = 1"))
     assert got.code == 2
+
+
+@pytest.mark.parametrize("daemon", ["entry", "agent"])
+@pytest.mark.parametrize("exc", [OSError(98, "in use"), zmq.ZMQError(98)])
+def test_an_address_that_is_taken_is_told(
+    shell: _Shell,
+    monkeypatch: pytest.MonkeyPatch,
+    daemon: str,
+    exc: Exception,
+) -> None:
+    def run(_cfg: object) -> None:
+        raise exc
+
+    module = importlib.import_module(f"apricottrestle.{daemon}_daemon")
+    monkeypatch.setattr(module, "run", run)
+    name = "entry-maraval" if daemon == "entry" else "agent-engine-maraval"
+    path = str(_ROOT / "sweetbreeze" / f"{name}.toml")
+    got = shell.run(daemon, "--settings", path)
+    assert (got.code, got.out) == (1, "")
+    assert f"{name}-1: {type(exc).__name__}" in got.err
+    assert "no other process uses them" in got.err
