Find expired requests by a heap of deadlines

Cause: a scan of all requests each 50 ms took most of a step with a long queue. Change: deadlines come from a heap in each step; owner, body and silence limits are checked each 250 ms.

--- a/src/apricottrestle/agent_queue.py
+++ b/src/apricottrestle/agent_queue.py
@@ -5,6 +5,7 @@
 agent starts no more than the engine's memory and slots take.
 """
 
+import heapq
 from typing import Final
 
 from apricottrestle import (
@@ -17,7 +18,6 @@
 )
 
 BODY_WINDOW_CHUNKS: Final = 8
-BODY_STALL_S: Final = 10.0
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 HELD_BODY_BYTES: Final = 20 * 1024 * 1024
 """Bound of all prompt bodies held: one of the largest and some small ones."""
@@ -62,6 +62,7 @@
         _refuse_new(tables, row, reason, now, out)
         return
     tables.streams[msg.req_id] = row
+    heapq.heappush(tables.deadlines, (deadline, msg.req_id))
     out.append(agent_events.Send(routing_id, _accepted(msg)))
     if msg.body_bytes > messages.INLINE_BODY_BYTES:
         tables.body_bytes += msg.body_bytes
@@ -380,13 +381,3 @@
     )
     tables.body_bytes -= msg.body_bytes
     row.body = b""
-
-
-def expire_bodies(
-    tables: agent_tables.Tables, now: float, out: Commands
-) -> None:
-    """Refuses requests whose prompt stopped arriving."""
-    for row in list(tables.streams.values()):
-        stalled = now - row.last_chunk >= BODY_STALL_S
-        if row.phase is agent_tables.Phase.BODY and stalled:
-            agent_streams.refuse(tables, row, "body_timeout", now, out)
--- a/src/apricottrestle/agent_step.py
+++ b/src/apricottrestle/agent_step.py
@@ -58,7 +58,6 @@
     tables.last_expiry = now
     agent_leases.expire(tables, now, out)
     agent_streams.expire(tables, now, out)
-    agent_queue.expire_bodies(tables, now, out)
     agent_calls.expire(tables, now, out)
 
 
--- a/src/apricottrestle/agent_streams.py
+++ b/src/apricottrestle/agent_streams.py
@@ -5,6 +5,7 @@
 that ends while the engine runs it is cancelled there.
 """
 
+import heapq
 from typing import Final
 
 from apricottrestle import agent_events, agent_tables, messages
@@ -16,6 +17,11 @@
 RETAIN_S: Final = 15.0
 """How long output is kept after its entry is gone or the stream finished."""
 
+BODY_STALL_S: Final = 10.0
+SCAN_S: Final = 0.25
+"""Deadlines come from a heap; the other limits need a scan of all rows, which
+is too dear for each step of an agent with thousands of queued requests."""
+
 ENGINE_SILENCE_S: Final = 10.0
 """A run without a token for so long, after its first one, is given up."""
 
@@ -253,28 +259,43 @@
 
 def expire(tables: agent_tables.Tables, now: float, out: Commands) -> None:
     """Ends what is past its deadline, retention or owner."""
+    while tables.deadlines and tables.deadlines[0][0] <= now:
+        _, req_id = heapq.heappop(tables.deadlines)
+        row = tables.streams.get(req_id)
+        if row is not None and not row.finished_sent and _is_over(row, now):
+            fail(tables, row, "deadline", now, out)
+    if now < tables.next_scan:
+        return
+    tables.next_scan = now + SCAN_S
     for row in list(tables.streams.values()):
         if row.finished_sent:
             if now >= row.retain_until:
                 end(tables, row, "retention", now, out)
             continue
-        if now >= row.deadline:
-            fail(tables, row, "deadline", now, out)
-        elif now - tables.entries.get(row.sender, row.accepted) >= RETAIN_S:
-            fail(tables, row, "entry_gone", now, out)
-        elif row.phase is Phase.RUNNING:
-            _expire_running(tables, row, now, out)
+        reason = _expired(tables, row, now)
+        if reason:
+            fail(tables, row, reason, now, out)
 
 
-def _expire_running(
-    tables: agent_tables.Tables,
-    row: agent_tables.Stream,
-    now: float,
-    out: Commands,
-) -> None:
+def _is_over(row: agent_tables.Stream, now: float) -> bool:
+    return now >= row.deadline
+
+
+def _expired(
+    tables: agent_tables.Tables, row: agent_tables.Stream, now: float
+) -> str:
+    """Returns why an unfinished stream ends now, or ""."""
+    if _is_over(row, now):
+        return "deadline"
+    if now - tables.entries.get(row.sender, row.accepted) >= RETAIN_S:
+        return "entry_gone"
+    if row.phase is Phase.BODY and now - row.last_chunk >= BODY_STALL_S:
+        return "body_timeout"
     started = len(row.tokens) > len(row.msg.forced_prefix)
-    if started and now - row.last_progress >= ENGINE_SILENCE_S:
-        fail(tables, row, "upstream_silent", now, out)
+    silent = now - row.last_progress >= ENGINE_SILENCE_S
+    if row.phase is Phase.RUNNING and started and silent:
+        return "upstream_silent"
+    return ""
 
 
 def flush(tables: agent_tables.Tables, now: float, out: Commands) -> None:
--- a/src/apricottrestle/agent_tables.py
+++ b/src/apricottrestle/agent_tables.py
@@ -2,7 +2,8 @@
 
 Times are monotonic seconds. Invariants: a request id has at most one row in
 `streams`; `runs` names exactly the rows that the engine runs; `active` holds
-the rows that run or have finished; `live_calls` holds the calls under way.
+the rows that run or have finished; `live_calls` holds the calls under way;
+`deadlines` is a heap with at least one entry for each row of `streams`.
 """
 
 import array
@@ -454,6 +455,8 @@
         self.runs: dict[str, str] = {}
         self.active: dict[str, Stream] = {}
         self.queued_groups: dict[str, Stream] = {}
+        self.deadlines: list[tuple[float, str]] = []
+        self.next_scan = now
         self.last_expiry = now
         self.body_bytes = 0
         self.ended: collections.OrderedDict[str, Ended] = (
