Open as many curl handles as an agent's slots need

Cause: tornado makes all curl handles of a client at its start, and an agent held 2,080 of them. Change: an agent opens the client of its own kind of upstream only, with two connections for each slot and 16 spare ones.

--- a/src/apricottrestle/agent_daemon.py
+++ b/src/apricottrestle/agent_daemon.py
@@ -87,6 +87,17 @@
     )
 
 
+def _upstream_client(
+    upstream: settings.UpstreamSettings, emit: engine_client.Emit
+) -> engine_client.EngineClient | service_client.ServiceClient:
+    kind = (
+        engine_client.EngineClient
+        if upstream.kind == "engine"
+        else service_client.ServiceClient
+    )
+    return kind(upstream.url, upstream.slots, emit)
+
+
 class AgentDaemon:
     """One agent on the running event loop.
 
@@ -119,9 +130,7 @@
             transport.Identity(cfg.instance_id, self._incarnation),
             self._on_frame,
         )
-        url = cfg.upstream.url
-        self._engine = engine_client.EngineClient(url, self.emit)
-        self._service = service_client.ServiceClient(url, self.emit)
+        self._upstream = _upstream_client(cfg.upstream, self.emit)
 
     def emit(self, event: agent_events.Event) -> None:
         """Queues an event for the next step, which follows at once."""
@@ -132,8 +141,7 @@
         """Serves until the drain is complete."""
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._platform)
-            stack.enter_context(self._engine)
-            stack.enter_context(self._service)
+            stack.enter_context(self._upstream)
             ops = ops_http.OpsServer(self._cfg.ops, self.not_ready)
             stack.enter_context(ops)
             stack.enter_context(self._transport)
@@ -147,7 +155,7 @@
             if platform.done():
                 # It ends with an unexpected error only, which ends the agent.
                 platform.result()
-            await self._engine.settle(SETTLE_S)
+            await self._upstream.settle(SETTLE_S)
             platform.cancel()
             await self._platform.finish()
             if self._timer is not None:
@@ -207,10 +215,8 @@
             case agent_events.Audit():
                 self._platform.audit(cmd, time.time() - now)
             case _:
-                started = (
-                    self._platform.execute(cmd)
-                    or self._engine.execute(cmd)
-                    or self._service.execute(cmd)
+                started = self._platform.execute(cmd) or self._upstream.execute(
+                    cmd
                 )
                 assert started, f"no client for {type(cmd).__name__}"
 
--- a/src/apricottrestle/engine_client.py
+++ b/src/apricottrestle/engine_client.py
@@ -21,8 +21,8 @@
 CONTROL_TIMEOUT_S: Final = 3.0
 ORDER_TIMEOUT_S: Final = 2.0
 CONNECT_TIMEOUT_S: Final = 1.0
-_MAX_STREAMS: Final = 1024
-_MAX_CONTROLS: Final = 32
+_SPARE_CLIENTS: Final = 16
+_MAX_CONTROLS: Final = 16
 _JSON: Final = {"Content-Type": "application/json"}
 _PEER: Final = "engine"
 _FETCH_ERRORS: Final = (
@@ -130,9 +130,16 @@
 class EngineClient:
     """Runs engine commands on the event loop. A context manager."""
 
-    def __init__(self, url: str, emit: Emit) -> None:
-        """Stores the engine's base URL and the sink of events."""
+    def __init__(self, url: str, slots: int, emit: Emit) -> None:
+        """Prepares the client.
+
+        Args:
+            url: Base URL of the engine.
+            slots: Runs at the same time.
+            emit: Sink of events.
+        """
         self._url = url.rstrip("/")
+        self._max_streams = max_clients(slots)
         self._emit = emit
         self._tasks: set[asyncio.Task[None]] = set()
         self._polling: set[type] = set()
@@ -141,7 +148,7 @@
 
     def __enter__(self) -> Self:
         """Opens the HTTP clients; runs on the event loop."""
-        self._streams = _new_client(_MAX_STREAMS)
+        self._streams = _new_client(self._max_streams)
         self._controls = _new_client(_MAX_CONTROLS)
         return self
 
@@ -423,9 +430,18 @@
     curl.setopt(pycurl.FORBID_REUSE, 1)
 
 
-def _new_client(max_clients: int) -> curl_httpclient.CurlAsyncHTTPClient:
+def max_clients(slots: int) -> int:
+    """Returns the connections for so many slots.
+
+    A run or call that was given up may hold its connection for a while. Each
+    connection has a curl handle of its own from the start, hence no more.
+    """
+    return 2 * slots + _SPARE_CLIENTS
+
+
+def _new_client(count: int) -> curl_httpclient.CurlAsyncHTTPClient:
     client = curl_httpclient.CurlAsyncHTTPClient(
-        force_instance=True, max_clients=max_clients
+        force_instance=True, max_clients=count
     )
     assert isinstance(client, curl_httpclient.CurlAsyncHTTPClient)
     return client
--- a/src/apricottrestle/service_client.py
+++ b/src/apricottrestle/service_client.py
@@ -13,7 +13,6 @@
 
 from apricottrestle import agent_events, engine_client
 
-_MAX_CLIENTS: Final = 1024
 _NOT_SENT: Final = frozenset(
     (
         pycurl.E_URL_MALFORMAT,
@@ -44,16 +43,23 @@
 class ServiceClient:
     """Runs CallService commands on the event loop. A context manager."""
 
-    def __init__(self, url: str, emit: engine_client.Emit) -> None:
-        """Stores the service's base URL and the sink of events."""
+    def __init__(self, url: str, slots: int, emit: engine_client.Emit) -> None:
+        """Prepares the client.
+
+        Args:
+            url: Base URL of the service.
+            slots: Calls at the same time.
+            emit: Sink of events.
+        """
         self._url = url.rstrip("/")
+        self._max_clients = engine_client.max_clients(slots)
         self._emit = emit
         self._tasks: set[asyncio.Task[None]] = set()
 
     def __enter__(self) -> Self:
         """Opens the HTTP client; runs on the event loop."""
         self._client = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=_MAX_CLIENTS
+            force_instance=True, max_clients=self._max_clients
         )
         return self
 
@@ -68,6 +74,11 @@
             task.cancel()
         self._client.close()
 
+    async def settle(self, timeout_s: float) -> None:
+        """Waits for calls under way, so that an exit cuts none."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=timeout_s)
+
     def execute(self, cmd: agent_events.Command) -> bool:
         """Starts a call; returns False for any other command."""
         if not isinstance(cmd, agent_events.CallService):
--- a/tests/test_agent_clients.py
+++ b/tests/test_agent_clients.py
@@ -85,9 +85,8 @@
     if not listening:
         sock.close()
         await sock.wait_closed()
-    client = service_client.ServiceClient(
-        f"http://{_HOST}:{port}", events.append
-    )
+    url = f"http://{_HOST}:{port}"
+    client = service_client.ServiceClient(url, 1, events.append)
     with client:
         for index in range(count):
             assert client.execute(_call(str(index)))
@@ -127,7 +126,7 @@
         events: list[agent_events.Event] = []
         sock = await asyncio.start_server(_Server(0).serve, _HOST, 0)
         url = f"http://{_HOST}:{sock.sockets[0].getsockname()[1]}"
-        with engine_client.EngineClient(url, events.append) as client:
+        with engine_client.EngineClient(url, 1, events.append) as client:
             kv = messages.KvHandle("http://127.0.0.1:9", "h")
             client.execute(
                 agent_events.StartRun(
