End the agent on an unexpected error, and keep its listed row true

Cause: an error in a step would have left a live process that no longer steps; the instance list kept showing a draining agent as live. Change: the error ends the process; the agent registers as leaving when its drain begins and again when the list shows another row; placement decisions are logged; the audit row of a call names the revision at its submit.

--- a/src/apricottrestle/agent_calls.py
+++ b/src/apricottrestle/agent_calls.py
@@ -99,6 +99,7 @@
         return
     call.msg = msg
     call.sender = got.sender
+    call.config_rev = tables.config.revision
     call.body = got.body
     call.started = call.touched = now
     call.deadline = now + tables.remaining_s(msg.remaining_ms, now)
@@ -355,7 +356,7 @@
     call.waiters.clear()
     if call.msg is not None and first:
         metrics.CALLS.labels(state.value).inc()
-        _audit(tables, call, call.msg, now, out)
+        _audit(call, call.msg, now, out)
     if not call.seq:
         _drop_repeatable(tables, call)
 
@@ -370,7 +371,6 @@
 
 
 def _audit(
-    tables: agent_tables.Tables,
     call: agent_tables.Call,
     msg: messages.CallSubmit,
     now: float,
@@ -384,7 +384,7 @@
             0,
             msg.service,
             "",
-            tables.config.revision,
+            call.config_rev,
             call.sender,
             call.started,
             now,
--- a/src/apricottrestle/agent_daemon.py
+++ b/src/apricottrestle/agent_daemon.py
@@ -119,6 +119,8 @@
         self._inbox: list[agent_events.Event] = []
         self._timer: asyncio.TimerHandle | None = None
         self._done = asyncio.Event()
+        self._failure: Exception | None = None
+        self._leaving = False
         self._next_metrics = 0.0
         self._platform = agent_platform.AgentPlatform(
             cfg, self._incarnation, self.emit
@@ -147,7 +149,7 @@
             stack.enter_context(self._transport)
             platform = self._loop.create_task(self._platform.run())
             _LOG.info("agent started", extra={"incarnation": self._incarnation})
-            self._step()
+            self._run_step()
             drained = self._loop.create_task(self._done.wait())
             await asyncio.wait(
                 {platform, drained}, return_when=asyncio.FIRST_COMPLETED
@@ -155,6 +157,8 @@
             if platform.done():
                 # It ends with an unexpected error only, which ends the agent.
                 platform.result()
+            if self._failure is not None:
+                raise self._failure
             await self._upstream.settle(SETTLE_S)
             platform.cancel()
             await self._platform.finish()
@@ -186,10 +190,18 @@
             if self._timer.when() <= due:
                 return
             self._timer.cancel()
-        self._timer = self._loop.call_at(due, self._step)
+        self._timer = self._loop.call_at(due, self._run_step)
 
-    def _step(self) -> None:
+    def _run_step(self) -> None:
+        """Runs a step; an unexpected error ends the agent, never hides."""
         self._timer = None
+        try:
+            self._step()
+        except Exception as exc:
+            self._failure = exc
+            self._done.set()
+
+    def _step(self) -> None:
         events, self._inbox = self._inbox, []
         now = self._loop.time()
         for cmd in agent_step.step(self.tables, events, now):
@@ -198,6 +210,9 @@
             self._next_metrics = now + METRICS_S
             self._set_metrics()
         tables = self.tables
+        if tables.drain.active and not self._leaving:
+            self._leaving = True
+            self._platform.leave()
         active = tables.streams or tables.call_queue or tables.calls_running
         self._schedule(ACTIVE_TICK_S if active else IDLE_TICK_S)
 
--- a/src/apricottrestle/agent_platform.py
+++ b/src/apricottrestle/agent_platform.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import time
 from collections.abc import Callable, Coroutine
@@ -18,6 +19,7 @@
     config_state,
     config_sync,
     errors,
+    logs,
     messages,
     placement,
     platform_instances,
@@ -66,6 +68,9 @@
         self._engines: set[str] = set()
         self._list_version = 0
         self._assigned_for: object = None
+        self._state: platform_instances.InstanceState = "live"
+        self._listed: platform_instances.InstanceState | None = None
+        self._leaving = asyncio.Event()
 
     def __enter__(self) -> Self:
         """Opens nothing: the clients connect at first use."""
@@ -90,6 +95,11 @@
             group.create_task(self._register_and_follow())
             group.create_task(self._append_audit())
 
+    def leave(self) -> None:
+        """Has the instance list show the agent as leaving."""
+        self._state = "leaving"
+        self._leaving.set()
+
     async def finish(self) -> None:
         """Appends the last audit rows and leaves the instance list."""
         self._audit.close()
@@ -181,6 +191,14 @@
         self._assigned_for = inputs
         agents = self._engines | {self._cfg.instance_id}
         model = placement.assign(agents, state, {}).get(self._cfg.instance_id)
+        logs.decision(
+            _LOG,
+            "placement",
+            model=model,
+            engines=len(agents),
+            models=len(shares),
+            revision=state.revision,
+        )
         if model is not None:
             self._emit(agent_events.ModelAssigned(model))
 
@@ -221,17 +239,23 @@
         self._emit(agent_events.PermitAnswer(cmd.model, cmd.version, wait_s))
 
     async def _register_and_follow(self) -> None:
-        registered = False
         while True:
             try:
-                if not registered:
-                    await self._instances.register(self._row("live"))
-                    registered = True
+                await self._register()
                 await self._read_instances()
             except errors.PlatformError as exc:
                 _LOG.info("instance list not reachable: %s", exc)
+            registered = self._listed == self._state
             pause_s = INSTANCES_POLL_S if registered else REGISTER_RETRY_S
-            await asyncio.sleep(pause_s)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._leaving.wait(), pause_s)
+            self._leaving.clear()
+
+    async def _register(self) -> None:
+        state = self._state
+        if self._listed != state:
+            await self._instances.register(self._row(state))
+            self._listed = state
 
     async def _read_instances(self) -> None:
         """Follows the engines of the data centre.
@@ -244,6 +268,10 @@
         )
         self._list_version = got.version
         for row in got.rows:
+            is_own = row.instance_id == self._cfg.instance_id
+            if is_own and row != self._row(self._state):
+                # The list is wrong about this agent, or late.
+                self._listed = None
             is_engine = row.role == "agent" and bool(row.bulk)
             if is_engine and row.state == "live":
                 self._engines.add(row.instance_id)
--- a/src/apricottrestle/agent_tables.py
+++ b/src/apricottrestle/agent_tables.py
@@ -273,11 +273,13 @@
         waiters: Connections and request ids that wait for the result.
         deadline: End of the call's time.
         touched: Time of the last change, for forgetting.
+        config_rev: Configuration revision at the submit.
     """
 
     __slots__ = (
         "body",
         "call_id",
+        "config_rev",
         "deadline",
         "headers",
         "key",
@@ -304,6 +306,7 @@
         self.state = CallState.ISSUED
         self.msg: messages.CallSubmit | None = None
         self.sender = ""
+        self.config_rev = 0
         self.body = b""
         self.headers: list[tuple[str, str]] = []
         self.status = 0
--- a/tests/test_agent_daemon.py
+++ b/tests/test_agent_daemon.py
@@ -287,3 +287,15 @@
             assert len(rig.upstream.calls) == 1
 
     asyncio.run(main())
+
+
+def test_unexpected_error_in_a_step_ends_the_agent() -> None:
+    """Fails when the agent lives on without running its step."""
+
+    async def main() -> None:
+        async with _rig("engine") as rig:
+            rig.daemon.emit("no event")  # type: ignore[arg-type]
+            await asyncio.wait({rig.served}, timeout=_TIMEOUT_S)
+            assert isinstance(rig.served.exception(), KeyError)
+
+    asyncio.run(main())
