--- a/tests/test_agent_daemon.py
+++ b/tests/test_agent_daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -21,6 +20,7 @@
 from apricottrestle_standins import (
     engine,
     engine_core,
+    fleet,
     instance_list,
     log_service,
     service,
@@ -29,6 +29,7 @@
     weight_store,
 )
 from tests import notes
+from tests import test_agent_world as worlds
 
 _HOST = "127.0.0.1"
 _TIMEOUT_S = 15.0
@@ -57,19 +58,12 @@
             await asyncio.sleep(0.01)
 
 
-def _ports(count: int) -> list[str]:
-    with contextlib.ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in socks:
-            sock.bind((_HOST, 0))
-        return [f"{_HOST}:{sock.getsockname()[1]}" for sock in socks]
-
-
 def _settings(
     kind: settings.UpstreamKind, urls: dict[str, str]
 ) -> settings.AgentSettings:
     public, secret = zmq.curve_keypair()
-    control, bulk, ops = _ports(3)
+    ports = fleet.free_ports(3)
+    control, bulk, ops = (f"{_HOST}:{port}" for port in ports)
     return settings.AgentSettings(
         "agent-1",
         "savannah",
@@ -150,26 +144,12 @@
 
 
 def _submit(prompt: list[int], **changes: Any) -> messages.Submit:
-    msg = messages.Submit(
-        "r1",
-        1,
-        "orders",
-        1.0,
-        1,
-        "m",
-        "v1",
-        "",
-        len(prompt),
-        60,
-        10_000,
-        10_000,
-        hashing.prefix_blocks(prompt),
-        [],
-        len(msgspec.msgpack.encode(prompt)),
-        [],
-        None,
+    return worlds.submit(
+        prompt_tokens=len(prompt),
+        prefix_blocks=hashing.prefix_blocks(prompt),
+        body_bytes=len(msgspec.msgpack.encode(prompt)),
+        **changes,
     )
-    return msg._replace(**changes)
 
 
 async def _serves_model(rig: _Rig) -> None:
