Report no version while the engine is down

Cause: in a trial with real processes (one of two engines killed, the other drained) the entry spent its attempts at the agent of the dead engine, which refused each with upstream_down. Change: an agent whose engine failed three load polls in a row reports no version, so entries don't choose it. A run cancelled during its KV import isn't started; a hole in the release stream confirms nothing after a pause. Conclusion: a dead engine draws no more attempts.

--- a/src/apricottrestle/agent_calls.py
+++ b/src/apricottrestle/agent_calls.py
@@ -27,7 +27,6 @@
 
 HELD_ANSWER_BYTES: Final = 8 * 1024 * 1024
 FORGET_INTERVAL_S: Final = 5.0
-MAX_QUEUED: Final = 1_000
 LATE_ANSWER_S: Final = 30.0
 """After its deadline a call is waited for so long, to record its result."""
 
@@ -172,7 +171,7 @@
         return "key_required"
     if call.deadline <= now:
         return "deadline"
-    if len(tables.call_queue) >= MAX_QUEUED:
+    if len(tables.call_queue) >= params.max_queued:
         return "queue_full"
     return ""
 
--- a/src/apricottrestle/agent_platform.py
+++ b/src/apricottrestle/agent_platform.py
@@ -166,7 +166,8 @@
         except errors.PlatformError as exc:
             _LOG.info("release stream not read: %s", exc)
             return
-        self._changed(pause if self._sync.ready else 0)
+        known = self._sync.ready and not self._sync.has_hole
+        self._changed(pause if known else 0)
 
     def _fold(self, cmd: agent_events.FoldConfig) -> None:
         self._sync.apply_update(cmd.update)
--- a/src/apricottrestle/agent_reports.py
+++ b/src/apricottrestle/agent_reports.py
@@ -60,9 +60,13 @@
 
 
 def served_version(tables: agent_tables.Tables) -> str:
-    """Returns the version for new requests; "" while none can be served."""
+    """Returns the version for new requests; "" while none can be served.
+
+    Entries route by it, so an agent whose engine is down gets no work.
+    """
     config = tables.engine.config
-    if config is None or not config.versions:
+    down = tables.engine.failures >= agent_queue.ENGINE_DOWN_FAILURES
+    if config is None or not config.versions or down:
         return ""
     spec = tables.config.models.get(config.model)
     if spec is not None and spec.version in config.versions:
--- a/src/apricottrestle/engine_client.py
+++ b/src/apricottrestle/engine_client.py
@@ -284,7 +284,8 @@
         try:
             if cmd.kv is not None:
                 await self._import(cmd, cmd.kv)
-            await self._stream(cmd, stream)
+            if cmd.run_id not in self._cancelled:
+                await self._stream(cmd, stream)
             reason = "upstream_cut"
         except errors.UpstreamError as exc:
             reason = exc.message
--- a/tests/test_agent_clients.py
+++ b/tests/test_agent_clients.py
@@ -138,3 +138,26 @@
         return events
 
     assert asyncio.run(main()) == [agent_events.RunFailed("r1.1", reason)]
+
+
+def test_run_cancelled_before_its_start_is_not_started() -> None:
+    async def main() -> tuple[int, list[agent_events.Event]]:
+        events: list[agent_events.Event] = []
+        server = _Server(5)
+        sock = await asyncio.start_server(server.serve, _HOST, 0)
+        url = f"http://{_HOST}:{sock.sockets[0].getsockname()[1]}"
+        start = agent_events.StartRun(
+            "r1.1", b"\xa1a", 5, 1, "", "v1", [], 5_000, [],
+            messages.KvHandle(url, "h"),
+        )  # fmt: skip
+        with engine_client.EngineClient(url, 1, events.append) as client:
+            client.execute(start)
+            client.execute(agent_events.CancelRun("r1.1"))
+            await client.settle(10)
+        sock.close()
+        return server.requests, events
+
+    imported_and_cancelled = 2
+    requests, events = asyncio.run(main())
+    assert requests == imported_and_cancelled
+    assert events == [agent_events.RunFailed("r1.1", "upstream_cut")]
--- a/tests/test_agent_reports.py
+++ b/tests/test_agent_reports.py
@@ -57,6 +57,18 @@
     assert world.of(messages.Refused)[0].reason == "wrong_upstream"
 
 
+def test_agent_of_a_dead_engine_reports_no_version() -> None:
+    """Fails when entries go on routing to an agent that must refuse."""
+    world = worlds.World().ready()
+    world.mute.add(agent_events.PollLoad)
+    world.inbox += [agent_events.EngineUnreachable("reset")] * 3
+    world.run(2.5)
+    assert world.of(messages.Pong)[-1].load.version == ""
+    world.mute.clear()
+    world.run(4)
+    assert world.of(messages.Pong)[-1].load.version == "v1"
+
+
 def test_work_is_queued_while_memory_is_reserved() -> None:
     """Fails when a start or a reservation takes memory that is not free."""
     world = worlds.World().ready()
