--- a/src/apricottrestle/agent_calls.py
+++ b/src/apricottrestle/agent_calls.py
@@ -27,7 +27,6 @@
 
 HELD_ANSWER_BYTES: Final = 8 * 1024 * 1024
 FORGET_INTERVAL_S: Final = 5.0
-MAX_QUEUED: Final = 1_000
 LATE_ANSWER_S: Final = 30.0
 """After its deadline a call is waited for so long, to record its result."""
 
@@ -99,6 +98,7 @@
         return
     call.msg = msg
     call.sender = got.sender
+    call.config_rev = tables.config.revision
     call.body = got.body
     call.started = call.touched = now
     call.deadline = now + tables.remaining_s(msg.remaining_ms, now)
@@ -171,7 +171,7 @@
         return "key_required"
     if call.deadline <= now:
         return "deadline"
-    if len(tables.call_queue) >= MAX_QUEUED:
+    if len(tables.call_queue) >= params.max_queued:
         return "queue_full"
     return ""
 
@@ -355,7 +355,7 @@
     call.waiters.clear()
     if call.msg is not None and first:
         metrics.CALLS.labels(state.value).inc()
-        _audit(tables, call, call.msg, now, out)
+        _audit(call, call.msg, now, out)
     if not call.seq:
         _drop_repeatable(tables, call)
 
@@ -370,7 +370,6 @@
 
 
 def _audit(
-    tables: agent_tables.Tables,
     call: agent_tables.Call,
     msg: messages.CallSubmit,
     now: float,
@@ -384,7 +383,7 @@
             0,
             msg.service,
             "",
-            tables.config.revision,
+            call.config_rev,
             call.sender,
             call.started,
             now,
--- a/src/apricottrestle/agent_daemon.py
+++ b/src/apricottrestle/agent_daemon.py
@@ -87,6 +87,17 @@
     )
 
 
+def _upstream_client(
+    upstream: settings.UpstreamSettings, emit: engine_client.Emit
+) -> engine_client.EngineClient | service_client.ServiceClient:
+    kind = (
+        engine_client.EngineClient
+        if upstream.kind == "engine"
+        else service_client.ServiceClient
+    )
+    return kind(upstream.url, upstream.slots, emit)
+
+
 class AgentDaemon:
     """One agent on the running event loop.
 
@@ -108,6 +119,8 @@
         self._inbox: list[agent_events.Event] = []
         self._timer: asyncio.TimerHandle | None = None
         self._done = asyncio.Event()
+        self._failure: Exception | None = None
+        self._leaving = False
         self._next_metrics = 0.0
         self._platform = agent_platform.AgentPlatform(
             cfg, self._incarnation, self.emit
@@ -119,9 +132,7 @@
             transport.Identity(cfg.instance_id, self._incarnation),
             self._on_frame,
         )
-        url = cfg.upstream.url
-        self._engine = engine_client.EngineClient(url, self.emit)
-        self._service = service_client.ServiceClient(url, self.emit)
+        self._upstream = _upstream_client(cfg.upstream, self.emit)
 
     def emit(self, event: agent_events.Event) -> None:
         """Queues an event for the next step, which follows at once."""
@@ -132,14 +143,13 @@
         """Serves until the drain is complete."""
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._platform)
-            stack.enter_context(self._engine)
-            stack.enter_context(self._service)
+            stack.enter_context(self._upstream)
             ops = ops_http.OpsServer(self._cfg.ops, self.not_ready)
             stack.enter_context(ops)
             stack.enter_context(self._transport)
             platform = self._loop.create_task(self._platform.run())
             _LOG.info("agent started", extra={"incarnation": self._incarnation})
-            self._step()
+            self._run_step()
             drained = self._loop.create_task(self._done.wait())
             await asyncio.wait(
                 {platform, drained}, return_when=asyncio.FIRST_COMPLETED
@@ -147,7 +157,9 @@
             if platform.done():
                 # It ends with an unexpected error only, which ends the agent.
                 platform.result()
-            await self._engine.settle(SETTLE_S)
+            if self._failure is not None:
+                raise self._failure
+            await self._upstream.settle(SETTLE_S)
             platform.cancel()
             await self._platform.finish()
             if self._timer is not None:
@@ -178,10 +190,18 @@
             if self._timer.when() <= due:
                 return
             self._timer.cancel()
-        self._timer = self._loop.call_at(due, self._step)
+        self._timer = self._loop.call_at(due, self._run_step)
 
-    def _step(self) -> None:
+    def _run_step(self) -> None:
+        """Runs a step; an unexpected error ends the agent, never hides."""
         self._timer = None
+        try:
+            self._step()
+        except Exception as exc:
+            self._failure = exc
+            self._done.set()
+
+    def _step(self) -> None:
         events, self._inbox = self._inbox, []
         now = self._loop.time()
         for cmd in agent_step.step(self.tables, events, now):
@@ -190,6 +210,9 @@
             self._next_metrics = now + METRICS_S
             self._set_metrics()
         tables = self.tables
+        if tables.drain.active and not self._leaving:
+            self._leaving = True
+            self._platform.leave()
         active = tables.streams or tables.call_queue or tables.calls_running
         self._schedule(ACTIVE_TICK_S if active else IDLE_TICK_S)
 
@@ -207,10 +230,8 @@
             case agent_events.Audit():
                 self._platform.audit(cmd, time.time() - now)
             case _:
-                started = (
-                    self._platform.execute(cmd)
-                    or self._engine.execute(cmd)
-                    or self._service.execute(cmd)
+                started = self._platform.execute(cmd) or self._upstream.execute(
+                    cmd
                 )
                 assert started, f"no client for {type(cmd).__name__}"
 
--- a/src/apricottrestle/agent_tables.py
+++ b/src/apricottrestle/agent_tables.py
@@ -2,7 +2,8 @@
 
 Times are monotonic seconds. Invariants: a request id has at most one row in
 `streams`; `runs` names exactly the rows that the engine runs; `active` holds
-the rows that run or have finished; `live_calls` holds the calls under way.
+the rows that run or have finished; `live_calls` holds the calls under way;
+`deadlines` is a heap with at least one entry for each row of `streams`.
 """
 
 import array
@@ -272,11 +273,13 @@
         waiters: Connections and request ids that wait for the result.
         deadline: End of the call's time.
         touched: Time of the last change, for forgetting.
+        config_rev: Configuration revision at the submit.
     """
 
     __slots__ = (
         "body",
         "call_id",
+        "config_rev",
         "deadline",
         "headers",
         "key",
@@ -303,6 +306,7 @@
         self.state = CallState.ISSUED
         self.msg: messages.CallSubmit | None = None
         self.sender = ""
+        self.config_rev = 0
         self.body = b""
         self.headers: list[tuple[str, str]] = []
         self.status = 0
@@ -454,6 +458,8 @@
         self.runs: dict[str, str] = {}
         self.active: dict[str, Stream] = {}
         self.queued_groups: dict[str, Stream] = {}
+        self.deadlines: list[tuple[float, str]] = []
+        self.next_scan = now
         self.last_expiry = now
         self.body_bytes = 0
         self.ended: collections.OrderedDict[str, Ended] = (
