--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -145,7 +145,7 @@
             capacity.prefill_tokens_left,
             engine_model.KV_TOKENS,
             capacity.kv_tokens_free,
-            engine_model.NOMINAL_TOKENS_PER_S,
+            self.queue.tokens_per_s(capacity),
             received,
         )
 
@@ -356,15 +356,18 @@
             self._now,
             job.deadline,
         )
-        wait_s = agent.queue.expected_wait_s(item, agent.capacity())
-        rest_s = tokens / engine_model.NOMINAL_TOKENS_PER_S
-        if self._policy.admission and (
-            self._now + wait_s + rest_s > job.deadline
+        capacity = agent.capacity()
+        wait_s = agent.queue.expected_wait_s(item, capacity)
+        if self._policy.admission and not agent.queue.can_finish(
+            item, capacity, self._now + wait_s
         ):
             self._retry(job, agent, "refused")
         else:
             agent.jobs[row.req_id] = job
-            agent.queue.push(item)
+            if job.members:
+                self._start(agent, item)
+            else:
+                agent.queue.push(item)
         self._wake(agent)
 
     def _advance(self, agent: _Agent) -> None:
@@ -391,26 +394,40 @@
         """Starts what fits and schedules the engine's next event."""
         self._advance(agent)
         while agent.fault != "down":
-            item = agent.queue.pop(agent.capacity(), self._now)
+            capacity = agent.capacity()
+            item = agent.queue.pop(capacity, self._now)
             if item is None:
                 break
             job = agent.jobs[item.req_id]
-            hits = agent.engine.use_cache(job.row.prefix_blocks)
-            tokens = max(job.row.prompt_tokens - hits, 1)
-            job.prefilled += tokens
-            if item.kv_tokens:
-                agent.engine.allocate(item.req_id, item.kv_tokens)
-            agent.engine.start(
-                item.req_id,
-                tokens,
-                job.row.output_tokens,
-                queueing_fair.engine_priority(item),
-            )
+            if self._policy.admission and not agent.queue.can_finish(
+                item, capacity, self._now
+            ):
+                del agent.jobs[item.req_id]
+                job.entry.table.ended(agent.agent_id)
+                self._end(job, "refused")
+                self._free(job)
+                continue
+            self._start(agent, item)
         agent.version += 1
         next_s = agent.engine.next_s()
         if next_s is not None:
             self._at(next_s, self._tick, (agent, agent.version))
 
+    def _start(self, agent: _Agent, item: queueing.QueueItem) -> None:
+        """Starts an item; a group has its memory already and never queues."""
+        job = agent.jobs[item.req_id]
+        hits = agent.engine.use_cache(job.row.prefix_blocks)
+        tokens = max(job.row.prompt_tokens - hits, 1)
+        job.prefilled += tokens
+        if item.kv_tokens:
+            agent.engine.allocate(item.req_id, item.kv_tokens)
+        agent.engine.start(
+            item.req_id,
+            tokens,
+            job.row.output_tokens,
+            queueing_fair.engine_priority(item),
+        )
+
     def _tick(self, argument: tuple[_Agent, int]) -> None:
         agent, version = argument
         if agent.version == version:
@@ -442,7 +459,7 @@
         self._advance(agent)
         report = agent.report(0)
         counts = list(agent.received)
-        blocks = list(agent.engine.cache)
+        blocks = frozenset(agent.engine.cache)
         self._at(
             self._now + self._fleet.agent_s,
             self._apply_report,
@@ -452,7 +469,7 @@
 
     def _apply_report(
         self,
-        argument: tuple[_Agent, messages.LoadReport, list[int], list[int]],
+        argument: tuple[_Agent, messages.LoadReport, list[int], frozenset[int]],
     ) -> None:
         agent, report, counts, blocks = argument
         for entry, received in zip(self._entries, counts, strict=True):
@@ -464,6 +481,7 @@
             )
             if not usable and agent.fault:
                 table.set_usable(agent.agent_id, False)
-            if list(row.cached_blocks) != blocks:
-                table.clear_cached(agent.agent_id)
-                table.add_cached(agent.agent_id, blocks)
+            known = row.cached_blocks.keys()
+            if known != blocks:
+                table.remove_cached(agent.agent_id, sorted(known - blocks))
+                table.add_cached(agent.agent_id, sorted(blocks - known))
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -23,7 +23,7 @@
 PREFIX_FAMILIES: Final = 24
 PREFIX_BLOCKS: Final = (2, 16)
 PREFIX_SHARE: Final = 0.5
-TIME_LIMIT_S: Final = (20.0, 60.0, 300.0)
+TIME_LIMIT_S: Final = (20.0, 40.0, 120.0)
 
 
 class Fleet(NamedTuple):
