Keep headroom only beside a team's backlog, and count memory

Change: a team with a backlog (8 items, batch 4) leaves slots, memory and prefill places to others; a class owed its floor doesn't; items of up to 16k tokens keep their place while they wait for memory; other teams may run a second long prefill; the agent can ask can_finish before a start.

--- a/src/apricottrestle/admission.py
+++ b/src/apricottrestle/admission.py
@@ -12,6 +12,7 @@
 from typing import Final, NamedTuple
 
 from apricottrestle import (
+    queueing,
     routing,
     routing_expected,
     routing_score,
@@ -21,9 +22,6 @@
 SHARE_WINDOW_S: Final = 30.0
 """Time constant of the decayed token counts per team."""
 
-DECODE_S_PER_TOKEN: Final = 0.02
-"""Time per generated token that an admitted request needs at least."""
-
 MIN_RETRY_AFTER_S: Final = 1.0
 MAX_RETRY_AFTER_S: Final = 60.0
 
@@ -113,7 +111,8 @@
             return AdmissionDecision(
                 False, "no_candidate", MIN_RETRY_AFTER_S, math.inf
             )
-        expected_s = DECODE_S_PER_TOKEN * req.max_tokens + min(
+        output = min(req.max_tokens, queueing.EXPECTED_OUTPUT_TOKENS)
+        expected_s = queueing.DECODE_S * output + min(
             routing_score.expected_first_token_s(row, req, self._score, now)
             for row in rows
         )
--- a/src/apricottrestle/queueing.py
+++ b/src/apricottrestle/queueing.py
@@ -16,6 +16,16 @@
 8k, 16k or 32k (docs/measurements.md)."""
 
 
+EXPECTED_OUTPUT_TOKENS: Final = 256
+"""Output tokens that a request is expected to generate at most."""
+
+DECODE_S: Final = 0.049
+"""Time per output token: the latency target between tokens."""
+
+PREFILL_SHARING: Final = 2.0
+"""A prefill takes up to twice its time alone, because it shares the engine."""
+
+
 class QueueItem(NamedTuple):
     """A queued request.
 
@@ -62,6 +72,17 @@
     long_prefills: int = 0
 
 
+def finish_s(item: QueueItem, capacity: Capacity) -> float:
+    """Returns the expected time from the start of an item to its end.
+
+    The output counts with at most EXPECTED_OUTPUT_TOKENS, because callers set
+    the limit of the output far above what they get.
+    """
+    rate = max(capacity.prefill_tokens_per_s, 1.0)
+    output = min(item.max_tokens, EXPECTED_OUTPUT_TOKENS)
+    return PREFILL_SHARING * item.prompt_tokens / rate + DECODE_S * output
+
+
 class RequestQueue(abc.ABC):
     """Queue of one agent."""
 
@@ -85,6 +106,24 @@
     def expected_wait_s(self, item: QueueItem, capacity: Capacity) -> float:
         """Returns the time until the item would start if it were pushed now."""
 
+    def tokens_per_s(self, capacity: Capacity) -> float:
+        """Returns the prefill rate to report: the engine's, or a lower one.
+
+        Memory and slots can bind before prefill does; a queue that observes
+        its engine knows the rate at which it really gets work done.
+        """
+        return capacity.prefill_tokens_per_s
+
+    def can_finish(
+        self, item: QueueItem, capacity: Capacity, now: float
+    ) -> bool:
+        """Tells whether an item that starts now can finish in its time.
+
+        The agent refuses a popped item that cannot: starting it would cost
+        prefill and memory for nothing.
+        """
+        return now + finish_s(item, capacity) <= item.deadline
+
     @abc.abstractmethod
     def __len__(self) -> int:
         """Returns the number of queued items."""
--- a/src/apricottrestle/queueing_fair.py
+++ b/src/apricottrestle/queueing_fair.py
@@ -6,6 +6,10 @@
   floor of the tokens started while it was waiting goes before it.
 - Within a class the team with the least tokens started per weight goes first
   (start-time fair queueing). A team that was idle gets no credit for it.
+- A team with a backlog leaves some slots, memory and prefill places free.
+  Requests of other teams and classes then start at once. The idea is from
+  Chang, Garcia-Molina and Li, "2D BubbleUp: Managing Parallel Disks for Media
+  Servers", which keeps free service slots in the near future for new arrivals.
 - Within a team an item is due at its arrival plus a patience in proportion to
   its prompt, and the earliest due goes first. Short requests overtake long
   ones, and waiting long ones still come up.
@@ -20,7 +24,7 @@
 import heapq
 from typing import Final, NamedTuple
 
-from apricottrestle import messages, queueing
+from apricottrestle import messages, queueing, queueing_rate
 
 CLASSES: Final = len(messages.PRIORITIES)
 
@@ -32,6 +36,13 @@
 goes into debt, so that a 1M-token item doesn't wait until 1M tokens of credit
 have gathered."""
 
+BACKLOG_S: Final = 5.0
+"""Queued work, in seconds of the engine's rate, that counts as a backlog."""
+
+SMALL_KV_TOKENS: Final = 16_384
+"""Items up to this size wait for memory only briefly, so nobody else may take
+it meanwhile."""
+
 MAX_DEBTS: Final = 256
 """Idle teams remembered before those without a debt are dropped."""
 
@@ -44,21 +55,31 @@
         by_priority: Serve classes in order of urgency.
         by_team: Share between teams by weight.
         short_first: Let short requests overtake long ones.
-        max_prefills: An item of each class starts only while fewer requests
-            are in prefill.
+        max_prefills: Requests in prefill at a time.
         max_long_prefills: Long requests in prefill at a time.
-        headroom_slots: Slots that an item of each class leaves free.
-        headroom_kv_tokens: KV cache that an item of each class leaves free.
+        guest_long_prefills: The same for teams without a backlog while another
+            team has one.
+        flood_items: Queued items of one team that count as a backlog, per
+            class. Under steady load a queue rarely holds more than a few, and
+            a single long prompt must not count as a backlog. Batch can wait,
+            so it makes room earlier.
+        flood_prefills: Requests in prefill beside which a team with a backlog
+            starts no more.
+        headroom_slots: Slots that a team with a backlog leaves free.
+        headroom_kv_tokens: KV cache that a team with a backlog leaves free.
     """
 
     floors: tuple[float, ...] = (0.0, 0.1, 0.05)
     by_priority: bool = True
     by_team: bool = True
     short_first: bool = True
-    max_prefills: tuple[int, ...] = (3, 3, 3)
+    max_prefills: int = 3
     max_long_prefills: int = 1
-    headroom_slots: tuple[int, ...] = (0, 2, 4)
-    headroom_kv_tokens: tuple[int, ...] = (0, 0, 0)
+    guest_long_prefills: int = 2
+    flood_items: tuple[int, ...] = (8, 8, 4)
+    flood_prefills: int = 1
+    headroom_slots: int = 12
+    headroom_kv_tokens: int = 100_000
 
 
 class _Entry(NamedTuple):
@@ -72,11 +93,12 @@
 class _Team:
     """Items of one team in one class."""
 
-    __slots__ = ("long", "queued_tokens", "served", "short", "weight")
+    __slots__ = ("count", "long", "queued_tokens", "served", "short", "weight")
 
     def __init__(self, weight: float) -> None:
         self.weight = weight
         self.served = 0.0
+        self.count = 0
         self.queued_tokens = 0
         self.short: list[_Entry] = []
         self.long: list[_Entry] = []
@@ -119,6 +141,8 @@
         self._classes = [_Class() for _ in range(CLASSES)]
         self._items: dict[str, queueing.QueueItem] = {}
         self._seq = 0
+        self._rate = queueing_rate.ObservedRate()
+        self._flooded = 0
 
     def set_floors(self, floors: tuple[float, ...]) -> None:
         """Replaces the floors of the classes, 0 to 1 each, most urgent first.
@@ -149,6 +173,9 @@
         heap = team.long if self._is_long(item) else team.short
         heapq.heappush(heap, _Entry(due, self._seq, item))
         team.queued_tokens += item.prompt_tokens
+        team.count += 1
+        limit = self._settings.flood_items[self._class_of(item)]
+        self._flooded += team.count == limit
         group.queued_tokens += item.prompt_tokens
         self._items[item.req_id] = item
 
@@ -157,12 +184,16 @@
     ) -> queueing.QueueItem | None:
         """Removes and returns the item to start now, or None when none fits.
 
-        An item that is due and lacks memory holds back its own and all less
-        urgent classes; otherwise smaller items would take the memory for ever.
+        An item that lacks memory and is due, or needs little, holds back its
+        own and all less urgent classes; otherwise others would take the memory
+        for ever.
         """
-        for index in self._class_order():
-            item, blocked = self._pick(index, capacity, now)
+        self._rate.observe(capacity, now, backlog=bool(self._items))
+        owed = self._owed()
+        for index, is_owed in self._class_order(owed):
+            item, blocked = self._pick(index, capacity, now, owed=is_owed)
             if item is not None:
+                self._rate.started(item)
                 self._charge(index, item)
                 self.remove(item.req_id)
                 return item
@@ -179,6 +210,9 @@
         name = item.team if self._settings.by_team else ""
         team = group.teams[name]
         team.queued_tokens -= item.prompt_tokens
+        limit = self._settings.flood_items[self._class_of(item)]
+        self._flooded -= team.count == limit
+        team.count -= 1
         group.queued_tokens -= item.prompt_tokens
         self._trim(team.short)
         self._trim(team.long)
@@ -207,7 +241,7 @@
         class lets them.
         """
         index = self._class_of(item)
-        rate = capacity.prefill_tokens_per_s
+        rate = self.tokens_per_s(capacity)
         own_class = self._fair_ahead(index, item)
         higher = sum(g.queued_tokens for g in self._classes[:index])
         running = capacity.prefill_tokens_left
@@ -217,6 +251,18 @@
             wait_s = min(wait_s, (own_class + running) / (rate * floor))
         return wait_s
 
+    def tokens_per_s(self, capacity: queueing.Capacity) -> float:
+        """Returns the observed prefill rate under backlog, else the engine's.
+
+        Only a queue of some seconds counts as a backlog; a single request that
+        waits for its place says nothing about the engine's rate.
+        """
+        nominal = capacity.prefill_tokens_per_s
+        queued = sum(group.queued_tokens for group in self._classes)
+        if queued < nominal * BACKLOG_S:
+            return nominal
+        return self._rate.value(nominal)
+
     def __len__(self) -> int:
         """Returns the number of queued items."""
         return len(self._items)
@@ -244,13 +290,19 @@
                 ahead += min(team.queued_tokens, per_weight * team.weight)
         return ahead
 
-    def _class_order(self) -> list[int]:
+    def _owed(self) -> set[int]:
+        """Returns the classes whose floor has not been met."""
+        return {
+            index
+            for index, group in enumerate(self._classes)
+            if group.teams and group.credit >= self._head_cost(index)
+        }
+
+    def _class_order(self, owed: set[int]) -> list[tuple[int, bool]]:
         """Returns classes with items: those owed their floor, then by rank."""
         waiting = [i for i in range(CLASSES) if self._classes[i].teams]
-        owed = [
-            i for i in waiting if self._classes[i].credit >= self._head_cost(i)
-        ]
-        return owed + [i for i in waiting if i not in owed]
+        rest = [(i, False) for i in waiting if i not in owed]
+        return [(i, True) for i in sorted(owed)] + rest
 
     def _head_cost(self, index: int) -> int:
         """Returns the credit that the class needs before it goes first."""
@@ -261,25 +313,42 @@
         return min(cost_tokens(head.item), FLOOR_BURST_TOKENS)
 
     def _pick(
-        self, index: int, capacity: queueing.Capacity, now: float
+        self, index: int, capacity: queueing.Capacity, now: float, *, owed: bool
     ) -> tuple[queueing.QueueItem | None, bool]:
-        """Returns the item to start, and whether a due one lacks memory."""
+        """Returns the item to start, and whether one has to wait for memory.
+
+        A class that is owed its floor leaves no headroom, or others would keep
+        it below the floor.
+        """
         settings = self._settings
-        if capacity.slots_free <= settings.headroom_slots[index]:
-            return None, False
-        if capacity.prefills >= settings.max_prefills[index]:
-            return None, False
-        kv_free = capacity.kv_tokens_free - settings.headroom_kv_tokens[index]
-        long_open = capacity.long_prefills < settings.max_long_prefills
         teams = self._classes[index].teams.values()
         for team in sorted(teams, key=lambda t: t.served):
-            for entry in _heads(team, long_open):
+            flooded = team.count >= settings.flood_items[index] and not owed
+            limit = (
+                settings.flood_prefills if flooded else settings.max_prefills
+            )
+            slots = settings.headroom_slots if flooded else 0
+            if capacity.slots_free <= slots or capacity.prefills >= limit:
+                continue
+            kv_free = capacity.kv_tokens_free
+            kv_free -= settings.headroom_kv_tokens if flooded else 0
+            guest = self._flooded > 0 and not flooded
+            for entry in _heads(team, self._long_open(capacity, guest=guest)):
                 if entry.item.kv_tokens <= kv_free:
                     return entry.item, False
-                if now >= entry.due:
+                small = entry.item.kv_tokens <= SMALL_KV_TOKENS
+                if not flooded and (small or now >= entry.due):
                     return None, True
         return None, False
 
+    def _long_open(self, capacity: queueing.Capacity, *, guest: bool) -> bool:
+        """Tells whether a long request may start."""
+        settings = self._settings
+        limit = settings.max_long_prefills
+        if guest:
+            limit = max(limit, settings.guest_long_prefills)
+        return capacity.long_prefills < limit
+
     def _charge(self, index: int, item: queueing.QueueItem) -> None:
         cost = cost_tokens(item)
         group = self._classes[index]
