--- a/src/apricottrestle/entry_call_end.py
+++ b/src/apricottrestle/entry_call_end.py
@@ -54,8 +54,9 @@
 ) -> None:
     """Offers the issued key, since the log did not take the binding.
 
-    The outcome is "not_run" only when the log was read and showed no earlier
-    binding; otherwise an earlier attempt under the caller's key may have run.
+    This attempt did not run. The outcome is "unknown" nevertheless, because an
+    earlier attempt under the caller's key may have run, and only the log could
+    tell; a caller that made none can use the issued key.
     """
     _emit_error(
         t,
--- a/src/apricottrestle/entry_calls.py
+++ b/src/apricottrestle/entry_calls.py
@@ -4,8 +4,9 @@
 nowhere else. Once that incarnation is gone, the log decides what became of it.
 
 Invariant: "not_run" is told for a keyed call only on the word of the key's
-agent, on a refusal that precedes any intent on the log, or when no earlier
-attempt can have been bound.
+agent, on a refusal that precedes any intent on the log, or on a read of the log
+that shows the caller's own key unbound at that time. An attempt that was turned
+away proves nothing, because an earlier one may have run.
 """
 
 import hashlib
@@ -37,16 +38,15 @@
         now,
     )
     t.add_call(row)
+    row.maybe_ran = bool(spec.key)
     if t.drain_started is not None:
         entry_call_end.fail(t, row, now, 503, "draining", "entry is stopping")
     elif not spec.key:
         t.budget.earn(spec.team, spec.service, now)
         _send_repeatable(t, row, now)
     elif call_keys.is_issued(spec.key):
-        row.maybe_ran = True
         _use_key(t, row, spec.key, now)
     else:
-        row.maybe_ran = True
         row.binding = binding_name(spec)
         row.state = "binding"
         t.emit(entry_events.FindBinding(row.req_id, row.binding))
@@ -120,6 +120,12 @@
     row.state = "issuing"
     row.step_until = now + entry_tables.KEY_TIMEOUT_S / 2
     agent_id = _choose(t, row, "issue_key")
+    if not agent_id and row.binding and not row.handout:
+        # Another attempt may have bound the key since the first look.
+        row.state = "binding"
+        row.last_look = True
+        t.emit(entry_events.FindBinding(row.req_id, row.binding))
+        return
     if not agent_id:
         entry_call_end.no_upstream(t, row, now)
         return
@@ -272,7 +278,10 @@
     row = t.calls.get(event.req_id)
     if row is None or row.state != "binding":
         return
-    if event.failed:
+    if row.last_look and not event.issued:
+        row.maybe_ran = event.failed
+        entry_call_end.no_upstream(t, row, now)
+    elif event.failed:
         row.handout = True
         if row.text:
             entry_call_end.hand_out(t, row, now)
@@ -281,7 +290,6 @@
     elif event.issued:
         _use_key(t, row, event.issued, now)
     else:
-        row.maybe_ran = False
         _ask_key(t, row, now)
 
 
--- a/src/apricottrestle/entry_http.py
+++ b/src/apricottrestle/entry_http.py
@@ -270,7 +270,7 @@
 
     async def _pass(self, service: str, path: str) -> None:
         body = self.take_body()
-        team = self.admit()
+        team = self._admit_call()
         query = self.request.query
         spec = entry_accept.call(
             self.state,
@@ -290,6 +290,19 @@
             elif isinstance(command, entry_events.Fail):
                 self.fail(command.error, command.issued_key)
 
+    def _admit_call(self) -> config_state.TeamSpec:
+        """Checks as `admit`; a keyed call may have run as an earlier attempt.
+
+        Raises:
+            RequestError: The call can't be taken.
+        """
+        try:
+            return self.admit()
+        except errors.RequestError as exc:
+            if exc.status != 401 and "Idempotency-Key" in self.request.headers:
+                exc.outcome = "unknown"
+            raise
+
     get = head = post = delete = patch = put = options = _pass
 
     def _answer(self, command: entry_events.Answer) -> None:
--- a/src/apricottrestle/entry_peers.py
+++ b/src/apricottrestle/entry_peers.py
@@ -187,7 +187,13 @@
     report: messages.LoadReport,
     now: float,
 ) -> None:
-    """Stores a load report; the first of an incarnation makes a new row."""
+    """Stores a load report; the first of an incarnation makes a new row.
+
+    A drain is forgotten once the agent says that it drains: a Ping on its way
+    would otherwise drain the process that restarts in its place.
+    """
+    if report.draining:
+        t.drains.pop(peer.agent_id, None)
     row = t.upstreams.rows.get(peer.agent_id)
     if row is not None and row.incarnation == peer.incarnation:
         t.upstreams.apply_report(peer.agent_id, report, now)
--- a/src/apricottrestle/entry_tables.py
+++ b/src/apricottrestle/entry_tables.py
@@ -342,6 +342,8 @@
             attempt under the same key.
         failures: Attempts that ended by a failure.
         excluded: Agents that failed it.
+        last_look: True while the log is read to prove that the caller's own
+            key is not bound.
         step_until: Time at which the present step is given up.
         handout: True when the caller gets the issued key instead of an answer,
             because the log did not take the binding.
@@ -361,6 +363,7 @@
         "incarnation",
         "key",
         "key_only",
+        "last_look",
         "maybe_ran",
         "req_id",
         "service",
@@ -404,6 +407,7 @@
         self.excluded: set[str] = set()
         self.step_until = self.deadline
         self.handout = False
+        self.last_look = False
 
 
 class Tables:
--- a/tests/test_entry_calls.py
+++ b/tests/test_entry_calls.py
@@ -184,6 +184,7 @@
     world.run(1.0)
     assert caller.error is not None
     assert caller.error.code == "binding_unavailable"
+    assert caller.error.outcome == "unknown"
     assert caller.error.status == 503
     assert world.ran() == []
     again = world.entry.call(caller.issued_key)
@@ -338,3 +339,31 @@
     caller = world.entry.call(repeatable=True)
     assert isinstance(caller.error, errors.RequestError)
     assert (caller.error.status, caller.error.outcome) == (503, "not_run")
+
+
+def test_own_key_without_an_agent_is_not_run_only_by_a_fresh_read() -> None:
+    """An attempt must not be told not run after another one has run."""
+    world = _world(services=1, entries=2)
+    owner = world.agents["s0"]
+    owner.frozen = True
+    early = world.entries[0].call("order-7")
+    owner.frozen = False
+    late = world.entries[1].call("order-7")
+    world.run(0.2)
+    assert late.complete
+    owner.alive = False
+    world.run_until(lambda: bool(early.ends))
+    assert _outcome(early) == "unknown"
+    untouched = world.entries[0].call("order-8")
+    world.run_until(lambda: bool(untouched.ends))
+    assert _outcome(untouched) == "not_run"
+
+
+@pytest.mark.parametrize("key", ["", "order-7", "issued"])
+def test_draining_entry_does_not_deny_earlier_attempts(key: str) -> None:
+    """A keyed call that was turned away may have run before."""
+    world = _world()
+    text = world.entry.issue_key() if key == "issued" else key
+    world.entry.post(entry_events.StartDrain())
+    caller = world.entry.call(text)
+    assert _outcome(caller) == ("unknown" if key else "not_run")
--- a/tests/test_entry_world.py
+++ b/tests/test_entry_world.py
@@ -35,6 +35,9 @@
         self.event_id = ""
         self.ends: list[Any] = []
         self.issued_key = ""
+        self.key = ""
+        self.req_id = ""
+        self.ran_when_told: list[str] = []
 
     def take(self, command: Any) -> None:
         if isinstance(command, entry_events.Deliver):
@@ -50,6 +53,7 @@
             return
         if isinstance(command, entry_events.Fail):
             self.issued_key = command.issued_key
+            self.ran_when_told = self.entry.world.ran()
         self.ends.append(command)
 
     @property
@@ -171,11 +175,13 @@
         resume: entry_events.ResumePoint | None = None,
     ) -> Caller:
         caller = self._caller(body)
+        caller.offset = resume.offset if resume else -1
         spec = entry_events.GenerationSpec(
             "t", 1.0, 1, "m", "v1", "", body, prompt_tokens, (), max_tokens,
             limit_s, stream, resume,
         )  # fmt: skip
         self.post(entry_events.Generate(caller.number, spec))
+        caller.req_id = self.tables.callers.get(caller.number, "")
         return caller
 
     def resume(self, old: Caller, **kwargs: Any) -> Caller:
@@ -188,6 +194,7 @@
         self, key: str = "", *, limit_s: float = 30.0, repeatable: bool = False
     ) -> Caller:
         caller = self._caller(b"")
+        caller.key = key
         spec = entry_events.CallSpec(
             "t", 1, "svc", "POST", "/orders", (), b"x", key, repeatable, limit_s
         )
--- /dev/null
+++ b/tests/test_matrix_entry_config.py
@@ -0,0 +1,235 @@
+"""Matrix cells of release notes at the entry: G6 at read, fold and confirm."""
+
+from typing import Final
+
+import pytest
+
+from apricottrestle import config_sync, entry_events, messages, platform_log
+from tests import matrix_table, notes
+from tests import test_entry_fakes as fakes
+from tests import test_entry_world as worlds
+
+Cell = matrix_table.Cell
+
+_STEPS: Final = ("read", "fold", "confirm")
+_FAULTS: Final = (
+    "kill",
+    "freeze and thaw",
+    "silent connection",
+    "message late",
+    "message duplicated",
+    "messages swapped",
+    "answer lost after effect",
+    "log down or slow",
+    "log records past retention",
+    "instance list late or wrong",
+    "operators racing",
+    "two faults at once",
+)
+CELLS: Final = tuple(
+    Cell("G6", fault, step, "proved", "test_newest_note_stays_in_force")
+    for fault in _FAULTS
+    for step in _STEPS
+)
+IN_FORCE_S: Final = 5.0
+
+
+def _record(offset: int, note_id: str, base: int) -> messages.NoteRecord:
+    if offset == 1:
+        return messages.NoteRecord(1, "first", notes.FIRST)
+    return messages.NoteRecord(
+        offset, note_id, notes.share_note(note_id, base, float(offset))
+    )
+
+
+RECORDS: Final = [
+    _record(1, "first", 0),
+    _record(2, "second", 1),
+    _record(3, "third", 2),
+]
+
+
+class _Fleet:
+    """A world whose agents know notes, and a log that carries them."""
+
+    def __init__(self) -> None:
+        self.world = worlds.World(engines=3)
+        self.published = list(RECORDS[:1])
+        self.source = config_sync.ConfigSync()
+        self.log_up = True
+        self.seen: list[int] = []
+        self.restart()
+
+    @property
+    def sync(self) -> config_sync.ConfigSync:
+        return self.world.entry.tables.sync
+
+    def restart(self) -> None:
+        """Gives the entry an empty configuration, as after a start."""
+        self.world.entry.tables.sync = config_sync.ConfigSync()
+        self.seen.clear()
+
+    def publish(self, *records: messages.NoteRecord) -> None:
+        self.published += records
+
+    def tell_agents(self, agents: list[fakes.FakeAgent]) -> None:
+        """Lets agents know all notes, and answer requests for them."""
+        self.source.apply_update(messages.ConfigUpdate("", self.published))
+        for agent in agents:
+            agent.config_rev = self.source.revision
+        request = messages.ConfigRequest(self.sync.revision)
+        self.world.note_update = self.source.answer(request)
+
+    def read_log(self, first: int = 1) -> None:
+        if not self.log_up:
+            return
+        after = self.sync.read_after
+        records = [
+            platform_log.LogRecord(r.offset, 0.0, r.note_id, r.data)
+            for r in self.published
+            if r.offset > after and r.offset >= first
+        ]
+        result = platform_log.ReadResult(
+            first, len(self.published) + 1, records
+        )
+        self.world.entry.post(entry_events.LogNotes(result))
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.5)):
+            self.world.run(0.5)
+            self.read_log()
+            self.seen.append(self.sync.revision)
+
+
+def _late(world: worlds.World, times: int) -> worlds.Mangle:
+    del world
+
+    def mangle(msg: messages.Message) -> list[tuple[float, messages.Message]]:
+        if isinstance(msg, messages.ConfigUpdate):
+            return [(0.4 * (index + 1), msg) for index in range(times)]
+        return [(0.0, msg)]
+
+    return mangle
+
+
+def _inject(fleet: _Fleet, fault: str) -> None:
+    world = fleet.world
+    agents = list(world.agents.values())
+    match fault:
+        case "kill":
+            fleet.restart()
+            fleet.log_up = False
+        case "freeze and thaw":
+            world.entry.frozen = True
+            world.run(4.0)
+            world.entry.frozen = False
+        case "silent connection":
+            world.silence("a0")
+            fleet.log_up = False
+        case "message late":
+            world.mangle = _late(world, 1)
+        case "message duplicated":
+            world.mangle = _late(world, 3)
+        case "messages swapped":
+            # An update of the past arrives after the newest one.
+            old = messages.ConfigUpdate("", RECORDS[:1])
+            world.delayed += [
+                (world.now + 1.0, world.entry, _frame(world, old))
+            ]
+        case "answer lost after effect":
+            lost = {"left": 1}
+
+            def lose(
+                msg: messages.Message,
+            ) -> list[tuple[float, messages.Message]]:
+                if lost["left"] and isinstance(msg, messages.ConfigUpdate):
+                    lost["left"] = 0
+                    return []
+                return [(0.0, msg)]
+
+            world.mangle = lose
+            fleet.log_up = False
+        case "log down or slow":
+            fleet.log_up = False
+        case "log records past retention":
+            fleet.restart()
+            fleet.read_log(first=3)
+            fleet.log_up = False
+        case "instance list late or wrong":
+            world.entry.post(entry_events.Instances(world.rows("gone")))
+            fleet.log_up = False
+        case "operators racing":
+            loser = _record(4, "loser", 1)
+            fleet.publish(loser)
+        case "two faults at once":
+            fleet.log_up = False
+            agents[0].alive = False
+
+
+def _frame(world: worlds.World, msg: messages.Message) -> entry_events.Frame:
+    conn, agent_id = next(iter(world.entry.conns.items()))
+    agent = world.agents[agent_id]
+    received = messages.Received(agent_id, agent.incarnation, 1, msg, b"")
+    return entry_events.Frame(conn, received)
+
+
+@pytest.mark.parametrize(
+    "cell", matrix_table.proved(CELLS, "test_newest_note_stays_in_force")
+)
+def test_newest_note_stays_in_force(cell: Cell) -> None:
+    """An accepted note must be in force within 5 s and never go back."""
+    fleet = _Fleet()
+    agents = list(fleet.world.agents.values())
+    fleet.tell_agents(agents)
+    fleet.run(1.0)
+    assert fleet.sync.revision == 1
+    fleet.publish(*RECORDS[1:])
+    if cell.step == "read":
+        _inject(fleet, cell.fault)
+    fleet.tell_agents(agents[1:])
+    if cell.step == "fold":
+        fleet.read_log()
+        _inject(fleet, cell.fault)
+    if cell.step == "confirm":
+        fleet.run(1.0)
+        _inject(fleet, cell.fault)
+    fleet.tell_agents(agents)
+    fleet.run(IN_FORCE_S)
+    assert fleet.sync.revision == 3
+    assert fleet.sync.ready
+    assert fleet.seen == sorted(fleet.seen)
+
+
+def test_entry_answers_an_agent_that_is_behind() -> None:
+    """An agent has no log; what it lacks must come from its entries."""
+    fleet = _Fleet()
+    fleet.publish(*RECORDS[1:])
+    fleet.read_log()
+    frame = _frame(fleet.world, messages.ConfigRequest(1))
+    fleet.world.entry.post(frame)
+    agent = fleet.world.agents[fleet.world.entry.conns[frame.conn]]
+    assert agent.config_got[0].records == RECORDS[1:]
+
+
+def test_drain_record_reaches_its_agent_once() -> None:
+    """A drained instance must not be drained again after its restart."""
+    world = worlds.World(engines=2)
+    record = platform_log.LogRecord(1, 0.0, "d1", '{"instance": "a0"}')
+    world.entry.post(entry_events.LogDrains([record]))
+    world.run(3.0)
+    assert world.agents["a0"].draining
+    assert not world.agents["a1"].draining
+    world.agents["a0"].restart()
+    world.run(5.0)
+    assert not world.agents["a0"].draining
+
+
+def test_drain_record_of_this_entry_starts_its_drain() -> None:
+    """`drain INSTANCE` must reach entries too; garbage must not stop one."""
+    world = worlds.World()
+    garbage = platform_log.LogRecord(1, 0.0, "d1", "garbage")
+    world.entry.post(entry_events.LogDrains([garbage]))
+    assert world.entry.tables.drain_started is None
+    record = platform_log.LogRecord(2, 0.0, "d2", '{"instance": "e0"}')
+    world.entry.post(entry_events.LogDrains([record]))
+    assert world.entry.tables.drain_started is not None
