--- a/tests/test_entry_calls.py
+++ b/tests/test_entry_calls.py
@@ -1,5 +1,6 @@
 """Guards calls to services: at most once, and honest outcomes."""
 
+import asyncio
 from collections.abc import Callable
 
 import pytest
@@ -219,6 +220,21 @@
     assert len(world.ran()) == 1
 
 
+def test_first_of_two_racing_bindings_wins() -> None:
+    """Two entries that saw no binding must end with the same key."""
+    world = _world(entries=2)
+    keys = [world.entry.issue_key(), world.entry.issue_key()]
+    one, two = (entry.bindings for entry in world.entries)
+    name = "0" * 64
+
+    async def race() -> list[str]:
+        assert await one.find(name) == await two.find(name) == ""
+        return [await one.bind(name, keys[0]), await two.bind(name, keys[1])]
+
+    assert asyncio.run(race()) == [keys[0], keys[0]]
+    assert asyncio.run(one.find(name)) == keys[0]
+
+
 def test_bindings_beyond_the_cache_are_found(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_matrix_entry.py
+++ b/tests/test_matrix_entry.py
@@ -79,7 +79,7 @@
     "cell", matrix_table.proved(CELLS, "test_request_ends_in_time")
 )
 def test_request_ends_in_time(cell: Cell) -> None:
-    """No fault, even at all agents, may leave a caller without an end."""
+    """No fault may leave a caller without an end, even when engines hang."""
     world = worlds.World()
     caller = scenarios.reach(world, cell.step, limit_s=LIMIT_S)
     started = world.now
@@ -91,6 +91,8 @@
         caller = world.entry.generate(limit_s=LIMIT_S)
     if cell.step != "accept":
         scenarios.inject(world, cell.fault, list(world.agents))
+    for agent in world.agents.values():
+        agent.hold = True
     world.run(max(0.0, started + LIMIT_S + 0.3 - world.now))
     assert len(caller.ends) == 1
     assert not world.entry.tables.requests
