Test calls, engine faults and a frozen entry on real processes

Racing attempts of a key, lost answers, ended agents, leaked memory, a forgotten configuration, a caller that leaves and an entry that thaws had no test on real processes. GET /held on every stand-in shows requests that a fault holds back, so that a test can kill an agent while its call is under way.

--- a/src/apricottrestle_standins/client.py
+++ b/src/apricottrestle_standins/client.py
@@ -163,6 +163,7 @@
         retries: int = 0,
         on_token: Callable[[Answer], None] | None = None,
         timeout_s: float = 60.0,
+        continue_from: Answer | None = None,
     ) -> Answer:
         """Sends a prompt as a stream and checks the answer token by token.
 
@@ -173,8 +174,12 @@
                 the wait that the refusal names.
             on_token: Called after each event with the answer so far.
             timeout_s: Time limit of each HTTP call in seconds.
+            continue_from: Broken answer to the same prompt, to be resumed.
         """
         answer = Answer(len(prompt.ids), prompt.priority, time.monotonic())
+        if continue_from is not None:
+            answer.tokens = list(continue_from.tokens)
+            answer.last_event_id = continue_from.last_event_id
         body = _body(prompt)
         while True:
             stream = _Stream(answer, on_token)
--- a/src/apricottrestle_standins/service.py
+++ b/src/apricottrestle_standins/service.py
@@ -89,5 +89,5 @@
 
 _ROUTES: Final = [
     (r"/ledger", LedgerHandler),
-    (r"/(?!faults$).*", CallHandler),
+    (r"/(?!faults$|held$).*", CallHandler),
 ]
--- a/src/apricottrestle_standins/web.py
+++ b/src/apricottrestle_standins/web.py
@@ -1,8 +1,9 @@
 """HTTP plumbing that the stand-ins share: typed JSON bodies, faults, serving.
 
 Every stand-in has `POST /faults`, which replaces all fault settings at once (an
-absent key is off), and `GET /faults`, which reads them back. Faults never apply
-to `/faults` and `/ledger`, so a test can always look at a broken stand-in.
+absent key is off), and `GET /faults`, which reads them back; `GET /held` counts
+the requests that a fault holds back. Faults never apply to these paths and to
+`/ledger`, so a test can always look at a broken stand-in.
 """
 
 import asyncio
@@ -18,7 +19,7 @@
 T = TypeVar("T")
 MAX_BODY_BYTES: Final = 32 * 1024 * 1024
 _HANG_POLL_S: Final = 0.02
-_EXEMPT_PATHS: Final = ("/faults", "/ledger")
+_EXEMPT_PATHS: Final = ("/faults", "/held", "/ledger")
 
 Routes = list[tuple[str, type[tornado.web.RequestHandler], dict[str, Any]]]
 
@@ -48,6 +49,7 @@
         """Starts without faults."""
         self.fault_type = fault_type
         self.faults = fault_type()
+        self.held = 0
 
     def on_faults(self) -> None:
         """Called after the fault settings were replaced."""
@@ -68,13 +70,21 @@
         """Applies the faults that come before the effect."""
         if self.request.path in _EXEMPT_PATHS:
             return
+        self.standin.held += 1
+        try:
+            await self._hold()
+        finally:
+            self.standin.held -= 1
+        status = self.standin.faults.error_status
+        if status:
+            self.fail(status, "error fault is on")
+
+    async def _hold(self) -> None:
         while self.standin.faults.hang:
             await asyncio.sleep(_HANG_POLL_S)
-        faults = self.standin.faults
-        if faults.delay_s:
-            await asyncio.sleep(faults.delay_s)
-        if faults.error_status:
-            self.fail(faults.error_status, "error fault is on")
+        delay_s = self.standin.faults.delay_s
+        if delay_s:
+            await asyncio.sleep(delay_s)
 
     def read_json(self, kind: type[T]) -> T:
         """Returns the body checked against a type; answers 400 otherwise."""
@@ -135,6 +145,14 @@
         self.reply(self.standin.faults)
 
 
+class HeldHandler(JsonHandler):
+    """`GET /held`: how many requests a delay or hang holds back."""
+
+    def get(self) -> None:
+        """Answers with the number."""
+        self.reply({"held": self.standin.held})
+
+
 class TokenBucket:
     """Rate limit: `rate_per_s` on average, `burst` at once."""
 
@@ -168,7 +186,7 @@
 
     Args:
         standin: Given to every handler.
-        routes: Path patterns and handlers, without `/faults`.
+        routes: Path patterns and handlers besides the common ones.
         host: Numeric address to listen on.
         port: Port, or 0 for any free one.
 
@@ -179,6 +197,7 @@
     handlers: list[tuple[str, type[JsonHandler]]] = [
         *routes,
         (r"/faults", FaultsHandler),
+        (r"/held", HeldHandler),
     ]
     table: Routes = [(path, handler, arguments) for path, handler in handlers]
     app = tornado.web.Application(table, log_function=lambda handler: None)
--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -120,12 +120,25 @@
         prompt: client.Prompt,
         *,
         retries: int = 0,
-        key: str = notes.KEYS["harvest"],
+        resume: bool = True,
+        timeout_s: float = _STREAM_TIMEOUT_S,
+        continue_from: client.Answer | None = None,
     ) -> None:
-        """Starts the thread; the first URL is asked first."""
+        """Starts the thread; the first URL is asked first.
+
+        Args:
+            urls: Entries to ask in turn.
+            prompt: The prompt.
+            retries: How often a refused prompt is sent again.
+            resume: Resume when the stream breaks off.
+            timeout_s: Time limit of each HTTP call.
+            continue_from: Broken answer whose stream is resumed.
+        """
         self.received = 0
+        self._resume = resume
+        self._timeout_s = timeout_s
+        self._continue_from = continue_from
         self._urls = urls
-        self._key = key
         self._prompt = prompt
         self._retries = retries
         self._answer: client.Answer | None = None
@@ -136,13 +149,15 @@
         self._answer = asyncio.run(self._complete())
 
     async def _complete(self) -> client.Answer:
-        caller = client.Caller(self._urls, self._key)
+        caller = client.Caller(self._urls, notes.KEYS["harvest"])
         try:
             return await caller.complete(
                 self._prompt,
+                resume=self._resume,
                 retries=self._retries,
                 on_token=self._count,
-                timeout_s=_STREAM_TIMEOUT_S,
+                timeout_s=self._timeout_s,
+                continue_from=self._continue_from,
             )
         finally:
             caller.close()
