--- a/tests/order_scenarios.py
+++ b/tests/order_scenarios.py
@@ -139,7 +139,11 @@
     announce(found)
     found.run(1.0)
     found.drop.clear()
-    return order_fence_ignored(found)
+    found.engine.ignores_fence = True
+    found.until(lambda: is_in_force(found), 2 * IN_FORCE_S)
+    found.engine.order(_OLD_ORDER)
+    assert not is_in_force(found)
+    return found
 
 
 # Confirm: the engine's read-back agrees.
