--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -214,6 +214,10 @@
             for job in jobs
         ]
 
+    def engines(self) -> list[engine_model.Engine]:
+        """Returns the engines, to check their memory after a run."""
+        return [agent.engine for agent in self._agents]
+
     def _at(
         self, time_s: float, function: Callable[..., None], argument: Any
     ) -> None:
--- a/src/apricottrestle/queueing_fair.py
+++ b/src/apricottrestle/queueing_fair.py
@@ -31,7 +31,7 @@
 PATIENCE_S_PER_TOKEN: Final = 0.0005
 """Due time per prompt token, about ten times the prefill time of a token."""
 
-FLOOR_BURST_TOKENS: Final = 32_768
+FLOOR_BURST_TOKENS: Final = 8_192
 """A class uses its floor at once for items up to this size; for longer ones it
 goes into debt, so that a 1M-token item doesn't wait until 1M tokens of credit
 have gathered."""
