--- a/bench/engine_model.py
+++ b/bench/engine_model.py
@@ -19,7 +19,7 @@
 DECODE_S: Final = 0.0001
 SLOTS: Final = 64
 KV_TOKENS: Final = 490_000
-CACHE_BLOCKS: Final = 100
+CACHE_BLOCKS: Final = 400
 NOMINAL_TOKENS_PER_S: Final = CHUNK_TOKENS / (CHUNK_S + BASE_S + 15 * DECODE_S)
 """Prefill rate beside 15 generations; unit of capacity and load."""
 
@@ -59,6 +59,7 @@
         self.cache: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
+        self.cache_changed = False
         self._ends: list[tuple[float, str]] = []
         self._iterations = 0.0
         self._time = 0.0
@@ -89,6 +90,7 @@
         hits = 0
         while hits < len(blocks) and blocks[hits] in self.cache:
             hits += 1
+        self.cache_changed |= hits < len(blocks)
         for block in blocks:
             self.cache[block] = None
             self.cache.move_to_end(block)
--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -469,7 +469,8 @@
             self._apply_report,
             (agent, report, counts, blocks),
         )
-        self._wake(agent)
+        if len(agent.queue):
+            self._wake(agent)
 
     def _apply_report(
         self,
