--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -443,6 +443,7 @@
         agent.fault = kind
         if kind == "down":
             agent.engine.cache.clear()
+            agent.engine.cache_changed = True
             for job in list(agent.jobs.values()):
                 self._fail(agent, job)
             self._at(self._now + LOST_AFTER_S, self._mark, (agent, False))
@@ -463,7 +464,10 @@
         self._advance(agent)
         report = agent.report(0)
         counts = list(agent.received)
-        blocks = frozenset(agent.engine.cache)
+        blocks = None
+        if agent.engine.cache_changed:
+            agent.engine.cache_changed = False
+            blocks = frozenset(agent.engine.cache)
         self._at(
             self._now + self._fleet.agent_s,
             self._apply_report,
@@ -474,7 +478,9 @@
 
     def _apply_report(
         self,
-        argument: tuple[_Agent, messages.LoadReport, list[int], frozenset[int]],
+        argument: tuple[
+            _Agent, messages.LoadReport, list[int], frozenset[int] | None
+        ],
     ) -> None:
         agent, report, counts, blocks = argument
         for entry, received in zip(self._entries, counts, strict=True):
@@ -486,7 +492,7 @@
             )
             if not usable and agent.fault:
                 table.set_usable(agent.agent_id, False)
-            known = row.cached_blocks.keys()
-            if known != blocks:
+            if blocks is not None:
+                known = row.cached_blocks.keys()
                 table.remove_cached(agent.agent_id, sorted(known - blocks))
                 table.add_cached(agent.agent_id, sorted(blocks - known))
