Await issued keys before call tests, and test the load tool

test_thawed_agent failed once with 503 no_upstream: an entry is ready before its first agent has answered. The harness now also waits until each entry issues keys. The load tool runs against a real fleet in a test.

--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -59,6 +59,10 @@
         run.wait_ready()
         if size.engines:
             wait_serving(run)
+        for url in entry_urls(run) if size.services else []:
+            fleet.wait_for(
+                functools.partial(_issues_keys, url), f"{url} issues keys"
+            )
         yield run
 
 
@@ -214,16 +218,21 @@
 
 def issue_key(url: str) -> str:
     """Returns an issued idempotency key for the service."""
-    answer = fleet.call(
-        "POST",
-        url + "/v1/idempotency-keys",
-        {"service": notes.SERVICE},
-        authorization(),
-    )
+    answer = _ask_key(url)
     assert answer.status == 200, answer
     return str(answer.json()["idempotency_key"])
 
 
+def _ask_key(url: str) -> fleet.HttpAnswer:
+    path = "/v1/idempotency-keys"
+    body = {"service": notes.SERVICE}
+    return fleet.call("POST", url + path, body, authorization())
+
+
+def _issues_keys(url: str) -> bool:
+    return _ask_key(url).status == 200
+
+
 def authorization(key: str = notes.KEYS["harvest"]) -> dict[str, str]:
     """Returns the header that names a team."""
     return {"Authorization": f"Bearer {key}"}
--- a/tests/test_process_engine.py
+++ b/tests/test_process_engine.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from apricottrestle_standins import demo, fleet
+from apricottrestle_standins import demo, fleet, load, notes
 from tests import process_harness as harness
 
 pytestmark = pytest.mark.process
@@ -25,6 +25,18 @@
     running.faults("engine-0")
 
 
+def test_load_tool_checks_its_answers(
+    run: fleet.Fleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    urls = [f"--url={url}" for url in harness.entry_urls(run)]
+    key = f"--key={notes.KEYS['harvest']}"
+    arguments = [*urls, key, f"--model={notes.MODEL}", "--max-tokens=4"]
+    lengths = ["--lengths=100,5000:2", "--rate=20", "--seconds=1"]
+    assert load.main(arguments + lengths) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert {line.split()[0] for line in lines[1:]} == {"<4k", "<32k"}
+
+
 def test_leaked_memory_is_freed(run: fleet.Fleet) -> None:
     """The agent frees what has no owner, after its grace of 10 s."""
     run.faults("engine-0", leak_allocations=True)
