Answer stale cache positions in full and check query integers

An agent that outlives its engine asks after an event number that the new engine has not reached; it got no events and kept a stale summary. Such a request now gets all blocks, and a query value that is no integer gets 400 instead of 500.

--- a/src/apricottrestle_standins/demo.py
+++ b/src/apricottrestle_standins/demo.py
@@ -235,6 +235,7 @@
     entries = [run.nodes[f"entry-{name}"].url for name in _DATA_CENTRES[:2]]
     caller = client.Caller(entries, notes.KEYS["harvest"])
     prompts = make_prompts(random.Random(_SEED))
+    print(f"sending {len(prompts)} prompts and {_CALLS} calls")
     try:
         return await asyncio.gather(
             send_prompts(caller, prompts),
--- a/src/apricottrestle_standins/engine.py
+++ b/src/apricottrestle_standins/engine.py
@@ -382,14 +382,17 @@
 
 
 class CacheHandler(_EngineHandler):
-    """`GET /cache_events?after=N`; `after=0` answers with all blocks."""
+    """`GET /cache_events?after=N`.
+
+    The answer is all blocks when N is 0, or a number of an earlier process.
+    """
 
     def get(self) -> None:
         """Answers with the events after N, or all blocks as one event."""
-        after = int(self.get_query_argument("after", "0"))
+        after = self.int_argument("after", 0)
         cache = self.core.cache
-        if after <= 0:
-            last, blocks = cache.snapshot()
+        last, blocks = cache.snapshot()
+        if not 0 < after <= last:
             event = prefix_cache.CacheEvent(last, blocks, [], 0.0)
             self.reply(engine_bodies.CacheAnswer(last, True, [event]))
             return
--- a/src/apricottrestle_standins/instance_list.py
+++ b/src/apricottrestle_standins/instance_list.py
@@ -110,7 +110,7 @@
     def get(self) -> None:
         """Answers with the changed rows."""
         assert isinstance(self.standin, InstanceList)
-        after = int(self.get_query_argument("after", "0"))
+        after = self.int_argument("after", 0)
         data_centre = self.get_query_argument("data_centre", "")
         answer = self.standin.rows_after(after, data_centre, time.monotonic())
         self.reply(answer)
--- a/src/apricottrestle_standins/log_service.py
+++ b/src/apricottrestle_standins/log_service.py
@@ -175,8 +175,8 @@
         if self.log.log_faults.read_outage:
             self.fail(503, "reads are out of service")
             return
-        after = int(self.get_query_argument("after", "0"))
-        limit = int(self.get_query_argument("limit", str(_DEFAULT_LIMIT)))
+        after = self.int_argument("after", 0)
+        limit = self.int_argument("limit", _DEFAULT_LIMIT)
         self.reply(self.log.read(name, after, limit, time.time()))
 
 
--- a/src/apricottrestle_standins/web.py
+++ b/src/apricottrestle_standins/web.py
@@ -55,8 +55,8 @@
         """Called after the fault settings were replaced."""
 
 
-class BadBodyError(tornado.web.HTTPError):
-    """The request body is not the JSON that the path takes."""
+class BadInputError(tornado.web.HTTPError):
+    """The request's body or query is not what the path takes."""
 
 
 class JsonHandler(tornado.web.RequestHandler):
@@ -91,7 +91,15 @@
         try:
             return msgspec.json.decode(self.request.body, type=kind)
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            raise BadBodyError(400, reason=f"bad body: {exc}") from exc
+            raise BadInputError(400, reason=f"bad body: {exc}") from exc
+
+    def int_argument(self, name: str, default: int) -> int:
+        """Returns an integer of the query; answers 400 otherwise."""
+        text = self.get_query_argument(name, str(default))
+        try:
+            return int(text)
+        except ValueError as exc:
+            raise BadInputError(400, reason=f"{name} is no integer") from exc
 
     def reply(self, value: object, status: int = 200) -> None:
         """Answers with JSON, or cuts the connection if answers get lost."""
--- a/tests/test_process_platform.py
+++ b/tests/test_process_platform.py
@@ -31,12 +31,16 @@
 ) -> None:
     run.faults("log", **_OUTAGE)
     node = run.start_entry("entry-late", harness.DATA_CENTRE)
+    run.start_agent(
+        "caller-late", harness.DATA_CENTRE, "service-0", service=notes.SERVICE
+    )
     run.wait_ready()
     answer = harness.ask([node.url], harness.make_prompt(50, 5), retries=3)
     assert answer.outcome == "ok", answer
-    node.process.send(signal.SIGTERM)
-    assert node.process.wait(15) == 0
-    del run.nodes["entry-late"]
+    for name in ("entry-late", "caller-late"):
+        process = run.nodes.pop(name).process
+        process.send(signal.SIGTERM)
+        assert process.wait(15) == 0
 
 
 def test_calls_go_on_while_the_log_is_down(run: fleet.Fleet) -> None:
--- a/tests/test_standin_http.py
+++ b/tests/test_standin_http.py
@@ -124,6 +124,7 @@
         ("POST", "/v1/completions", _completion(prompt=[]), 400),
         ("POST", "/v1/completions", _completion(max_tokens=0), 400),
         ("POST", "/v1/completions", _completion(prompt=[1] * 2000), 413),
+        ("GET", "/cache_events?after=x", None, 400),
         ("POST", "/faults", {"hang": 3}, 400),
         ("POST", "/faults", {"hnag": True}, 400),
         ("DELETE", "/allocations/none", None, 404),
@@ -277,6 +278,23 @@
     asyncio.run(run())
 
 
+def test_cache_events_of_an_earlier_process_give_all_blocks() -> None:
+    """An agent that outlives its engine must not keep a stale summary."""
+
+    async def run() -> None:
+        with _Engines(_SETTINGS) as (one,):
+            body = _completion(prompt=list(range(520)))
+            await _call("POST", one.url + "/v1/completions", body)
+            for after, full in ((0, True), (1, False), (7, True)):
+                path = f"/cache_events?after={after}"
+                answer = await _json("GET", one.url + path)
+                assert (answer["next"], answer["full"]) == (1, full)
+                blocks = [len(event["added"]) for event in answer["events"]]
+                assert blocks == ([1] if full else [])
+
+    asyncio.run(run())
+
+
 def test_hang_stops_answers_and_tokens_until_it_is_off() -> None:
     async def run() -> None:
         with _Engines(_SETTINGS) as (one,):
