Bound the frames handled after a send

Cause: the unbounded flush could hold the event loop while a peer sends faster than this process reads. Change: at most 256 frames, then a new callback.

--- a/src/apricottrestle/transport.py
+++ b/src/apricottrestle/transport.py
@@ -26,6 +26,9 @@
 _BULK_QUEUE_FRAMES: Final = 64
 _MAX_FRAME_BYTES: Final = 4 * 1024 * 1024
 _LINGER_MS: Final = 500
+_RECHECK_FRAMES: Final = 256
+"""Frames handled at once, so that a busy socket does not block the loop."""
+
 _RECONNECT_MS: Final = 200
 _RECONNECT_MAX_MS: Final = 2000
 
@@ -118,7 +121,8 @@
     def _handle_arrived(self) -> None:
         self._recheck_due = False
         if not self._sock.closed:
-            self._stream.flush(zmq.POLLIN)
+            self._stream.flush(zmq.POLLIN, limit=_RECHECK_FRAMES)
+            self._recheck()
 
     def close(self) -> None:
         self._stream.close(linger=_LINGER_MS)
