Run the agent's tests with the shipped queue policy

Cause: the matrix ran with the FIFO baseline, the daemon with PriorityFairQueue. Change: the test world takes PriorityFairQueue.

--- a/tests/test_agent_world.py
+++ b/tests/test_agent_world.py
@@ -17,7 +17,7 @@
     call_log,
     config_state,
     messages,
-    queueing,
+    queueing_fair,
 )
 
 TICK_S = 0.1
@@ -223,7 +223,7 @@
             SECRET,
         )
         self.tables = agent_tables.Tables(
-            params, queueing.FifoQueue(), random.Random(seed), now
+            params, queueing_fair.PriorityFairQueue(), random.Random(seed), now
         )
         self.engine = engine or FakeEngine()
         self.log = log or FakeLog()
