--- a/src/apricottrestle/agent_reports.py
+++ b/src/apricottrestle/agent_reports.py
@@ -9,6 +9,7 @@
 from apricottrestle import (
     agent_events,
     agent_queue,
+    agent_state,
     agent_tables,
     messages,
 )
@@ -137,7 +138,7 @@
 
 
 def _replace_blocks(
-    cache: agent_tables.CacheState, answer: agent_events.CacheEvents
+    cache: agent_state.CacheState, answer: agent_events.CacheEvents
 ) -> None:
     blocks = [block for event in answer.events for block in event.added]
     held = dict.fromkeys(blocks[-MAX_BLOCKS:])
@@ -147,7 +148,7 @@
 
 
 def _apply(
-    cache: agent_tables.CacheState, event: agent_events.CacheEvent
+    cache: agent_state.CacheState, event: agent_events.CacheEvent
 ) -> None:
     for block in event.removed:
         if block in cache.blocks:
@@ -158,13 +159,13 @@
         cache.removed.pop(block, None)
 
 
-def _drop(cache: agent_tables.CacheState, block: int) -> None:
+def _drop(cache: agent_state.CacheState, block: int) -> None:
     del cache.blocks[block]
     cache.added.pop(block, None)
     cache.removed[block] = None
 
 
-def _trim(cache: agent_tables.CacheState) -> None:
+def _trim(cache: agent_state.CacheState) -> None:
     while len(cache.blocks) > MAX_BLOCKS:
         _drop(cache, next(iter(cache.blocks)))
 
