Append an agent's first audit batch when it starts

Ruled out: the export; it lists each writer it has seen. Change: the first batch is appended at start, as audit.py asks.

--- a/src/apricottrestle/agent_platform.py
+++ b/src/apricottrestle/agent_platform.py
@@ -296,7 +296,12 @@
         )
 
     async def _append_audit(self) -> None:
-        due = time.monotonic() + audit.AGENT_INTERVAL_S
+        """Appends a batch at once, then one each interval.
+
+        The first one makes the writer known, so that the export can tell that
+        rows are missing when this process dies within the interval.
+        """
+        due = time.monotonic()
         while True:
             await asyncio.sleep(max(due - time.monotonic(), 0.0))
             try:
