Add mutations, a fleet to serve by hand, and the cost of real daemons

Cause: each guarantee needs a mutation that some test notices; the README's curl example needs a running fleet; CAPACITY.md needs the daemons' own figures.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed-dev
 BENCH_STAMP := $(VENV)/.installed-bench
 
-.PHONY: demo test lint types unit fuzz bench bench-capacity matrix mutations clean
+.PHONY: demo serve test lint types unit fuzz bench bench-capacity matrix mutations clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +19,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m apricottrestle_standins.demo
 
+serve: $(STAMP)
+	$(BIN)/python -m apricottrestle_standins.serve
+
 test: lint types unit
 
 lint: $(STAMP)
@@ -39,6 +42,7 @@
 
 bench-capacity: $(BENCH_STAMP)
 	$(BIN)/python -m bench.capacity
+	$(BIN)/python -m bench.daemons
 
 mutations: $(STAMP)
 	$(BIN)/python -m tests.mutations
--- a/src/apricottrestle_standins/demo.py
+++ b/src/apricottrestle_standins/demo.py
@@ -21,7 +21,7 @@
 from apricottrestle import messages
 from apricottrestle_standins import client, fleet, load, notes
 
-_DATA_CENTRES: Final = ("savannah", "promenade", "maraval")
+DATA_CENTRES: Final = ("savannah", "promenade", "maraval")
 _ENGINES_PER_DATA_CENTRE: Final = 2
 _KV_BLOCKS: Final = 4096
 _BLOCK_TOKENS: Final = 16
@@ -58,7 +58,7 @@
         Revision of the first release note.
     """
     run.start_platform()
-    for data_centre in _DATA_CENTRES:
+    for data_centre in DATA_CENTRES:
         for index in range(_ENGINES_PER_DATA_CENTRE):
             run.start_standin(
                 f"engine-{data_centre}-{index}",
@@ -72,7 +72,7 @@
     run.wait_standins()
     revision = run.publish(notes.first_note())
     print(f"release note 'first' accepted at offset {revision}")
-    for data_centre in _DATA_CENTRES:
+    for data_centre in DATA_CENTRES:
         for index in range(_ENGINES_PER_DATA_CENTRE):
             run.start_agent(
                 f"agent-{data_centre}-{index}",
@@ -87,7 +87,7 @@
             f"service-{data_centre}",
             service=notes.SERVICE,
         )
-    for data_centre in _DATA_CENTRES[:2]:
+    for data_centre in DATA_CENTRES[:2]:
         run.start_entry(f"entry-{data_centre}", data_centre)
     run.wait_ready()
     wait_engines(run, "v1")
@@ -232,7 +232,7 @@
     run: fleet.Fleet, revision: int
 ) -> tuple[list[client.Answer], list[CallRow], float]:
     """Sends the load while the operator acts."""
-    entries = [run.nodes[f"entry-{name}"].url for name in _DATA_CENTRES[:2]]
+    entries = [run.nodes[f"entry-{name}"].url for name in DATA_CENTRES[:2]]
     caller = client.Caller(entries, notes.KEYS["harvest"])
     prompts = make_prompts(random.Random(_SEED))
     print(f"sending {len(prompts)} prompts and {_CALLS} calls")
@@ -259,7 +259,7 @@
 def check_calls(run: fleet.Fleet, rows: Sequence[CallRow]) -> list[str]:
     """Compares what callers heard with what the services' ledgers hold."""
     ran: collections.Counter[str] = collections.Counter()
-    for data_centre in _DATA_CENTRES:
+    for data_centre in DATA_CENTRES:
         for call in run.ledger(f"service-{data_centre}"):
             ran[call["body_digest"]] += 1
     problems = []
@@ -315,7 +315,7 @@
 def run_demo() -> int:
     """Runs the demo; returns the exit code."""
     started_s = time.monotonic()
-    with fleet.Fleet(_DATA_CENTRES) as run:
+    with fleet.Fleet(DATA_CENTRES) as run:
         revision = start_fleet(run)
         ready_s = time.monotonic() - started_s
         print(f"{len(run.nodes)} processes ready after {ready_s:.1f} s")
--- a/src/apricottrestle_standins/fleet.py
+++ b/src/apricottrestle_standins/fleet.py
@@ -213,6 +213,10 @@
     settings: str = ""
     upstream: str = ""
 
+    def is_entry(self) -> bool:
+        """Tells whether the node is an entry."""
+        return bool(self.url and self.ops)
+
     def ready(self) -> bool:
         """Tells whether /readyz answers 200."""
         return call("GET", self.ops + "/readyz").status == 200
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import tempfile
+import tomllib
 from typing import Final, NamedTuple
 
 _ROOT: Final = pathlib.Path(__file__).parent.parent
@@ -36,7 +37,13 @@
     test: str
 
 
-MUTATIONS: Final[tuple[Mutation, ...]] = ()
+def _load() -> tuple[Mutation, ...]:
+    path = _ROOT / "tests" / "mutations.toml"
+    rows = tomllib.loads(path.read_text())["mutation"]
+    return tuple(Mutation(**row) for row in rows)
+
+
+MUTATIONS: Final = _load()
 
 
 def render() -> str:
