Share the upstream clients' base and the HTTP server context

Cause: engine_client and service_client each held the same tasks, settling, clean-up and HTTP client set-up, and service_client imported curl settings from engine_client. ops_http and entry_server bound their sockets alike. Change: UpstreamClient (agent_upstream, an ABC) owns the tasks and the HTTP client; ListeningServer (http_server) binds and stops. Behaviour is the same. The agent, ops and entry HTTP tests passed (98). Conclusion: each client and server states only what is particular to it.

--- a/src/apricottrestle/agent_daemon.py
+++ b/src/apricottrestle/agent_daemon.py
@@ -20,6 +20,7 @@
     agent_queue,
     agent_step,
     agent_tables,
+    agent_upstream,
     engine_client,
     logs,
     messages,
@@ -88,8 +89,8 @@
 
 
 def _upstream_client(
-    upstream: settings.UpstreamSettings, emit: engine_client.Emit
-) -> engine_client.EngineClient | service_client.ServiceClient:
+    upstream: settings.UpstreamSettings, emit: agent_upstream.Emit
+) -> agent_upstream.UpstreamClient:
     kind = (
         engine_client.EngineClient
         if upstream.kind == "engine"
--- a/src/apricottrestle/engine_client.py
+++ b/src/apricottrestle/engine_client.py
@@ -5,7 +5,6 @@
 is silent.
 """
 
-import asyncio
 import urllib.parse
 from collections.abc import Callable, Coroutine
 from types import TracebackType
@@ -13,15 +12,13 @@
 
 import msgspec
 import pycurl
-from tornado import curl_httpclient, httpclient
+from tornado import httpclient
 
-from apricottrestle import agent_events, errors, messages
+from apricottrestle import agent_events, agent_upstream, errors, messages
 
 POLL_TIMEOUT_S: Final = 1.5
 CONTROL_TIMEOUT_S: Final = 3.0
 ORDER_TIMEOUT_S: Final = 2.0
-CONNECT_TIMEOUT_S: Final = 1.0
-_SPARE_CLIENTS: Final = 16
 _MAX_CONTROLS: Final = 16
 _JSON: Final = {"Content-Type": "application/json"}
 _PEER: Final = "engine"
@@ -33,7 +30,6 @@
 )
 
 _T = TypeVar("_T")
-Emit = Callable[[agent_events.Event], None]
 
 
 class _StreamEvent(msgspec.Struct):
@@ -127,30 +123,20 @@
         )
 
 
-class EngineClient:
-    """Runs engine commands on the event loop. A context manager."""
+class EngineClient(agent_upstream.UpstreamClient):
+    """Runs engine commands; completions have an HTTP client of their own."""
 
-    def __init__(self, url: str, slots: int, emit: Emit) -> None:
-        """Prepares the client.
-
-        Args:
-            url: Base URL of the engine.
-            slots: Runs at the same time.
-            emit: Sink of events.
-        """
-        self._url = url.rstrip("/")
-        self._max_streams = max_clients(slots)
-        self._emit = emit
-        self._tasks: set[asyncio.Task[None]] = set()
+    def __init__(self, url: str, slots: int, emit: agent_upstream.Emit) -> None:
+        """Prepares the client; see UpstreamClient."""
+        super().__init__(url, slots, emit)
         self._polling: set[type] = set()
         self._cancelled: set[str] = set()
         self._running: set[str] = set()
 
     def __enter__(self) -> Self:
         """Opens the HTTP clients; runs on the event loop."""
-        self._streams = _new_client(self._max_streams)
-        self._controls = _new_client(_MAX_CONTROLS)
-        return self
+        self._controls = agent_upstream.new_client(_MAX_CONTROLS)
+        return super().__enter__()
 
     def __exit__(
         self,
@@ -158,27 +144,10 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        """Ends all tasks and closes the clients."""
-        for task in self._tasks:
-            task.cancel()
-        self._streams.close()
+        """Ends all tasks and closes the HTTP clients."""
+        super().__exit__(exc_type, exc, traceback)
         self._controls.close()
 
-    async def settle(self, timeout_s: float) -> None:
-        """Waits for commands under way, so that an exit cuts none."""
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=timeout_s)
-
-    def execute(self, cmd: agent_events.Command) -> bool:
-        """Starts a command; returns False when it isn't for the engine."""
-        work = self._work(cmd)
-        if work is None:
-            return False
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return True
-
     def _work(
         self, cmd: agent_events.Command
     ) -> Coroutine[Any, Any, None] | None:
@@ -396,18 +365,19 @@
         *,
         on_data: Callable[[bytes], None] | None = None,
     ) -> bytes:
+        fresh = agent_upstream.fresh_connection if body else None
         req = httpclient.HTTPRequest(
             self._url + path,
             method=method,
             body=msgspec.json.encode(body) if body is not None else None,
             headers=_JSON if body is not None else None,
-            connect_timeout=CONNECT_TIMEOUT_S,
+            connect_timeout=agent_upstream.CONNECT_TIMEOUT_S,
             request_timeout=timeout_s,
             follow_redirects=False,
             streaming_callback=on_data,
-            prepare_curl_callback=fresh_connection if body else None,
+            prepare_curl_callback=fresh,
         )
-        client = self._controls if on_data is None else self._streams
+        client = self._controls if on_data is None else self._client
         try:
             answer = await client.fetch(req, raise_error=False)
         except _FETCH_ERRORS as exc:
@@ -421,33 +391,6 @@
         return answer.body
 
 
-def fresh_connection(curl: pycurl.Curl) -> None:
-    """Keeps libcurl from sending a request twice.
-
-    On a reused connection that dies before the first byte of the answer,
-    libcurl repeats the request, although the server may have run it.
-    """
-    curl.setopt(pycurl.FRESH_CONNECT, 1)
-    curl.setopt(pycurl.FORBID_REUSE, 1)
-
-
-def max_clients(slots: int) -> int:
-    """Returns the connections for so many slots.
-
-    A run or call that was given up may hold its connection for a while. Each
-    connection has a curl handle of its own from the start, hence no more.
-    """
-    return 2 * slots + _SPARE_CLIENTS
-
-
-def _new_client(count: int) -> curl_httpclient.CurlAsyncHTTPClient:
-    client = curl_httpclient.CurlAsyncHTTPClient(
-        force_instance=True, max_clients=count
-    )
-    assert isinstance(client, curl_httpclient.CurlAsyncHTTPClient)
-    return client
-
-
 def _allocation_path(allocation: str) -> str:
     return f"/allocations/{urllib.parse.quote(allocation, safe='')}"
 
--- a/src/apricottrestle/entry_server.py
+++ b/src/apricottrestle/entry_server.py
@@ -2,12 +2,16 @@
 
 import socket
 import weakref
-from types import TracebackType
-from typing import Any, Final, Self
+from typing import Any, Final
 
-from tornado import httpserver, iostream, netutil, web
+from tornado import httpserver, iostream, web
 
-from apricottrestle import entry_accept, entry_completions, entry_http
+from apricottrestle import (
+    entry_accept,
+    entry_completions,
+    entry_http,
+    http_server,
+)
 
 SWALLOWED_BODY_BYTES: Final = 64 * 1024 * 1024
 """An oversized body up to this size is read and dropped, because closing with
@@ -48,54 +52,26 @@
         super().handle_stream(stream, address)
 
 
-class ApiServer:
-    """HTTP server of the caller API. A context manager that owns it.
-
-    Attributes:
-        port: Port in use while open.
-    """
+class ApiServer(http_server.ListeningServer):
+    """HTTP server of the caller API. A context manager that owns it."""
 
     def __init__(self, address: str, ctx: entry_http.ApiContext) -> None:
         """Prepares the server; `address` is "ip:port"."""
-        host, _, port = address.rpartition(":")
-        self._host = host
-        self.port = int(port)
         self._ctx = ctx
-        self._app = application(ctx)
-
-    def __enter__(self) -> Self:
-        """Starts to listen.
-
-        Raises:
-            OSError: The address can't be bound.
-        """
-        sockets = netutil.bind_sockets(self.port, self._host)
-        self.port = sockets[0].getsockname()[1]
-        for sock in sockets:
-            # Accepted connections inherit it.
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
-            )
-        self._server = _Server(
-            self._app,
+        self._connections = _Server(
+            application(ctx),
             max_header_size=entry_accept.MAX_HEADER_BYTES,
             max_body_size=SWALLOWED_BODY_BYTES,
             idle_connection_timeout=IDLE_S,
         )
-        self._server.add_sockets(sockets)
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Stops listening."""
-        self._server.stop()
+        super().__init__(address, self._connections)
+
+    def configure(self, sock: socket.socket) -> None:
+        """Bounds the kernel's send buffer; see SEND_BUFFER_BYTES."""
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
     def close_idle(self) -> None:
         """Closes the connections that no request uses."""
-        for stream in list(self._server.streams):
+        for stream in list(self._connections.streams):
             if stream not in self._ctx.active and not stream.closed():
                 stream.close()
--- /dev/null
+++ b/src/apricottrestle/http_server.py
@@ -0,0 +1,52 @@
+"""HTTP server of a daemon, listening while its context is open."""
+
+import socket
+from types import TracebackType
+from typing import Self
+
+from tornado import httpserver, netutil
+
+
+class ListeningServer:
+    """Listens at an address. A context manager.
+
+    Attributes:
+        port: Port in use while open; tells the one chosen for port 0.
+    """
+
+    def __init__(self, address: str, server: httpserver.HTTPServer) -> None:
+        """Prepares the server.
+
+        Args:
+            address: "ip:port" to listen on.
+            server: Server of the connections.
+        """
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self.port = int(port)
+        self._server = server
+
+    def __enter__(self) -> Self:
+        """Starts to listen; runs on the event loop.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        sockets = netutil.bind_sockets(self.port, self._host)
+        self.port = sockets[0].getsockname()[1]
+        for sock in sockets:
+            self.configure(sock)
+        self._server.add_sockets(sockets)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops listening."""
+        self._server.stop()
+
+    def configure(self, sock: socket.socket) -> None:
+        """Sets options of a listening socket; accepted ones inherit them."""
--- a/src/apricottrestle/ops_http.py
+++ b/src/apricottrestle/ops_http.py
@@ -1,11 +1,12 @@
 """Health, readiness and metrics of a daemon over HTTP."""
 
 from collections.abc import Callable
-from types import TracebackType
-from typing import Any, Self
+from typing import Any
 
 import prometheus_client
-from tornado import httpserver, netutil, web
+from tornado import httpserver, web
+
+from apricottrestle import http_server
 
 NotReady = Callable[[], list[str]]
 """Returns the reasons why the daemon isn't ready; none when it is."""
@@ -41,12 +42,8 @@
     ]
 
 
-class OpsServer:
-    """HTTP server of a daemon's operators. A context manager that owns it.
-
-    Attributes:
-        port: Port in use while open; tells the one chosen for port 0.
-    """
+class OpsServer(http_server.ListeningServer):
+    """HTTP server of a daemon's operators. A context manager that owns it."""
 
     def __init__(self, address: str, not_ready: NotReady) -> None:
         """Prepares the server.
@@ -55,30 +52,7 @@
             address: "ip:port" to listen on.
             not_ready: See NotReady.
         """
-        host, _, port = address.rpartition(":")
-        self._host = host
-        self.port = int(port)
-        self._app = web.Application(
+        app = web.Application(
             handlers(not_ready), log_function=lambda _handler: None
         )
-
-    def __enter__(self) -> Self:
-        """Starts to listen.
-
-        Raises:
-            OSError: The address can't be bound.
-        """
-        sockets = netutil.bind_sockets(self.port, self._host)
-        self.port = sockets[0].getsockname()[1]
-        self._server = httpserver.HTTPServer(self._app)
-        self._server.add_sockets(sockets)
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Stops listening."""
-        self._server.stop()
+        super().__init__(address, httpserver.HTTPServer(app))
--- a/src/apricottrestle/service_client.py
+++ b/src/apricottrestle/service_client.py
@@ -4,14 +4,13 @@
 ServiceFailed; `sent` is False only when no byte can have reached the service.
 """
 
-import asyncio
-from types import TracebackType
-from typing import Final, Self
+from collections.abc import Coroutine
+from typing import Any, Final
 
 import pycurl
 from tornado import curl_httpclient, httpclient, httputil
 
-from apricottrestle import agent_events, engine_client
+from apricottrestle import agent_events, agent_upstream
 
 _NOT_SENT: Final = frozenset(
     (
@@ -40,53 +39,15 @@
 """Headers of one connection, or added by tornado; curl decodes the content."""
 
 
-class ServiceClient:
-    """Runs CallService commands on the event loop. A context manager."""
+class ServiceClient(agent_upstream.UpstreamClient):
+    """Runs CallService commands."""
 
-    def __init__(self, url: str, slots: int, emit: engine_client.Emit) -> None:
-        """Prepares the client.
-
-        Args:
-            url: Base URL of the service.
-            slots: Calls at the same time.
-            emit: Sink of events.
-        """
-        self._url = url.rstrip("/")
-        self._max_clients = engine_client.max_clients(slots)
-        self._emit = emit
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    def __enter__(self) -> Self:
-        """Opens the HTTP client; runs on the event loop."""
-        self._client = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=self._max_clients
-        )
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Ends all tasks and closes the client."""
-        for task in self._tasks:
-            task.cancel()
-        self._client.close()
-
-    async def settle(self, timeout_s: float) -> None:
-        """Waits for calls under way, so that an exit cuts none."""
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=timeout_s)
-
-    def execute(self, cmd: agent_events.Command) -> bool:
-        """Starts a call; returns False for any other command."""
-        if not isinstance(cmd, agent_events.CallService):
-            return False
-        task = asyncio.get_running_loop().create_task(self._call(cmd))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return True
+    def _work(
+        self, cmd: agent_events.Command
+    ) -> Coroutine[Any, Any, None] | None:
+        if isinstance(cmd, agent_events.CallService):
+            return self._call(cmd)
+        return None
 
     async def _call(self, cmd: agent_events.CallService) -> None:
         headers = httputil.HTTPHeaders()
@@ -98,10 +59,10 @@
             headers=headers,
             body=cmd.body or None,
             allow_nonstandard_methods=True,
-            connect_timeout=engine_client.CONNECT_TIMEOUT_S,
+            connect_timeout=agent_upstream.CONNECT_TIMEOUT_S,
             request_timeout=cmd.timeout_s,
             follow_redirects=False,
-            prepare_curl_callback=engine_client.fresh_connection,
+            prepare_curl_callback=agent_upstream.fresh_connection,
         )
         try:
             answer = await self._client.fetch(req, raise_error=False)
