Add a metric for dropped demand records

Cause: malformed records of the demand stream must be counted. Change: one counter without labels, in the shared module. Conclusion: operators see a writer that breaks the format.

--- a/src/apricottrestle/metrics.py
+++ b/src/apricottrestle/metrics.py
@@ -57,3 +57,7 @@
 AUDIT_ROWS_DROPPED = Counter(
     "apricottrestle_audit_rows_dropped", "Audit rows dropped"
 )
+DEMAND_RECORDS_DROPPED = Counter(
+    "apricottrestle_demand_records_dropped",
+    "Malformed records of the demand stream dropped",
+)
