--- a/src/apricottrestle/entry_tables.py
+++ b/src/apricottrestle/entry_tables.py
@@ -15,6 +15,7 @@
     audit,
     call_keys,
     config_sync,
+    demand,
     entry_events,
     hashing,
     messages,
@@ -420,6 +421,7 @@
         admission: Early refusal.
         budget: Retry budgets.
         audit: Rows not yet on the log.
+        demand: Prompt tokens asked for and not yet on the log.
         rng: Source of ids and jitter.
         upstreams: Agents as the router sees them.
         instances: Agents of the instance list by id.
@@ -456,6 +458,7 @@
         self.admission = admit
         self.budget = budget
         self.audit = audit_rows
+        self.demand = demand.DemandCounter()
         self.rng = rng
         self.upstreams = upstream_table.UpstreamTable()
         self.instances: dict[str, platform_instances.InstanceRow] = {}
