Place engines by measured demand

Cause: no process reported or read demand. Change: the entry counts each request before admission and appends a record each minute; the agent reads the stream each 30 s and assigns again.

--- a/src/apricottrestle/agent_platform.py
+++ b/src/apricottrestle/agent_platform.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import logging
+import random
 import time
 from collections.abc import Callable, Coroutine
 from types import TracebackType
@@ -18,9 +19,11 @@
     call_log,
     config_state,
     config_sync,
+    demand,
     errors,
     logs,
     messages,
+    metrics,
     placement,
     platform_instances,
     platform_log,
@@ -33,6 +36,7 @@
 WEIGHTS_RETRY_S: Final = 2.0
 FINISH_S: Final = 3.0
 _AUDIT_RETRY_S: Final = 5.0
+_DEMAND_LIMIT_RECORDS: Final = 1_000
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -67,6 +71,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._engines: set[str] = set()
         self._list_version = 0
+        self._demand = demand.Demand()
+        self._demand_tried = False
+        self._rng = random.Random()
         self._assigned_for: object = None
         self._state: platform_instances.InstanceState = "live"
         self._listed: platform_instances.InstanceState | None = None
@@ -94,6 +101,8 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._register_and_follow())
             group.create_task(self._append_audit())
+            if self._cfg.upstream.kind == "engine":
+                group.create_task(self._follow_demand())
 
     def leave(self) -> None:
         """Has the instance list show the agent as leaving."""
@@ -180,29 +189,64 @@
         self._assign(state)
 
     def _assign(self, state: config_state.ConfigState) -> None:
-        """Computes the model of this engine when an input has changed."""
+        """Computes the model of this engine when an input has changed.
+
+        It waits for the first read of the demand, so that a starting agent
+        doesn't load a model by shares alone and another one right after.
+        """
         if self._cfg.upstream.kind != "engine" or not state.models:
             return
+        if not self._demand_tried:
+            return
         shares = tuple(
             (name, spec.share) for name, spec in sorted(state.models.items())
         )
-        inputs = (shares, frozenset(self._engines))
+        wanted = self._demand.in_force
+        inputs = (shares, frozenset(self._engines), dict(wanted))
         if inputs == self._assigned_for:
             return
         self._assigned_for = inputs
         agents = self._engines | {self._cfg.instance_id}
-        model = placement.assign(agents, state, {}).get(self._cfg.instance_id)
+        model = placement.assign(agents, state, wanted).get(
+            self._cfg.instance_id
+        )
         logs.decision(
             _LOG,
             "placement",
             model=model,
             engines=len(agents),
             models=len(shares),
+            demand_offset=self._demand.position,
             revision=state.revision,
         )
         if model is not None:
             self._emit(agent_events.ModelAssigned(model))
 
+    async def _follow_demand(self) -> None:
+        """Reads the demand stream; the last demand holds while that fails."""
+        while True:
+            try:
+                await self._read_demand()
+            except errors.PlatformError as exc:
+                _LOG.info("demand not read: %s", exc)
+            self._demand_tried = True
+            self._assign(self._sync.state)
+            await asyncio.sleep(demand.next_s(demand.READ_S, self._rng))
+
+    async def _read_demand(self) -> None:
+        stream = demand.stream_name(self._cfg.data_centre)
+        fold = self._demand
+        while True:
+            got = await self._log.read(
+                stream, fold.position, _DEMAND_LIMIT_RECORDS
+            )
+            # A short page isn't the end: the log may limit its answers too.
+            if not got.records:
+                return
+            dropped = fold.dropped
+            fold.fold(got.records)
+            metrics.DEMAND_RECORDS_DROPPED.inc(fold.dropped - dropped)
+
     async def _append_calls(self, cmd: agent_events.AppendCalls) -> None:
         stream = call_log.stream_name(self._cfg.instance_id)
         record_id = f"{self._incarnation}/{cmd.batch}"
--- a/src/apricottrestle/entry_platform.py
+++ b/src/apricottrestle/entry_platform.py
@@ -7,6 +7,8 @@
 import asyncio
 import contextlib
 import logging
+import random
+import secrets
 import time
 from collections.abc import Awaitable, Callable
 from typing import Final
@@ -16,6 +18,7 @@
     call_keys,
     call_log,
     config_sync,
+    demand,
     entry_bindings,
     entry_core,
     entry_events,
@@ -37,6 +40,7 @@
 _AUDIT_ROUNDS: Final = 5
 """Checks of the audit buffer in each of its intervals."""
 
+_RNG: Final = random.Random()
 _LOG: Final = logging.getLogger(__name__)
 
 
@@ -69,6 +73,8 @@
         self._bindings = entry_bindings.Bindings(log, secret)
         self._post = post
         self._audit_rounds = 0
+        # Names this process in the demand stream, where a restart begins anew.
+        self._incarnation = secrets.token_hex(8)
         self._tasks: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
@@ -81,6 +87,7 @@
         self._spawn(
             self._repeat(audit.ENTRY_INTERVAL_S / _AUDIT_ROUNDS, self._audit)
         )
+        self._spawn(self._report_demand())
 
     async def stop(self) -> None:
         """Ends all loops and appends the last audit rows."""
@@ -186,6 +193,29 @@
             await audit.append(self._log, batch)
             buffer.confirm(batch.seq)
 
+    async def _report_demand(self) -> None:
+        while True:
+            try:
+                await self.append_demand()
+            except errors.PlatformError as exc:
+                _LOG.info("demand waits", extra={"reason": str(exc)})
+            await asyncio.sleep(demand.next_s(demand.INTERVAL_S, _RNG))
+
+    async def append_demand(self) -> None:
+        """Appends the prompt tokens asked for since the last record.
+
+        Raises:
+            PlatformError: The record stays, and is sent again next time.
+        """
+        counter = self._tables.demand
+        record = counter.take(
+            self._row.instance_id, self._incarnation, time.monotonic()
+        )
+        if record is not None:
+            stream = demand.stream_name(self._row.data_centre)
+            await self._log.append(stream, *record)
+            counter.confirm()
+
     async def _resolve(self, command: entry_events.ResolveKey) -> None:
         result = call_log.KeyOutcome("unknown", 0, "log_unavailable")
         for _ in range(_RESOLVE_TRIES):
--- a/src/apricottrestle/entry_requests.py
+++ b/src/apricottrestle/entry_requests.py
@@ -71,6 +71,7 @@
 
     A request without any candidate waits for one instead, see `start`.
     """
+    t.demand.add(row.spec.model, row.spec.prompt_tokens)
     req = entry_dispatch.route_request(row, now)
     decision = t.admission.check(req, t.upstreams, now)
     if decision.admitted or decision.reason == "no_candidate":
