Count idle models with a hundredth of the demand

Cause: a model without demand counted as much as the least one asked for, so one busy model beside an idle one got half of the engines. Change: the least weight is LEAST_PART of the whole demand.

--- a/src/apricottrestle/placement.py
+++ b/src/apricottrestle/placement.py
@@ -18,6 +18,11 @@
 """Demand counts in steps of a quarter (by ratio), so that small fluctuations
 don't reload engines."""
 
+LEAST_PART: Final = 0.01
+"""A model that nobody asks for counts with this part of the demand. If it
+counted as much as the least one asked for, a sole busy model would share the
+engines evenly with all idle ones."""
+
 
 def quotas(
     count: int,
@@ -32,8 +37,8 @@
     Args:
         count: Number of engines.
         config: Configuration in force; models with share 0 get none.
-        demand: Recent tokens per second per model; a model without an entry
-            counts with the least demand.
+        demand: Recent tokens per second per model; a model counts with at
+            least LEAST_PART of all. Empty, all count the same.
     """
     weights = _weights(config, demand)
     names = sorted(weights, key=lambda name: (-weights[name], name))
@@ -114,7 +119,7 @@
 ) -> dict[str, float]:
     """Returns share times stepped demand per model."""
     named = {name: demand.get(name, 0.0) for name in config.models}
-    least = min((d for d in named.values() if d > 0), default=1.0)
+    least = LEAST_PART * math.fsum(named.values()) or 1.0
     return {
         name: spec.share * _stepped(max(named[name], least))
         for name, spec in config.models.items()
