Compare measured demand with that in force twice a minute

A starting agent folds all retained records. A record of 17 models has 495 bytes of id and data, 548 in its HTTP body. Computed: 350 entries write 5.8 records/s, 0.22 records/s in each of 26 data centres; an agent reads 111 B/s.

--- a/src/apricottrestle/agent_platform.py
+++ b/src/apricottrestle/agent_platform.py
@@ -36,7 +36,8 @@
 WEIGHTS_RETRY_S: Final = 2.0
 FINISH_S: Final = 3.0
 _AUDIT_RETRY_S: Final = 5.0
-_DEMAND_LIMIT_RECORDS: Final = 1_000
+_DEMAND_LIMIT_RECORDS: Final = 250
+"""Folding one page holds up the event loop for about 10 ms."""
 
 _LOG: Final = logging.getLogger(__name__)
 
--- a/src/apricottrestle/demand.py
+++ b/src/apricottrestle/demand.py
@@ -24,6 +24,9 @@
 """Part of an interval by which it varies, so that entries and agents that start
 together don't reach the log together."""
 
+MIN_SPAN_S: Final = 1.0
+"""A rate over a shorter time says little: one prompt may have 1 M tokens."""
+
 SMOOTHING: Final = 0.25
 """Weight of a new record in an entry's rate: four minutes, so that a flood of
 one minute doesn't load models."""
@@ -46,6 +49,11 @@
 """Least time between two changes: loading a model takes minutes at the weight
 store's rate limit, and a change amid the loads of the last one wastes them."""
 
+CHECK_S: Final = INTERVAL_S / 2
+"""Time between two comparisons of measured demand with that in force. One for
+each record is most of the fold's cost, which an agent pays at its start for all
+retained records."""
+
 MOVE_RATIO: Final = 1.5
 """A model's part of the demand must change by this ratio. It is above the steps
 in which placement counts demand, so a change always concerns engines."""
@@ -135,15 +143,17 @@
 
         Returns:
             The record, or None at the first call, which starts the time that
-            the first record covers.
+            the first record covers, and within MIN_SPAN_S of the last record.
         """
         if self._pending is not None:
             return self._pending
-        since, self._since = self._since, now
-        if since is None or now <= since:
+        if self._since is None:
+            self._since = now
+        span_s = now - self._since
+        if span_s < MIN_SPAN_S:
             return None
-        record = DemandRecord(round(now - since, 3), self._tokens)
-        self._tokens = {}
+        record = DemandRecord(round(span_s, 3), self._tokens)
+        self._tokens, self._since = {}, now
         self._seq += 1
         self._pending = Pending(
             f"{entry}/{incarnation}/{self._seq}",
@@ -184,6 +194,7 @@
         self._time = 0.0
         self._clock = 0.0
         self._changed = 0.0
+        self._checked = 0.0
         self._settled = False
 
     def fold(self, records: Iterable[platform_log.LogRecord]) -> None:
@@ -213,7 +224,8 @@
         if epoch > self._epoch:
             self._epoch = epoch
             self._entries.clear()
-            self._time, self._clock, self._changed = time, 0.0, 0.0
+            self._time = time
+            self._clock = self._changed = self._checked = 0.0
             self._settled = False
         if time > self._time:
             self._clock += min(time - self._time, MAX_GAP_S)
@@ -222,6 +234,9 @@
     def _decide(self) -> None:
         if self._clock - self._changed < HOLD_S:
             return
+        if self._clock - self._checked < CHECK_S:
+            return
+        self._checked = self._clock
         total = self._total()
         # The first decision of an epoch must not depend on the last epoch.
         if not self._settled or has_moved(self.in_force, total):
--- a/src/apricottrestle/entry_platform.py
+++ b/src/apricottrestle/entry_platform.py
@@ -196,21 +196,22 @@
     async def _report_demand(self) -> None:
         while True:
             try:
-                await self.append_demand()
+                await self.append_demand(time.monotonic())
             except errors.PlatformError as exc:
                 _LOG.info("demand waits", extra={"reason": str(exc)})
             await asyncio.sleep(demand.next_s(demand.INTERVAL_S, _RNG))
 
-    async def append_demand(self) -> None:
+    async def append_demand(self, now: float) -> None:
         """Appends the prompt tokens asked for since the last record.
 
+        Args:
+            now: Monotonic time in seconds.
+
         Raises:
             PlatformError: The record stays, and is sent again next time.
         """
         counter = self._tables.demand
-        record = counter.take(
-            self._row.instance_id, self._incarnation, time.monotonic()
-        )
+        record = counter.take(self._row.instance_id, self._incarnation, now)
         if record is not None:
             stream = demand.stream_name(self._row.data_centre)
             await self._log.append(stream, *record)
