Let calls wait for their agents, and be ready once agents are known

Cause: on real processes 6 tests met 'no upstream serves ledger' right after the start: an entry was ready before it had read the instance list. Change: calls and key requests wait up to 5 s as generations do; readiness waits for the agents' first answers, 3 s at most; the list is polled each second.

--- a/src/apricottrestle/entry_attempts.py
+++ b/src/apricottrestle/entry_attempts.py
@@ -87,7 +87,7 @@
     if row.waits_for != reason:
         row.waits_for = reason
         entry_dispatch.log_decision(t, row, [], reason)
-    t.wanted_models.add(row.spec.model)
+    t.wanted_upstreams.add(row.spec.model)
     _wait(row, now)
 
 
--- a/src/apricottrestle/entry_calls.py
+++ b/src/apricottrestle/entry_calls.py
@@ -62,7 +62,7 @@
         event.service,
         event.team,
         None,
-        2 * entry_tables.KEY_TIMEOUT_S,
+        entry_tables.WAIT_FOR_UPSTREAM_S + entry_tables.KEY_TIMEOUT_S,
         t.sync.revision,
         now,
     )
@@ -98,6 +98,9 @@
         default=None,
     )
     agent_id = best.agent_id if best is not None else ""
+    if not agent_id and row.waits:
+        return ""
+    row.waits = not agent_id
     t.emit(
         entry_events.Decision(
             "route_call",
@@ -120,26 +123,40 @@
     row.state = "issuing"
     row.step_until = now + entry_tables.KEY_TIMEOUT_S / 2
     agent_id = _choose(t, row, "issue_key")
-    if not agent_id and row.binding and not row.handout:
+    waited = now >= row.admitted + entry_tables.WAIT_FOR_UPSTREAM_S
+    if not agent_id and waited and row.binding and not row.handout:
         # Another attempt may have bound the key since the first look.
         row.state = "binding"
         row.last_look = True
         t.emit(entry_events.FindBinding(row.req_id, row.binding))
         return
+    row.agent_id = agent_id
     if not agent_id:
-        entry_call_end.no_upstream(t, row, now)
+        _wait(t, row, now)
         return
-    row.agent_id = agent_id
     row.excluded.add(agent_id)
     t.send(agent_id, messages.KeyRequest(row.req_id, row.service, 1))
 
 
+def _wait(
+    t: entry_tables.Tables, row: entry_tables.CallRow, now: float
+) -> None:
+    """Waits a little for an agent of the service, then fails."""
+    if now >= row.admitted + entry_tables.WAIT_FOR_UPSTREAM_S:
+        entry_call_end.no_upstream(t, row, now)
+        return
+    row.excluded.clear()
+    row.step_until = now + entry_tables.RETRY_DELAY_S
+    t.wanted_upstreams.add(row.service)
+
+
 def _send_repeatable(
     t: entry_tables.Tables, row: entry_tables.CallRow, now: float
 ) -> None:
     agent_id = _choose(t, row, "least_outstanding")
     if not agent_id:
-        entry_call_end.no_upstream(t, row, now)
+        row.state = "waiting"
+        _wait(t, row, now)
         return
     _submit(t, row, agent_id, now)
 
@@ -455,6 +472,8 @@
 ) -> None:
     if row.state == "issuing":
         _ask_key(t, row, now)
+    elif row.state == "waiting":
+        _send_repeatable(t, row, now)
     elif row.state == "sent" and row.text:
         _query(t, row, now)
     elif row.state == "resolving":
--- a/src/apricottrestle/entry_daemon.py
+++ b/src/apricottrestle/entry_daemon.py
@@ -36,6 +36,9 @@
     transport,
 )
 
+PEERS_WAIT_S: Final = 3.0
+"""Time for the first look at the instance list and the agents' answers."""
+
 _STOP_CHECK_S: Final = 0.1
 _LAST_WRITES_S: Final = 0.5
 _LOG: Final = logging.getLogger(__name__)
@@ -78,7 +81,10 @@
             cfg.max_requests,
             weakref.WeakSet(),
         )
-        ops = ops_http.OpsServer(cfg.ops, lambda: not_ready(tables))
+        started = time.monotonic()
+        ops = ops_http.OpsServer(
+            cfg.ops, lambda: not_ready(tables, time.monotonic() - started)
+        )
         with entry_server.ApiServer(cfg.callers, ctx) as api, ops:
             loops.start()
             await _serve(core, api, loops)
@@ -114,9 +120,19 @@
     )
 
 
-def not_ready(tables: entry_tables.Tables) -> list[str]:
-    """Returns why the entry should get no requests."""
+def not_ready(tables: entry_tables.Tables, age_s: float) -> list[str]:
+    """Returns why the entry should get no requests.
+
+    Args:
+        tables: State of the entry.
+        age_s: Time since the start in seconds; agents that have not answered
+            are waited for only so long.
+    """
     reasons = []
+    states = {peer.state for peer in tables.peers.values()}
+    settled = bool(states) and "connecting" not in states
+    if not settled and age_s < PEERS_WAIT_S:
+        reasons.append("agents not known yet")
     if tables.drain_started is not None:
         reasons.append("draining")
     if not tables.sync.ready:
--- a/src/apricottrestle/entry_peers.py
+++ b/src/apricottrestle/entry_peers.py
@@ -291,7 +291,7 @@
     A request waits while engines change their version; the regular ping would
     tell up to PING_S too late that one is ready.
     """
-    if not t.wanted_models:
+    if not t.wanted_upstreams:
         return
     for row in t.upstreams.rows.values():
         peer = t.peers.get(row.agent_id)
@@ -299,9 +299,9 @@
             continue
         if now - peer.last_ping < entry_tables.REFRESH_S:
             continue
-        if row.report.upstream in t.wanted_models:
+        if row.report.upstream in t.wanted_upstreams:
             _ping(t, peer, now)
-    t.wanted_models.clear()
+    t.wanted_upstreams.clear()
 
 
 def _tick_connecting(
--- a/src/apricottrestle/entry_platform.py
+++ b/src/apricottrestle/entry_platform.py
@@ -26,7 +26,7 @@
 )
 
 READ_LIMIT_RECORDS: Final = 1_000
-INSTANCES_POLL_S: Final = 2.0
+INSTANCES_POLL_S: Final = 1.0
 REGISTER_S: Final = 30.0
 DRAIN_MAX_AGE_S: Final = 120.0
 """Older drain records are not acted on: the instances they name have stopped,
--- a/src/apricottrestle/entry_tables.py
+++ b/src/apricottrestle/entry_tables.py
@@ -76,7 +76,9 @@
 
 RequestState = Literal["waiting", "reserving", "sent", "running", "attaching"]
 PeerState = Literal["connecting", "up", "suspect"]
-CallState = Literal["binding", "issuing", "connecting", "sent", "resolving"]
+CallState = Literal[
+    "binding", "issuing", "waiting", "connecting", "sent", "resolving"
+]
 
 
 class Identity(NamedTuple):
@@ -342,6 +344,7 @@
             attempt under the same key.
         failures: Attempts that ended by a failure.
         excluded: Agents that failed it.
+        waits: True once the want of an agent has been logged.
         last_look: True while the log is read to prove that the caller's own
             key is not bound.
         step_until: Time at which the present step is given up.
@@ -372,6 +375,7 @@
         "step_until",
         "team",
         "text",
+        "waits",
     )
 
     def __init__(
@@ -408,6 +412,7 @@
         self.step_until = self.deadline
         self.handout = False
         self.last_look = False
+        self.waits = False
 
 
 class Tables:
@@ -433,8 +438,8 @@
         drain_started: Time at which this entry began to drain, or None.
         last_tick: Time of the last run of the systems, or None.
         next_conn: Next connection number.
-        wanted_models: Models that requests wait for, whose agents are asked for
-            a new report.
+        wanted_upstreams: Models and services that requests wait for, whose
+            agents are asked for a new report.
         subset_checked: Time of the last check of the peer subset.
         out: Commands of the current step.
     """
@@ -469,7 +474,7 @@
         self.drain_started: float | None = None
         self.last_tick: float | None = None
         self.next_conn = 1
-        self.wanted_models: set[str] = set()
+        self.wanted_upstreams: set[str] = set()
         self.subset_checked = -1e9
         self.out: list[entry_events.Command] = []
 
--- a/tests/test_entry_calls.py
+++ b/tests/test_entry_calls.py
@@ -353,6 +353,7 @@
     """Outcomes must be those that the API documents."""
     world = _world(services=0)
     caller = world.entry.call(repeatable=True)
+    world.run_until(lambda: bool(caller.ends), 6.0)
     assert isinstance(caller.error, errors.RequestError)
     assert (caller.error.status, caller.error.outcome) == (503, "not_run")
 
@@ -383,3 +384,24 @@
     world.entry.post(entry_events.StartDrain())
     caller = world.entry.call(text)
     assert _outcome(caller) == ("unknown" if key else "not_run")
+
+
+def test_call_waits_for_an_agent_that_is_starting() -> None:
+    """A call right after a start must not fail for want of a report."""
+    world = _world(services=1)
+    agent = world.agents["s0"]
+    agent.upstream = "other"
+    world.run(3.0)
+    caller = world.entry.call(repeatable=True)
+    keyed = world.entry.call("order-7")
+    world.run(1.0)
+    agent.upstream = "svc"
+    world.run_until(lambda: bool(caller.ends and keyed.ends), 4.0)
+    assert caller.complete
+    assert keyed.complete
+    waits = [
+        decision
+        for decision in world.entry.decisions
+        if decision.fields["reason"] == "no_candidate"
+    ]
+    assert len(waits) == 2
