--- a/src/apricottrestle/transport.py
+++ b/src/apricottrestle/transport.py
@@ -26,6 +26,9 @@
 _BULK_QUEUE_FRAMES: Final = 64
 _MAX_FRAME_BYTES: Final = 4 * 1024 * 1024
 _LINGER_MS: Final = 500
+_RECHECK_FRAMES: Final = 256
+"""Frames handled at once, so that a busy socket does not block the loop."""
+
 _RECONNECT_MS: Final = 200
 _RECONNECT_MAX_MS: Final = 2000
 
@@ -67,6 +70,7 @@
         self._sock = sock
         self._name = name
         self._on_frame = on_frame
+        self._recheck_due = False
         self._is_router = sock.type == zmq.ROUTER
         self._stream = ZMQStream(sock)
         self._stream.on_recv(self._receive)
@@ -97,9 +101,29 @@
                 "frame not sent", extra={"peer": self._name, "reason": str(exc)}
             )
             return False
+        finally:
+            self._recheck()
         metrics.FRAME_BYTES_SENT.inc(sum(map(len, frames)))
         return True
 
+    def _recheck(self) -> None:
+        """Has frames handled that arrived before a send.
+
+        The socket's file descriptor is edge-triggered and a send resets it, so
+        a frame that has arrived would wait for the next one.
+        """
+        arrived = int(self._sock.get(zmq.EVENTS)) & zmq.POLLIN
+        if self._recheck_due or not arrived:
+            return
+        self._recheck_due = True
+        self._stream.io_loop.add_callback(self._handle_arrived)
+
+    def _handle_arrived(self) -> None:
+        self._recheck_due = False
+        if not self._sock.closed:
+            self._stream.flush(zmq.POLLIN, limit=_RECHECK_FRAMES)
+            self._recheck()
+
     def close(self) -> None:
         self._stream.close(linger=_LINGER_MS)
 
