Feed cache summaries to the routing index, and ping all peers together

Cause: entry_peers.apply_cache changed the rows' hints directly, beside the index that UpstreamTable keeps since the router uses it, so cached_at never found a prefix and the router's cached candidates were always empty. Pings were spread over the period, so nearly each answer woke the process by itself.

--- a/src/apricottrestle/entry_peers.py
+++ b/src/apricottrestle/entry_peers.py
@@ -215,21 +215,18 @@
     msg: messages.CacheSummary,
 ) -> None:
     """Updates the hints of what an engine has cached; a gap discards them."""
-    row = t.upstreams.rows.get(peer.agent_id)
-    if row is None:
+    table = t.upstreams
+    if peer.agent_id not in table.rows:
         return
     follows = peer.cache_seq > 0 and msg.seq == peer.cache_seq + 1
     if msg.full or not follows:
-        row.cached_blocks.clear()
+        table.clear_cached(peer.agent_id)
         peer.cache_seq = 0
     if not msg.full and not follows:
         return
     peer.cache_seq = msg.seq
-    for block in msg.removed:
-        row.cached_blocks.pop(block, None)
-    row.cached_blocks.update(dict.fromkeys(msg.added))
-    while len(row.cached_blocks) > upstream_table.MAX_CACHED_BLOCKS:
-        del row.cached_blocks[next(iter(row.cached_blocks))]
+    table.remove_cached(peer.agent_id, msg.removed)
+    table.add_cached(peer.agent_id, msg.added)
 
 
 def forget_upstream(t: entry_tables.Tables, agent_id: str) -> None:
@@ -318,10 +315,19 @@
         _greet(t, peer.conn)
 
 
+def _ping_slot(now: float) -> int:
+    """Returns the number of the ping period.
+
+    All peers are pinged in the same tick, so that one wake-up of the process
+    handles many answers.
+    """
+    return int(now / entry_tables.PING_S)
+
+
 def _tick_up(
     t: entry_tables.Tables, peer: entry_tables.PeerRow, now: float
 ) -> None:
-    if now - peer.last_ping >= entry_tables.PING_S:
+    if _ping_slot(now) > _ping_slot(peer.last_ping):
         _ping(t, peer, now)
     silent = now - peer.last_frame >= entry_tables.SILENT_S
     unanswered = (
--- /dev/null
+++ b/tests/test_entry_cache.py
@@ -0,0 +1,42 @@
+"""Guards the entry's index of cached prefixes against the summaries it gets."""
+
+import pytest
+
+from apricottrestle import entry_peers, messages
+from tests import test_entry_world as entry_world
+
+_BLOCKS = (11, 12, 13)
+
+
+def _full(seq: int, added: list[int]) -> messages.CacheSummary:
+    return messages.CacheSummary(seq, True, added, [])
+
+
+def _change(
+    seq: int, added: list[int], removed: list[int]
+) -> messages.CacheSummary:
+    return messages.CacheSummary(seq, False, added, removed)
+
+
+@pytest.mark.parametrize(
+    ("summaries", "found"),
+    [
+        ([_full(1, [11, 12])], True),
+        ([_full(1, []), _change(2, [11], [])], True),
+        ([_full(1, [11]), _change(2, [], [11])], False),
+        ([_full(1, [11]), _full(2, [99])], False),
+        # A gap may hide a removal, so all hints are discarded.
+        ([_full(1, [11]), _change(3, [12], [])], False),
+        ([_change(1, [11], [])], False),
+    ],
+)
+def test_summary_reaches_the_routing_index(
+    summaries: list[messages.CacheSummary], found: bool
+) -> None:
+    """The summaries once bypassed the index, so no prefix was ever found."""
+    world = entry_world.World()
+    t = world.entry.tables
+    agent_id = next(iter(t.upstreams.rows))
+    for summary in summaries:
+        entry_peers.apply_cache(t, t.peers[agent_id], summary)
+    assert (t.upstreams.cached_at(_BLOCKS, 2) == [agent_id]) is found
