Bound the headroom of a backlog by the size of the engine

Change: the headroom is a share of the engine's slots (12/64) and KV cache (0.2); Capacity carries the totals; an item that can't fit beside the headroom may use it.

--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -122,12 +122,14 @@
         prefills = self.engine.prefills
         running = len(prefills) + len(self.engine.decodes)
         return queueing.Capacity(
-            engine_model.SLOTS - running,
-            engine_model.KV_TOKENS - self.engine.kv_used,
-            self.engine.tokens_left(),
-            engine_model.NOMINAL_TOKENS_PER_S,
-            len(prefills),
-            sum(
+            slots=engine_model.SLOTS,
+            slots_free=engine_model.SLOTS - running,
+            kv_tokens=engine_model.KV_TOKENS,
+            kv_tokens_free=engine_model.KV_TOKENS - self.engine.kv_used,
+            prefill_tokens_left=self.engine.tokens_left(),
+            prefill_tokens_per_s=engine_model.NOMINAL_TOKENS_PER_S,
+            prefills=len(prefills),
+            long_prefills=sum(
                 p.size > queueing.LONG_PROMPT_TOKENS for p in prefills.values()
             ),
         )
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -139,7 +139,7 @@
         "no headroom",
         flood_prefills=queueing_fair.QueueSettings().max_prefills,
         headroom_slots=0,
-        headroom_kv_tokens=0,
+        headroom_kv=0,
     )
     one_long = _queue("no second long prefill", guest_long_prefills=1)
     prefix = _score("no prefix cache term", cached_prefix=False)
--- a/src/apricottrestle/agent_queue.py
+++ b/src/apricottrestle/agent_queue.py
@@ -316,12 +316,14 @@
     ]
     long = sum(size > queueing.LONG_PROMPT_TOKENS for size in prefills)
     return queueing.Capacity(
-        tables.params.slots - len(tables.runs),
-        kv_tokens_free(tables),
-        prefill_tokens_left(tables),
-        tables.params.prefill_tokens_per_s,
-        len(prefills),
-        long,
+        slots=tables.params.slots,
+        slots_free=tables.params.slots - len(tables.runs),
+        kv_tokens=kv_tokens_total(tables),
+        kv_tokens_free=kv_tokens_free(tables),
+        prefill_tokens_left=prefill_tokens_left(tables),
+        prefill_tokens_per_s=tables.params.prefill_tokens_per_s,
+        prefills=len(prefills),
+        long_prefills=long,
     )
 
 
--- a/src/apricottrestle/queueing.py
+++ b/src/apricottrestle/queueing.py
@@ -56,7 +56,9 @@
     """What the engine can take at this moment.
 
     Attributes:
+        slots: Requests that the engine runs at the same time.
         slots_free: Requests that may start.
+        kv_tokens: KV cache of the engine, in tokens.
         kv_tokens_free: KV cache not allocated, in tokens.
         prefill_tokens_left: Prompt tokens of running requests not computed.
         prefill_tokens_per_s: Prefill rate of the engine.
@@ -64,7 +66,9 @@
         long_prefills: Those of them with more than LONG_PROMPT_TOKENS.
     """
 
+    slots: int
     slots_free: int
+    kv_tokens: int
     kv_tokens_free: int
     prefill_tokens_left: int
     prefill_tokens_per_s: float
--- a/src/apricottrestle/queueing_fair.py
+++ b/src/apricottrestle/queueing_fair.py
@@ -65,8 +65,9 @@
             so it makes room earlier.
         flood_prefills: Requests in prefill beside which a team with a backlog
             starts no more.
-        headroom_slots: Slots that a team with a backlog leaves free.
-        headroom_kv_tokens: KV cache that a team with a backlog leaves free.
+        headroom_slots: Share of the slots that a team with a backlog leaves
+            free.
+        headroom_kv: Share of the KV cache that it leaves free.
     """
 
     floors: tuple[float, ...] = (0.0, 0.1, 0.05)
@@ -78,8 +79,8 @@
     guest_long_prefills: int = 2
     flood_items: tuple[int, ...] = (8, 8, 4)
     flood_prefills: int = 1
-    headroom_slots: int = 12
-    headroom_kv_tokens: int = 100_000
+    headroom_slots: float = 12 / 64
+    headroom_kv: float = 0.2
 
 
 class _Entry(NamedTuple):
@@ -327,13 +328,13 @@
             limit = (
                 settings.flood_prefills if flooded else settings.max_prefills
             )
-            slots = settings.headroom_slots if flooded else 0
-            if capacity.slots_free <= slots or capacity.prefills >= limit:
+            reserve = settings.headroom_slots * capacity.slots if flooded else 0
+            if capacity.slots_free <= reserve or capacity.prefills >= limit:
                 continue
-            kv_free = capacity.kv_tokens_free
-            kv_free -= settings.headroom_kv_tokens if flooded else 0
             guest = self._flooded > 0 and not flooded
             for entry in _heads(team, self._long_open(capacity, guest=guest)):
+                kv_free = capacity.kv_tokens_free
+                kv_free -= self._kv_reserve(entry, capacity) if flooded else 0
                 if entry.item.kv_tokens <= kv_free:
                     return entry.item, False
                 small = entry.item.kv_tokens <= SMALL_KV_TOKENS
@@ -341,6 +342,16 @@
                     return None, True
         return None, False
 
+    def _kv_reserve(self, entry: _Entry, capacity: queueing.Capacity) -> int:
+        """Returns the memory that an item of a backlog has to leave free.
+
+        An item that needs more than the engine has beside the headroom would
+        never start, so it may use the headroom.
+        """
+        reserve = int(self._settings.headroom_kv * capacity.kv_tokens)
+        fits_beside = entry.item.kv_tokens <= capacity.kv_tokens - reserve
+        return reserve if fits_beside else 0
+
     def _long_open(self, capacity: queueing.Capacity, *, guest: bool) -> bool:
         """Tells whether a long request may start."""
         settings = self._settings
