Split the rows of the fair queue into a module of their own

Change: queueing_teams holds teams, classes and remembered debts; queueing_fair keeps the decisions. No behaviour changes.

--- a/src/apricottrestle/queueing_fair.py
+++ b/src/apricottrestle/queueing_fair.py
@@ -24,7 +24,7 @@
 import heapq
 from typing import Final, NamedTuple
 
-from apricottrestle import messages, queueing, queueing_rate
+from apricottrestle import messages, queueing, queueing_rate, queueing_teams
 
 CLASSES: Final = len(messages.PRIORITIES)
 
@@ -43,9 +43,6 @@
 """Items up to this size wait for memory only briefly, so nobody else may take
 it meanwhile."""
 
-MAX_DEBTS: Final = 256
-"""Idle teams remembered before those without a debt are dropped."""
-
 
 class QueueSettings(NamedTuple):
     """Settings of the queue. The flags exist for the ablation in the bench.
@@ -82,41 +79,6 @@
     headroom_kv_tokens: int = 100_000
 
 
-class _Entry(NamedTuple):
-    """Heap entry; `item` is never compared, because `seq` is unique."""
-
-    due: float
-    seq: int
-    item: queueing.QueueItem
-
-
-class _Team:
-    """Items of one team in one class."""
-
-    __slots__ = ("count", "long", "queued_tokens", "served", "short", "weight")
-
-    def __init__(self, weight: float) -> None:
-        self.weight = weight
-        self.served = 0.0
-        self.count = 0
-        self.queued_tokens = 0
-        self.short: list[_Entry] = []
-        self.long: list[_Entry] = []
-
-
-class _Class:
-    """Teams of one class, and the tokens that its floor still owes it."""
-
-    __slots__ = ("credit", "debts", "queued_tokens", "served", "teams")
-
-    def __init__(self) -> None:
-        self.teams: dict[str, _Team] = {}
-        self.debts: dict[str, float] = {}
-        self.queued_tokens = 0
-        self.served = 0.0
-        self.credit = 0.0
-
-
 def cost_tokens(item: queueing.QueueItem) -> int:
     """Returns the tokens that an item is charged for."""
     return max(1, item.prompt_tokens + item.max_tokens)
@@ -138,7 +100,7 @@
     def __init__(self, settings: QueueSettings | None = None) -> None:
         """Starts empty."""
         self._settings = settings or QueueSettings()
-        self._classes = [_Class() for _ in range(CLASSES)]
+        self._classes = [queueing_teams.ClassQueue() for _ in range(CLASSES)]
         self._items: dict[str, queueing.QueueItem] = {}
         self._seq = 0
         self._rate = queueing_rate.ObservedRate()
@@ -164,14 +126,16 @@
         name = item.team if self._settings.by_team else ""
         team = group.teams.get(name)
         if team is None:
-            team = group.teams[name] = _Team(max(item.weight, 1e-6))
+            team = group.teams[name] = queueing_teams.Team(
+                max(item.weight, 1e-6)
+            )
             team.served = max(group.served, group.debts.pop(name, 0.0))
         team.weight = max(item.weight, 1e-6)
         self._seq += 1
         patience = PATIENCE_S_PER_TOKEN if self._settings.short_first else 0.0
         due = item.enqueued + patience * item.prompt_tokens
         heap = team.long if self._is_long(item) else team.short
-        heapq.heappush(heap, _Entry(due, self._seq, item))
+        heapq.heappush(heap, queueing_teams.Entry(due, self._seq, item))
         team.queued_tokens += item.prompt_tokens
         team.count += 1
         limit = self._settings.flood_items[self._class_of(item)]
@@ -217,7 +181,7 @@
         self._trim(team.short)
         self._trim(team.long)
         if not team.short and not team.long:
-            self._forget_team(group, name)
+            group.forget(name)
         if not group.teams:
             group.credit = min(group.credit, 0.0)
         return item
@@ -333,7 +297,9 @@
             kv_free = capacity.kv_tokens_free
             kv_free -= settings.headroom_kv_tokens if flooded else 0
             guest = self._flooded > 0 and not flooded
-            for entry in _heads(team, self._long_open(capacity, guest=guest)):
+            for entry in queueing_teams.heads(
+                team, self._long_open(capacity, guest=guest)
+            ):
                 if entry.item.kv_tokens <= kv_free:
                     return entry.item, False
                 small = entry.item.kv_tokens <= SMALL_KV_TOKENS
@@ -366,34 +332,10 @@
             if other.teams:
                 other.credit += cost * floor
 
-    def _forget_team(self, group: _Class, name: str) -> None:
-        """Drops an idle team, but not what it received ahead of its share.
-
-        Otherwise a team that queues one request at a time would never fall
-        behind the others.
-        """
-        served = group.teams.pop(name).served
-        if served > group.served:
-            group.debts[name] = served
-        if len(group.debts) > MAX_DEBTS:
-            group.debts = {
-                team: debt
-                for team, debt in group.debts.items()
-                if debt > group.served
-            }
-
-    def _trim(self, heap: list[_Entry]) -> None:
+    def _trim(self, heap: list[queueing_teams.Entry]) -> None:
         """Drops removed entries from the head of a heap."""
         while heap:
             item = heap[0].item
             if self._items.get(item.req_id) is item:
                 return
             heapq.heappop(heap)
-
-
-def _heads(team: _Team, long_open: bool) -> list[_Entry]:
-    """Returns the team's candidates to start, earliest due first."""
-    heads = [team.short[0]] if team.short else []
-    if team.long and long_open:
-        heads.append(team.long[0])
-    return sorted(heads, key=lambda entry: (entry.due, entry.seq))
