--- a/src/apricottrestle/entry_tables.py
+++ b/src/apricottrestle/entry_tables.py
@@ -15,6 +15,7 @@
     audit,
     call_keys,
     config_sync,
+    demand,
     entry_events,
     hashing,
     messages,
@@ -76,7 +77,9 @@
 
 RequestState = Literal["waiting", "reserving", "sent", "running", "attaching"]
 PeerState = Literal["connecting", "up", "suspect"]
-CallState = Literal["binding", "issuing", "connecting", "sent", "resolving"]
+CallState = Literal[
+    "binding", "issuing", "waiting", "connecting", "sent", "resolving"
+]
 
 
 class Identity(NamedTuple):
@@ -342,6 +345,7 @@
             attempt under the same key.
         failures: Attempts that ended by a failure.
         excluded: Agents that failed it.
+        waits: True once the want of an agent has been logged.
         last_look: True while the log is read to prove that the caller's own
             key is not bound.
         step_until: Time at which the present step is given up.
@@ -372,6 +376,7 @@
         "step_until",
         "team",
         "text",
+        "waits",
     )
 
     def __init__(
@@ -408,6 +413,7 @@
         self.step_until = self.deadline
         self.handout = False
         self.last_look = False
+        self.waits = False
 
 
 class Tables:
@@ -420,6 +426,7 @@
         admission: Early refusal.
         budget: Retry budgets.
         audit: Rows not yet on the log.
+        demand: Prompt tokens asked for and not yet on the log.
         rng: Source of ids and jitter.
         upstreams: Agents as the router sees them.
         instances: Agents of the instance list by id.
@@ -433,8 +440,8 @@
         drain_started: Time at which this entry began to drain, or None.
         last_tick: Time of the last run of the systems, or None.
         next_conn: Next connection number.
-        wanted_models: Models that requests wait for, whose agents are asked for
-            a new report.
+        wanted_upstreams: Models and services that requests wait for, whose
+            agents are asked for a new report.
         subset_checked: Time of the last check of the peer subset.
         out: Commands of the current step.
     """
@@ -456,6 +463,7 @@
         self.admission = admit
         self.budget = budget
         self.audit = audit_rows
+        self.demand = demand.DemandCounter()
         self.rng = rng
         self.upstreams = upstream_table.UpstreamTable()
         self.instances: dict[str, platform_instances.InstanceRow] = {}
@@ -469,7 +477,7 @@
         self.drain_started: float | None = None
         self.last_tick: float | None = None
         self.next_conn = 1
-        self.wanted_models: set[str] = set()
+        self.wanted_upstreams: set[str] = set()
         self.subset_checked = -1e9
         self.out: list[entry_events.Command] = []
 
--- a/src/apricottrestle_standins/fleet.py
+++ b/src/apricottrestle_standins/fleet.py
@@ -144,6 +144,7 @@
     ) -> None:
         """Starts `python -m <arguments>`."""
         self.name = name
+        self.arguments = tuple(arguments)
         self.output = directory / f"{name}.log"
         with self.output.open("ab") as stream:
             self._popen = subprocess.Popen(
@@ -213,6 +214,10 @@
     settings: str = ""
     upstream: str = ""
 
+    def is_entry(self) -> bool:
+        """Tells whether the node is an entry."""
+        return bool(self.url and self.ops)
+
     def ready(self) -> bool:
         """Tells whether /readyz answers 200."""
         return call("GET", self.ops + "/readyz").status == 200
@@ -382,12 +387,9 @@
         return node
 
     def restart(self, name: str) -> Node:
-        """Starts an ended entry or agent again with its settings."""
+        """Starts an ended process again with its command line."""
         node = self.nodes[name]
-        kind = "agent" if node.upstream else "entry"
-        process = self.spawn(
-            name, "apricottrestle.cli", kind, "--settings", node.settings
-        )
+        process = self.spawn(name, *node.process.arguments)
         self.nodes[name] = node._replace(process=process)
         return self.nodes[name]
 
