--- /dev/null
+++ b/tests/async_helpers.py
@@ -0,0 +1,36 @@
+"""Helpers of tests that run on an event loop."""
+
+import asyncio
+import functools
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, ParamSpec
+
+_TIMEOUT_S: Final = 5.0
+_POLL_S: Final = 0.005
+
+_P = ParamSpec("_P")
+
+
+def on_loop(
+    test: Callable[_P, Coroutine[Any, Any, None]],
+) -> Callable[_P, None]:
+    """Makes a test of a coroutine function, run on a loop of its own."""
+
+    @functools.wraps(test)
+    def run(*args: _P.args, **kwargs: _P.kwargs) -> None:
+        asyncio.run(test(*args, **kwargs))
+
+    return run
+
+
+async def until(
+    condition: Callable[[], object], timeout_s: float = _TIMEOUT_S
+) -> None:
+    """Waits for a condition.
+
+    Raises:
+        TimeoutError: It doesn't hold within the time.
+    """
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(_POLL_S)
--- a/tests/test_agent_clients.py
+++ b/tests/test_agent_clients.py
@@ -1,8 +1,9 @@
 """Guards the upstream clients: sent once, one end, any split of the stream."""
 
 import asyncio
+import contextlib
 import itertools
-from collections.abc import Callable
+from collections.abc import AsyncIterator
 from typing import Final
 
 import pytest
@@ -16,6 +17,7 @@
     messages,
     service_client,
 )
+from tests import async_helpers
 
 _HOST: Final = "127.0.0.1"
 _OK: Final = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -75,43 +77,63 @@
     return agent_events.CallService(call_id, "POST", "/book", [], b"", 5.0)
 
 
-async def _calls(
-    server: _Server, count: int, *, listening: bool = True
-) -> list[agent_events.Event]:
-    """Makes calls one after the other; returns their events."""
-    events: list[agent_events.Event] = []
+@contextlib.asynccontextmanager
+async def _serving(server: _Server) -> AsyncIterator[str]:
+    """Yields the URL; leaving the context stops to listen."""
     sock = await asyncio.start_server(server.serve, _HOST, 0)
-    port = sock.sockets[0].getsockname()[1]
-    if not listening:
+    try:
+        yield f"http://{_HOST}:{sock.sockets[0].getsockname()[1]}"
+    finally:
         sock.close()
-        await sock.wait_closed()
-    url = f"http://{_HOST}:{port}"
-    client = service_client.ServiceClient(url, 1, events.append)
-    with client:
+
+
+async def _calls(url: str, count: int) -> list[agent_events.Event]:
+    """Makes calls one after the other; returns their events."""
+    events: list[agent_events.Event] = []
+    with service_client.ServiceClient(url, 1, events.append) as client:
         for index in range(count):
             assert client.execute(_call(str(index)))
-            await _until(lambda want=index + 1: len(events) == want)  # type: ignore[misc]
-    sock.close()
+            await client.settle(10)
+            assert len(events) == index + 1
+    return events
+
+
+async def _runs(
+    url: str, *commands: agent_events.Command
+) -> list[agent_events.Event]:
+    """Executes commands at the same time; returns their events."""
+    events: list[agent_events.Event] = []
+    with engine_client.EngineClient(url, 1, events.append) as client:
+        for cmd in commands:
+            assert client.execute(cmd)
+        await client.settle(10)
     return events
 
 
-async def _until(condition: Callable[[], bool]) -> None:
-    async with asyncio.timeout(10):
-        while not condition():
-            await asyncio.sleep(0.005)
+def _start(body: bytes, url: str) -> agent_events.StartRun:
+    """Returns a run that imports a KV cache first."""
+    kv = messages.KvHandle(url, "h")
+    return agent_events.StartRun(
+        "r1.1", body, 5, 1, "", "v1", [], 5_000, [], kv
+    )
 
 
-def test_call_is_not_repeated_when_the_connection_dies() -> None:
+@async_helpers.on_loop
+async def test_call_is_not_repeated_when_the_connection_dies() -> None:
     """Fails when libcurl repeats a request on a reused connection."""
     server = _Server(answers=1)
-    events = asyncio.run(_calls(server, 2))
+    async with _serving(server) as url:
+        events = await _calls(url, 2)
     assert events[0] == agent_events.ServiceAnswer("0", 200, [], b"ok")
     assert events[1] == agent_events.ServiceFailed("1", "answer_lost", True)
     assert server.requests == 2
 
 
-def test_refused_connection_proves_that_nothing_was_sent() -> None:
-    events = asyncio.run(_calls(_Server(0), 1, listening=False))
+@async_helpers.on_loop
+async def test_refused_connection_proves_that_nothing_was_sent() -> None:
+    async with _serving(_Server(0)) as url:
+        pass
+    events = await _calls(url, 1)
     assert events == [
         agent_events.ServiceFailed("0", "service_unreachable", False)
     ]
@@ -121,43 +143,21 @@
     ("body", "reason"),
     [(b"\xc1", "bad_prompt"), (b"\xa1a", "upstream_unreachable")],
 )
-def test_run_that_cannot_start_ends_once(body: bytes, reason: str) -> None:
-    async def main() -> list[agent_events.Event]:
-        events: list[agent_events.Event] = []
-        sock = await asyncio.start_server(_Server(0).serve, _HOST, 0)
-        url = f"http://{_HOST}:{sock.sockets[0].getsockname()[1]}"
-        with engine_client.EngineClient(url, 1, events.append) as client:
-            kv = messages.KvHandle("http://127.0.0.1:9", "h")
-            client.execute(
-                agent_events.StartRun(
-                    "r1.1", body, 5, 1, "", "v1", [], 5_000, [], kv
-                )
-            )
-            await client.settle(10)
-        sock.close()
-        return events
-
-    assert asyncio.run(main()) == [agent_events.RunFailed("r1.1", reason)]
-
-
-def test_run_cancelled_before_its_start_is_not_started() -> None:
-    async def main() -> tuple[int, list[agent_events.Event]]:
-        events: list[agent_events.Event] = []
-        server = _Server(5)
-        sock = await asyncio.start_server(server.serve, _HOST, 0)
-        url = f"http://{_HOST}:{sock.sockets[0].getsockname()[1]}"
-        start = agent_events.StartRun(
-            "r1.1", b"\xa1a", 5, 1, "", "v1", [], 5_000, [],
-            messages.KvHandle(url, "h"),
-        )  # fmt: skip
-        with engine_client.EngineClient(url, 1, events.append) as client:
-            client.execute(start)
-            client.execute(agent_events.CancelRun("r1.1"))
-            await client.settle(10)
-        sock.close()
-        return server.requests, events
+@async_helpers.on_loop
+async def test_run_that_cannot_start_ends_once(
+    body: bytes, reason: str
+) -> None:
+    async with _serving(_Server(0)) as url:
+        events = await _runs(url, _start(body, "http://127.0.0.1:9"))
+    assert events == [agent_events.RunFailed("r1.1", reason)]
+
 
+@async_helpers.on_loop
+async def test_run_cancelled_before_its_start_is_not_started() -> None:
     imported_and_cancelled = 2
-    requests, events = asyncio.run(main())
-    assert requests == imported_and_cancelled
+    server = _Server(5)
+    async with _serving(server) as url:
+        cancel = agent_events.CancelRun("r1.1")
+        events = await _runs(url, _start(b"\xa1a", url), cancel)
+    assert server.requests == imported_and_cancelled
     assert events == [agent_events.RunFailed("r1.1", "upstream_cut")]
--- a/tests/test_agent_daemon.py
+++ b/tests/test_agent_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -28,11 +29,12 @@
     web,
     weight_store,
 )
-from tests import notes
+from tests import async_helpers, notes
 from tests import test_agent_world as worlds
 
 _HOST = "127.0.0.1"
 _TIMEOUT_S = 15.0
+_until = functools.partial(async_helpers.until, timeout_s=_TIMEOUT_S)
 
 
 class _Rig(NamedTuple):
@@ -52,12 +54,6 @@
         return [row.msg for row in self.got if isinstance(row.msg, kind)]
 
 
-async def _until(condition: Callable[[], object]) -> None:
-    async with asyncio.timeout(_TIMEOUT_S):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 def _settings(
     kind: settings.UpstreamKind, urls: dict[str, str]
 ) -> settings.AgentSettings:
@@ -231,43 +227,34 @@
 
 
 @pytest.mark.parametrize("scenario", [_inline, _forced, _bulk, _drain_moves])
-def test_daemon_serves_generations(
+@async_helpers.on_loop
+async def test_daemon_serves_generations(
     scenario: Callable[[_Rig], Awaitable[None]],
 ) -> None:
-    async def main() -> None:
-        async with _rig("engine", drains=scenario is _forced) as rig:
-            await scenario(rig)
-
-    asyncio.run(main())
-
-
-def test_daemon_runs_a_logged_call_once() -> None:
-    async def main() -> None:
-        async with _rig("service") as rig:
-            await _until(lambda: rig.daemon.tables.call_log.up)
-            rig.send(messages.KeyRequest("k", "ledger", 1))
-            await _until(lambda: rig.of(messages.KeyIssued))
-            key = rig.of(messages.KeyIssued)[0].keys[0]
-            msg = worlds.call("c1", key, service="ledger", path="/entries")
-            for _ in range(2):
-                rig.send(msg, b"row")
-            await _until(lambda: len(rig.of(messages.CallResult)) >= 1)
-            assert rig.of(messages.CallResult)[0].status == 200
-            await _until(
-                lambda: len(rig.log.streams["calls/agent-1"].records) == 2
-            )
-            assert len(rig.upstream.calls) == 1
-
-    asyncio.run(main())
-
-
-def test_unexpected_error_in_a_step_ends_the_agent() -> None:
+    async with _rig("engine", drains=scenario is _forced) as rig:
+        await scenario(rig)
+
+
+@async_helpers.on_loop
+async def test_daemon_runs_a_logged_call_once() -> None:
+    async with _rig("service") as rig:
+        await _until(lambda: rig.daemon.tables.call_log.up)
+        rig.send(messages.KeyRequest("k", "ledger", 1))
+        await _until(lambda: rig.of(messages.KeyIssued))
+        key = rig.of(messages.KeyIssued)[0].keys[0]
+        msg = worlds.call("c1", key, service="ledger", path="/entries")
+        for _ in range(2):
+            rig.send(msg, b"row")
+        await _until(lambda: len(rig.of(messages.CallResult)) >= 1)
+        assert rig.of(messages.CallResult)[0].status == 200
+        await _until(lambda: len(rig.log.streams["calls/agent-1"].records) == 2)
+        assert len(rig.upstream.calls) == 1
+
+
+@async_helpers.on_loop
+async def test_unexpected_error_in_a_step_ends_the_agent() -> None:
     """Fails when the agent lives on without running its step."""
-
-    async def main() -> None:
-        async with _rig("engine") as rig:
-            rig.daemon.emit("no event")  # type: ignore[arg-type]
-            await asyncio.wait({rig.served}, timeout=_TIMEOUT_S)
-            assert isinstance(rig.served.exception(), KeyError)
-
-    asyncio.run(main())
+    async with _rig("engine") as rig:
+        rig.daemon.emit("no event")  # type: ignore[arg-type]
+        await asyncio.wait({rig.served}, timeout=_TIMEOUT_S)
+        assert isinstance(rig.served.exception(), KeyError)
--- a/tests/test_standin_http.py
+++ b/tests/test_standin_http.py
@@ -20,6 +20,7 @@
     web,
     weight_store,
 )
+from tests import async_helpers
 
 _HOST = "127.0.0.1"
 _SETTINGS = engine_core.EngineSettings(
@@ -87,12 +88,6 @@
     ]
 
 
-async def _until(condition: Callable[[], bool]) -> None:
-    async with asyncio.timeout(5):
-        while not condition():
-            await asyncio.sleep(0.005)
-
-
 @pytest.mark.parametrize("forced", [0, 3])
 def test_stream_carries_offsets_and_count(forced: int) -> None:
     expected = tokens.output_tokens([1, 2, 3], 0, 8)
@@ -132,66 +127,58 @@
         ("POST", "/kv/export", {"request_id": "x", "lease_ms": 1}, 404),
     ],
 )
-def test_bad_calls_are_refused(
+@async_helpers.on_loop
+async def test_bad_calls_are_refused(
     method: str, path: str, body: object, status: int
 ) -> None:
-    async def run() -> None:
-        with _Engines(_SETTINGS) as (one,):
-            assert (await _call(method, one.url + path, body)).code == status
+    with _Engines(_SETTINGS) as (one,):
+        assert (await _call(method, one.url + path, body)).code == status
 
-    asyncio.run(run())
 
-
-def test_cancel_ends_a_stream_with_an_error() -> None:
-    async def run() -> None:
-        with _Engines(_SLOW) as (one,):
-            stream = asyncio.ensure_future(
-                _call(
-                    "POST",
-                    one.url + "/v1/completions",
-                    _completion(max_tokens=200),
-                )
+@async_helpers.on_loop
+async def test_cancel_ends_a_stream_with_an_error() -> None:
+    with _Engines(_SLOW) as (one,):
+        stream = asyncio.ensure_future(
+            _call(
+                "POST",
+                one.url + "/v1/completions",
+                _completion(max_tokens=200),
             )
-            await _until(lambda: one.core.produced_total > 0)
-            got = await _json("POST", one.url + "/cancel", {"request_id": "r1"})
-            assert got == {"cancelled": True}
-            assert _events((await stream).body)[-1] == {"error": "cancelled"}
-            assert one.core.free_blocks() == 64
-
-    asyncio.run(run())
+        )
+        await async_helpers.until(lambda: one.core.produced_total > 0)
+        got = await _json("POST", one.url + "/cancel", {"request_id": "r1"})
+        assert got == {"cancelled": True}
+        assert _events((await stream).body)[-1] == {"error": "cancelled"}
+        assert one.core.free_blocks() == 64
 
 
-def test_disconnect_cancels_the_request() -> None:
-    async def run() -> None:
-        with _Engines(_SLOW) as (one,):
-            body = _completion(max_tokens=200)
-            url = one.url + "/v1/completions"
-            answer = await _call("POST", url, body, timeout_s=0.3)
-            assert answer.code == 599
-            await _until(lambda: bool(one.cancels))
-            assert one.cancels[0].reason == "disconnect"
-
-    asyncio.run(run())
+@async_helpers.on_loop
+async def test_disconnect_cancels_the_request() -> None:
+    with _Engines(_SLOW) as (one,):
+        body = _completion(max_tokens=200)
+        url = one.url + "/v1/completions"
+        answer = await _call("POST", url, body, timeout_s=0.3)
+        assert answer.code == 599
+        await async_helpers.until(lambda: bool(one.cancels))
+        assert one.cancels[0].reason == "disconnect"
 
 
 @pytest.mark.parametrize(
     ("checks", "ignores", "status"),
     [(True, False, 409), (True, True, 200), (False, False, 200)],
 )
-def test_old_fence(checks: bool, ignores: bool, status: int) -> None:
-    async def run() -> None:
-        settings = engine_core.EngineSettings(checks_fence=checks)
-        with _Engines(settings) as (one,):
-            await _json("POST", one.url + "/orders", {"fence": 5, "model": "m"})
-            await _json("POST", one.url + "/faults", {"ignore_fences": ignores})
-            old = {"fence": 4, "model": "old"}
-            answer = await _call("POST", one.url + "/orders", old)
-            assert answer.code == status
-            config = await _json("GET", one.url + "/config")
-            assert config["model"] == ("m" if status == 409 else "old")
-            assert len(one.orders) == 2
-
-    asyncio.run(run())
+@async_helpers.on_loop
+async def test_old_fence(checks: bool, ignores: bool, status: int) -> None:
+    settings = engine_core.EngineSettings(checks_fence=checks)
+    with _Engines(settings) as (one,):
+        await _json("POST", one.url + "/orders", {"fence": 5, "model": "m"})
+        await _json("POST", one.url + "/faults", {"ignore_fences": ignores})
+        old = {"fence": 4, "model": "old"}
+        answer = await _call("POST", one.url + "/orders", old)
+        assert answer.code == status
+        config = await _json("GET", one.url + "/config")
+        assert config["model"] == ("m" if status == 409 else "old")
+        assert len(one.orders) == 2
 
 
 async def _reserve(one: engine.Engine, size: int, lease_ms: int) -> None:
@@ -199,127 +186,109 @@
     await _json("POST", one.url + "/allocations", body)
 
 
-def test_group_uses_the_memory_of_other_engines() -> None:
+@async_helpers.on_loop
+async def test_group_uses_the_memory_of_other_engines() -> None:
     """The prompt needs over twice one engine's 1,024 tokens."""
-
-    async def run() -> None:
-        with _Engines(_SETTINGS, _SETTINGS, _SETTINGS) as engines:
-            group = []
-            for one in engines:
-                await _reserve(one, 1024, 60_000)
-                group.append({"url": one.url, "allocation": "g"})
-            body = _completion(prompt=list(range(2500)), group=group)
-            url = engines[0].url + "/v1/completions"
-            answer = await _call("POST", url, body)
-            assert _events(answer.body)[-1] == {"done": True, "count": 8}
-
-    asyncio.run(run())
+    with _Engines(_SETTINGS, _SETTINGS, _SETTINGS) as engines:
+        group = []
+        for one in engines:
+            await _reserve(one, 1024, 60_000)
+            group.append({"url": one.url, "allocation": "g"})
+        body = _completion(prompt=list(range(2500)), group=group)
+        url = engines[0].url + "/v1/completions"
+        answer = await _call("POST", url, body)
+        assert _events(answer.body)[-1] == {"done": True, "count": 8}
 
 
 @pytest.mark.parametrize("lease_ms", [0, 300])
-def test_group_ends_with_a_member(lease_ms: int) -> None:
-    async def run() -> None:
-        with _Engines(_SLOW, _SLOW) as (leader, member):
-            if lease_ms:
-                await _reserve(member, 512, lease_ms)
-            group = [{"url": member.url, "allocation": "g"}]
-            body = _completion(max_tokens=400, group=group)
-            answer = await _call("POST", leader.url + "/v1/completions", body)
-            if lease_ms:
-                assert _events(answer.body)[-1] == {"error": "failed"}
-            else:
-                assert answer.code == 409
-
-    asyncio.run(run())
-
-
-def test_export_and_import_move_a_request() -> None:
-    async def run() -> None:
-        with _Engines(_SLOW, _SETTINGS) as (source, target):
-            first = asyncio.ensure_future(
-                _call("POST", source.url + "/v1/completions", _completion())
-            )
-            await _until(lambda: source.core.produced_total >= 2)
-            export = {"request_id": "r1", "lease_ms": 5000}
-            handle = (await _json("POST", source.url + "/kv/export", export))[
-                "handle"
-            ]
-            got = _events((await first).body)
-            assert got[-1] == {"error": "exported"}
-            made = [tok for part in got[:-1] for tok in part["tokens"]]
-            move = {"url": source.url, "handle": handle, "request_id": "r1"}
-            await _json("POST", target.url + "/kv/import", move)
-            assert source.core.free_blocks() == 64
-            body = _completion(forced_prefix=made, stream=False)
-            rest = await _json("POST", target.url + "/v1/completions", body)
-            assert rest["reused"] == 3 + len(made)
-            assert made + rest["tokens"] == tokens.output_tokens(
-                [1, 2, 3], 0, 8
-            )
-            assert target.core.free_blocks() == 64
-
-    asyncio.run(run())
+@async_helpers.on_loop
+async def test_group_ends_with_a_member(lease_ms: int) -> None:
+    with _Engines(_SLOW, _SLOW) as (leader, member):
+        if lease_ms:
+            await _reserve(member, 512, lease_ms)
+        group = [{"url": member.url, "allocation": "g"}]
+        body = _completion(max_tokens=400, group=group)
+        answer = await _call("POST", leader.url + "/v1/completions", body)
+        if lease_ms:
+            assert _events(answer.body)[-1] == {"error": "failed"}
+        else:
+            assert answer.code == 409
+
+
+@async_helpers.on_loop
+async def test_export_and_import_move_a_request() -> None:
+    with _Engines(_SLOW, _SETTINGS) as (source, target):
+        first = asyncio.ensure_future(
+            _call("POST", source.url + "/v1/completions", _completion())
+        )
+        await async_helpers.until(lambda: source.core.produced_total >= 2)
+        export = {"request_id": "r1", "lease_ms": 5000}
+        handle = (await _json("POST", source.url + "/kv/export", export))[
+            "handle"
+        ]
+        got = _events((await first).body)
+        assert got[-1] == {"error": "exported"}
+        made = [tok for part in got[:-1] for tok in part["tokens"]]
+        move = {"url": source.url, "handle": handle, "request_id": "r1"}
+        await _json("POST", target.url + "/kv/import", move)
+        assert source.core.free_blocks() == 64
+        body = _completion(forced_prefix=made, stream=False)
+        rest = await _json("POST", target.url + "/v1/completions", body)
+        assert rest["reused"] == 3 + len(made)
+        assert made + rest["tokens"] == tokens.output_tokens([1, 2, 3], 0, 8)
+        assert target.core.free_blocks() == 64
 
 
 @pytest.mark.parametrize(
     "fault", [{"die_after_tokens": 3}, {"cut_after_tokens": 3}]
 )
-def test_stream_ends_without_done(fault: dict[str, object]) -> None:
-    async def run() -> None:
-        engines = _Engines(_SLOW)
-        with engines as (one,):
-            await _json("POST", one.url + "/faults", fault)
-            url = one.url + "/v1/completions"
-            answer = await _call("POST", url, _completion(), timeout_s=1.0)
-            assert answer.code == 599
-            dies = "die_after_tokens" in fault
-            assert bool(engines.deaths) == dies
-
-    asyncio.run(run())
-
-
-def test_cache_events_of_an_earlier_process_give_all_blocks() -> None:
+@async_helpers.on_loop
+async def test_stream_ends_without_done(fault: dict[str, object]) -> None:
+    engines = _Engines(_SLOW)
+    with engines as (one,):
+        await _json("POST", one.url + "/faults", fault)
+        url = one.url + "/v1/completions"
+        answer = await _call("POST", url, _completion(), timeout_s=1.0)
+        assert answer.code == 599
+        dies = "die_after_tokens" in fault
+        assert bool(engines.deaths) == dies
+
+
+@async_helpers.on_loop
+async def test_cache_events_of_an_earlier_process_give_all_blocks() -> None:
     """An agent that outlives its engine must not keep a stale summary."""
-
-    async def run() -> None:
-        with _Engines(_SETTINGS) as (one,):
-            body = _completion(prompt=list(range(520)))
-            await _call("POST", one.url + "/v1/completions", body)
-            for after, full in ((0, True), (1, False), (7, True)):
-                path = f"/cache_events?after={after}"
-                answer = await _json("GET", one.url + path)
-                assert (answer["next"], answer["full"]) == (1, full)
-                blocks = [len(event["added"]) for event in answer["events"]]
-                assert blocks == ([1] if full else [])
-
-    asyncio.run(run())
-
-
-def test_hang_stops_answers_and_tokens_until_it_is_off() -> None:
-    async def run() -> None:
-        with _Engines(_SETTINGS) as (one,):
-            await _json("POST", one.url + "/faults", {"hang": True})
-            answer = await _call("GET", one.url + "/load", timeout_s=0.1)
-            assert answer.code == 599
-            assert (await _json("GET", one.url + "/ledger"))["runs"] == []
-            await _json("POST", one.url + "/faults", {})
-            assert (await _json("GET", one.url + "/load"))["running"] == 0
-
-    asyncio.run(run())
-
-
-def test_lost_answer_leaves_the_effect() -> None:
-    async def run() -> None:
-        with _Engines(_SETTINGS) as (one,):
-            fault = {"lose_path": "/allocations", "lose_count": 1}
-            await _json("POST", one.url + "/faults", fault)
-            body = {"id": "a", "tokens": 16, "lease_ms": 1000}
-            lost = await _call("POST", one.url + "/allocations", body)
-            assert lost.code == 599
-            assert list(one.core.allocations) == ["a"]
-            await _json("POST", one.url + "/allocations", body)
-
-    asyncio.run(run())
+    with _Engines(_SETTINGS) as (one,):
+        body = _completion(prompt=list(range(520)))
+        await _call("POST", one.url + "/v1/completions", body)
+        for after, full in ((0, True), (1, False), (7, True)):
+            path = f"/cache_events?after={after}"
+            answer = await _json("GET", one.url + path)
+            assert (answer["next"], answer["full"]) == (1, full)
+            blocks = [len(event["added"]) for event in answer["events"]]
+            assert blocks == ([1] if full else [])
+
+
+@async_helpers.on_loop
+async def test_hang_stops_answers_and_tokens_until_it_is_off() -> None:
+    with _Engines(_SETTINGS) as (one,):
+        await _json("POST", one.url + "/faults", {"hang": True})
+        answer = await _call("GET", one.url + "/load", timeout_s=0.1)
+        assert answer.code == 599
+        assert (await _json("GET", one.url + "/ledger"))["runs"] == []
+        await _json("POST", one.url + "/faults", {})
+        assert (await _json("GET", one.url + "/load"))["running"] == 0
+
+
+@async_helpers.on_loop
+async def test_lost_answer_leaves_the_effect() -> None:
+    with _Engines(_SETTINGS) as (one,):
+        fault = {"lose_path": "/allocations", "lose_count": 1}
+        await _json("POST", one.url + "/faults", fault)
+        body = {"id": "a", "tokens": 16, "lease_ms": 1000}
+        lost = await _call("POST", one.url + "/allocations", body)
+        assert lost.code == 599
+        assert list(one.core.allocations) == ["a"]
+        await _json("POST", one.url + "/allocations", body)
 
 
 @contextlib.asynccontextmanager
@@ -339,81 +308,71 @@
         ({"error_status": 500}, 500, 0),
     ],
 )
-def test_service_ledger_tells_what_took_effect(
+@async_helpers.on_loop
+async def test_service_ledger_tells_what_took_effect(
     fault: dict[str, object], status: int, calls: int
 ) -> None:
-    async def run() -> None:
-        plain = service.Service(service.ServiceSettings())
-        async with _serving(plain) as url:
-            await _json("POST", url + "/faults", fault)
-            answer = await _call(
-                "POST",
-                url + "/rosters/7?x=1",
-                {"shift": 3},
-                headers={"Idempotency-Key": "k1"},
-            )
-            assert answer.code == status
-            rows = await _json("GET", url + "/ledger")
-            assert len(rows) == calls
-            if rows:
-                assert rows[0]["path"] == "/rosters/7?x=1"
-                assert rows[0]["key"] == "k1"
-
-    asyncio.run(run())
+    plain = service.Service(service.ServiceSettings())
+    async with _serving(plain) as url:
+        await _json("POST", url + "/faults", fault)
+        answer = await _call(
+            "POST",
+            url + "/rosters/7?x=1",
+            {"shift": 3},
+            headers={"Idempotency-Key": "k1"},
+        )
+        assert answer.code == status
+        rows = await _json("GET", url + "/ledger")
+        assert len(rows) == calls
+        if rows:
+            assert rows[0]["path"] == "/rosters/7?x=1"
+            assert rows[0]["key"] == "k1"
 
 
 @pytest.mark.parametrize("outage", ["append_outage", "read_outage"])
-def test_log_outages_are_separate(outage: str) -> None:
-    async def run() -> None:
-        log = log_service.Log(log_service.LogSettings())
-        async with _serving(log) as url:
-            await _json("POST", url + "/faults", {outage: True})
-            record = {"id": "1", "data": "x"}
-            stream = url + "/streams/calls/a1"
-            appended = await _call("POST", stream, record)
-            read = await _call("GET", stream + "?after=0")
-            down = (503, 200) if outage == "append_outage" else (200, 503)
-            assert (appended.code, read.code) == down
-
-    asyncio.run(run())
+@async_helpers.on_loop
+async def test_log_outages_are_separate(outage: str) -> None:
+    log = log_service.Log(log_service.LogSettings())
+    async with _serving(log) as url:
+        await _json("POST", url + "/faults", {outage: True})
+        record = {"id": "1", "data": "x"}
+        stream = url + "/streams/calls/a1"
+        appended = await _call("POST", stream, record)
+        read = await _call("GET", stream + "?after=0")
+        down = (503, 200) if outage == "append_outage" else (200, 503)
+        assert (appended.code, read.code) == down
 
 
 @pytest.mark.parametrize("name", ["log", "weights"])
-def test_rate_limits_name_the_time_to_wait(name: str) -> None:
-    async def run() -> None:
-        if name == "log":
-            settings = log_service.LogSettings(
-                appends_per_s=0.1, append_burst=1.0
-            )
-            standin: web.Standin = log_service.Log(settings)
-            path, body = "/streams/s", {"id": "1", "data": "x"}
-        else:
-            standin = weight_store.WeightStore(
-                weight_store.WeightSettings(permits_per_s=0.1, burst=1.0)
-            )
-            path, body = "/permits", {"model": "m", "version": "v"}
-        async with _serving(standin) as url:
-            assert (await _call("POST", url + path, body)).code == 200
-            refused = await _call("POST", url + path, body)
-            assert refused.code == 429
-            assert 9.0 < float(refused.headers["Retry-After"]) <= 10.0
-
-    asyncio.run(run())
-
-
-def test_instance_rows_round_trip() -> None:
-    async def run() -> None:
-        rows = instance_list.InstanceList(instance_list.InstanceSettings())
-        row = {"id": "a1", "role": "agent", "data_centre": "haloze"}
-        async with _serving(rows) as url:
-            await _json("PUT", url + "/instances/a1", row)
-            other = await _call("PUT", url + "/instances/a2", row)
-            assert other.code == 400
-            got = await _json("GET", url + "/instances?after=0")
-            assert got["version"] == 1
-            assert got["rows"][0]["state"] == "live"
-
-    asyncio.run(run())
+@async_helpers.on_loop
+async def test_rate_limits_name_the_time_to_wait(name: str) -> None:
+    if name == "log":
+        settings = log_service.LogSettings(appends_per_s=0.1, append_burst=1.0)
+        standin: web.Standin = log_service.Log(settings)
+        path, body = "/streams/s", {"id": "1", "data": "x"}
+    else:
+        standin = weight_store.WeightStore(
+            weight_store.WeightSettings(permits_per_s=0.1, burst=1.0)
+        )
+        path, body = "/permits", {"model": "m", "version": "v"}
+    async with _serving(standin) as url:
+        assert (await _call("POST", url + path, body)).code == 200
+        refused = await _call("POST", url + path, body)
+        assert refused.code == 429
+        assert 9.0 < float(refused.headers["Retry-After"]) <= 10.0
+
+
+@async_helpers.on_loop
+async def test_instance_rows_round_trip() -> None:
+    rows = instance_list.InstanceList(instance_list.InstanceSettings())
+    row = {"id": "a1", "role": "agent", "data_centre": "haloze"}
+    async with _serving(rows) as url:
+        await _json("PUT", url + "/instances/a1", row)
+        other = await _call("PUT", url + "/instances/a2", row)
+        assert other.code == 400
+        got = await _json("GET", url + "/instances?after=0")
+        assert got["version"] == 1
+        assert got["rows"][0]["state"] == "live"
 
 
 async def _with_relay(
