Move the agent world's upstream fakes to a file of their own

Change: engine, log and service stand in test_agent_fakes.py; the world keeps the name FakeEngine, which audit_world uses.

--- a/tests/test_agent_streams.py
+++ b/tests/test_agent_streams.py
@@ -5,9 +5,10 @@
 import pytest
 
 from apricottrestle import agent_events, agent_streams, messages
+from tests import test_agent_fakes as fakes
 from tests import test_agent_world as worlds
 
-_WANT: Final = worlds.expected_tokens(worlds.body_of("r1"), 40)
+_WANT: Final = fakes.expected_tokens(worlds.body_of("r1"), 40)
 _SECOND: Final = b"conn-2"
 
 
@@ -174,7 +175,7 @@
         chunk = messages.BodyChunk("r1", 1, index, last)
         world.frame(chunk, parts[index], routing_id=b"", sender="entry-1")
     world.until(lambda: world.of(messages.Finished))
-    assert world.tokens("r1") == worlds.expected_tokens(body, 40)
+    assert world.tokens("r1") == fakes.expected_tokens(body, 40)
     assert world.tables.body_bytes == 0
 
 
--- a/tests/test_agent_world.py
+++ b/tests/test_agent_world.py
@@ -1,8 +1,4 @@
-"""A world around the agent's step: engine, service, log and entries.
-
-The fakes keep ledgers that decide the tests; they never expire a lease by
-themselves, so that only the agent's own clock can free memory.
-"""
+"""A world around the agent's step: upstreams, entries and a fake clock."""
 
 import random
 from collections.abc import Callable
@@ -19,11 +15,12 @@
     messages,
     queueing_fair,
 )
+from tests import test_agent_fakes as fakes
 
 TICK_S = 0.1
-BLOCK_TOKENS = 16
 ENTRY = b"conn-1"
 SECRET = b"fleet secret"
+FakeEngine = fakes.FakeEngine
 
 
 def config(
@@ -40,147 +37,6 @@
     )
 
 
-def expected_tokens(body: bytes, total: int) -> list[int]:
-    """Returns the answer that the fake engine gives to a prompt."""
-    seed = sum(body)
-    return [(seed * 31 + index * 7) % 50_000 for index in range(total)]
-
-
-class FakeEngine:
-    """Engine with a ledger of memory and runs."""
-
-    def __init__(self) -> None:
-        self.blocks: dict[str, tuple[int, str]] = {}
-        self.runs: dict[str, list[Any]] = {}
-        self.started: list[str] = []
-        self.orders: list[agent_events.SendOrder] = []
-        self.config = agent_events.EngineConfig("m", ["v1"], [], "mixed")
-        self.total_blocks = 4096
-        self.tokens_per_tick = 4
-        self.frozen = False
-        self.can_export = True
-        self.ignores_fence = False
-        self.fence = 0
-        self.cache = agent_events.CacheEvents(0, True, [])
-
-    def held(self) -> int:
-        """Returns the blocks in use."""
-        return sum(blocks for blocks, _ in self.blocks.values())
-
-    def start(self, cmd: agent_events.StartRun) -> None:
-        self.started.append(cmd.run_id)
-        position = len(cmd.forced_prefix)
-        self.blocks[cmd.run_id] = (cmd.max_tokens, cmd.run_id)
-        self.runs[cmd.run_id] = [cmd, position]
-
-    def end(self, run_id: str) -> None:
-        self.runs.pop(run_id, None)
-        self.blocks.pop(run_id, None)
-
-    def kill(self) -> list[agent_events.Event]:
-        """Loses all state, as a restart does; streams break off."""
-        failed: list[agent_events.Event] = [
-            agent_events.RunFailed(run_id, "upstream_failed")
-            for run_id in self.runs
-        ]
-        self.runs.clear()
-        self.blocks.clear()
-        return failed
-
-    def produce(self) -> list[agent_events.Event]:
-        events: list[agent_events.Event] = []
-        if self.frozen:
-            return events
-        for run_id, run in list(self.runs.items()):
-            cmd, position = run
-            answer = expected_tokens(cmd.body, cmd.max_tokens)
-            stop = min(position + self.tokens_per_tick, cmd.max_tokens)
-            events.append(
-                agent_events.RunTokens(
-                    run_id, position, answer[position:stop], 0
-                )
-            )
-            run[1] = stop
-            if stop == cmd.max_tokens:
-                events.append(agent_events.RunDone(run_id, stop))
-                self.end(run_id)
-        return events
-
-    def allocate(self, cmd: agent_events.Allocate) -> list[agent_events.Event]:
-        blocks = -(-cmd.tokens // BLOCK_TOKENS)
-        self.blocks[cmd.allocation] = (blocks, "")
-        return [agent_events.AllocationAnswer(cmd.allocation, True, "")]
-
-    def order(self, cmd: agent_events.SendOrder) -> list[agent_events.Event]:
-        if cmd.fence < self.fence and not self.ignores_fence:
-            return [agent_events.OrderAnswer(cmd.fence, 409)]
-        self.orders.append(cmd)
-        self.fence = max(self.fence, cmd.fence)
-        self.config = agent_events.EngineConfig(
-            cmd.model, cmd.versions, cmd.adapters, cmd.role
-        )
-        return [agent_events.OrderAnswer(cmd.fence, 200)]
-
-    def load(self) -> agent_events.EngineLoad:
-        free = self.total_blocks - self.held()
-        return agent_events.EngineLoad(
-            len(self.runs), 0, 0, self.total_blocks, free, 0.0
-        )
-
-    def listing(self) -> agent_events.AllocationList:
-        return agent_events.AllocationList(
-            [
-                agent_events.AllocationRow(name, blocks, req_id)
-                for name, (blocks, req_id) in self.blocks.items()
-            ]
-        )
-
-
-class FakeLog:
-    """Append-only call stream."""
-
-    def __init__(self) -> None:
-        self.records: list[call_log.CallRecord] = []
-        self.first = 1
-        self.down = False
-        self.loses_answers = False
-
-    def append(self, data: str) -> int:
-        offset = self.first + len(self.records)
-        self.records.append(call_log.CallRecord(offset, data))
-        return offset
-
-    def refuse(self, key_id: str) -> None:
-        entry = call_log.CallEntry(call_log.EntryKind.REFUSAL, key_id)
-        self.append(call_log.encode([entry]))
-
-    def cut(self) -> None:
-        """Drops all records, as retention does."""
-        self.first += len(self.records)
-        self.records.clear()
-
-
-class FakeService:
-    """Plain service with a ledger of side effects."""
-
-    def __init__(self) -> None:
-        self.effects: list[str] = []
-        self.mode = "answer"
-        self.held: list[agent_events.Event] = []
-
-    def call(self, cmd: agent_events.CallService) -> list[agent_events.Event]:
-        if self.mode == "unreachable":
-            return [agent_events.ServiceFailed(cmd.call_id, "refused", False)]
-        self.effects.append(cmd.call_id)
-        answer = agent_events.ServiceAnswer(cmd.call_id, 200, [], b"booked")
-        if self.mode == "hold":
-            self.held.append(answer)
-            return []
-        if self.mode == "lose_answer":
-            return [agent_events.ServiceFailed(cmd.call_id, "reset", True)]
-        return [answer]
-
-
 class Sent(NamedTuple):
     """A message that the agent sent."""
 
@@ -206,9 +62,9 @@
         *,
         seed: int = 1,
         incarnation: str = "inc1",
-        engine: FakeEngine | None = None,
-        log: FakeLog | None = None,
-        service: FakeService | None = None,
+        engine: fakes.FakeEngine | None = None,
+        log: fakes.FakeLog | None = None,
+        service: fakes.FakeService | None = None,
         now: float = 1000.0,
     ) -> None:
         self.now = now
@@ -225,9 +81,9 @@
         self.tables = agent_tables.Tables(
             params, queueing_fair.PriorityFairQueue(), random.Random(seed), now
         )
-        self.engine = engine or FakeEngine()
-        self.log = log or FakeLog()
-        self.service = service or FakeService()
+        self.engine = engine or fakes.FakeEngine()
+        self.log = log or fakes.FakeLog()
+        self.service = service or fakes.FakeService()
         self.config = config()
         self.sent: list[Sent] = []
         self.commands: list[agent_events.Command] = []
@@ -519,7 +375,7 @@
     world = World().ready()
     world.frame(submit(), body_of("r1"))
     world.until(lambda: world.of(messages.Finished))
-    want = expected_tokens(body_of("r1"), 40)
+    want = fakes.expected_tokens(body_of("r1"), 40)
     assert world.tokens("r1") == want
     assert world.of(messages.Finished)[0].total_tokens == 40
     world.run(20)
--- a/tests/test_machine_agent.py
+++ b/tests/test_machine_agent.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from apricottrestle import agent_events, messages
+from tests import test_agent_fakes as fakes
 from tests import test_agent_world as worlds
 
 _REQS: Final = st.sampled_from([f"r{index}" for index in range(6)])
@@ -113,7 +114,7 @@
                 self._check_tokens(row.msg)
 
     def _check_tokens(self, msg: messages.Tokens) -> None:
-        want = worlds.expected_tokens(worlds.body_of(msg.req_id), 40)
+        want = fakes.expected_tokens(worlds.body_of(msg.req_id), 40)
         assert msg.tokens == want[msg.offset : msg.offset + len(msg.tokens)]
 
 
