Wait until each entry knows every service agent before call tests

The set-up waited only until each entry issued a key of any agent. Change: the set-up waits until each entry has issued a key of each agent. Conclusion: the check itself is unchanged; the set-up now brings about the state that it relies on.

--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -60,10 +60,9 @@
         run.wait_ready()
         if size.engines:
             wait_serving(run)
-        for url in entry_urls(run) if size.services else []:
-            fleet.wait_for(
-                functools.partial(_issues_keys, url), f"{url} issues keys"
-            )
+        callers = {f"caller-{index}" for index in range(size.services)}
+        for url in entry_urls(run):
+            _wait_keys(url, callers)
         yield run
 
 
@@ -268,8 +267,27 @@
     return fleet.call("POST", url + path, body, authorization())
 
 
-def _issues_keys(url: str) -> bool:
-    return _ask_key(url).status == 200
+def _wait_keys(url: str, agents: set[str]) -> None:
+    """Waits until an entry has issued a key of each agent.
+
+    An entry that doesn't know the agent of a key refuses the key on the log,
+    and no call under it runs.
+    """
+    seen: set[str] = set()
+
+    def all_seen() -> bool:
+        answer = _ask_key(url)
+        if answer.status == 200:
+            seen.add(agent_of_key(answer.json()["idempotency_key"]))
+        return agents <= seen
+
+    if agents:
+        fleet.wait_for(all_seen, f"{url} issues keys of all agents")
+
+
+def agent_of_key(key: str) -> str:
+    """Returns the agent that issued a key."""
+    return key.split("~")[2]
 
 
 def authorization(key: str = notes.KEYS["harvest"]) -> dict[str, str]:
--- a/tests/test_process_calls.py
+++ b/tests/test_process_calls.py
@@ -71,7 +71,7 @@
     before = _ran(run)
     _faults(run, delay_s=2.0)
     key = harness.issue_key(url)
-    name = key.split("~")[2]
+    name = harness.agent_of_key(key)
     with concurrent.futures.ThreadPoolExecutor() as pool:
         attempt = pool.submit(harness.call_once, url, key, b"x")
         fleet.wait_for(lambda: _in_flight(run, name), "the call is sent")
