Give the start test its configuration before the demand

Cause: a trial without the wait for the first read of demand passed the test, since the demand happened to be read first. Change: the agent's platform side runs after the configuration is known.

--- a/tests/test_demand_wiring.py
+++ b/tests/test_demand_wiring.py
@@ -173,8 +173,11 @@
     cfg = daemons._settings("engine", urls)
     platform = agent_platform.AgentPlatform(cfg, "i", followed.events.append)
     with platform:
-        running = asyncio.create_task(platform.run())
+        # The configuration comes first, so that only the rule that placement
+        # waits for the first read of demand prevents another assignment.
         platform.execute(agent_events.CatchUp(1))
+        await daemons._until(lambda: followed.events)
+        running = asyncio.create_task(platform.run())
         try:
             yield followed
         finally:
