--- a/src/apricottrestle/agent_queue.py
+++ b/src/apricottrestle/agent_queue.py
@@ -15,6 +15,7 @@
     hashing,
     messages,
     queueing,
+    queueing_fair,
 )
 
 BODY_WINDOW_CHUNKS: Final = 8
@@ -148,11 +149,10 @@
     if row.kv_tokens > kv_tokens_total(tables):
         return "too_large"
     item = queue_item(tables, row, now)
-    wait_s = tables.queue.expected_wait_s(item, capacity(tables))
-    prefill_s = item.prompt_tokens / tables.params.prefill_tokens_per_s
-    if now + wait_s + prefill_s > row.deadline:
-        return "no_time"
-    return ""
+    found = capacity(tables)
+    start = now + tables.queue.expected_wait_s(item, found)
+    in_time = tables.queue.can_finish(item, found, start)
+    return "" if in_time else "no_time"
 
 
 def _upstream_refusal(tables: agent_tables.Tables, msg: messages.Submit) -> str:
@@ -334,10 +334,16 @@
     for row in list(tables.queued_groups.values()):
         _start_group(tables, row, now, out)
     while len(tables.queue):
-        item = tables.queue.pop(capacity(tables), now)
+        found = capacity(tables)
+        item = tables.queue.pop(found, now)
         if item is None:
             return
-        _start(tables, tables.streams[item.req_id], item, now, out)
+        row = tables.streams[item.req_id]
+        if tables.queue.can_finish(item, found, now):
+            _start(tables, row, item, now, out)
+        else:
+            # Starting it would cost prefill and memory for nothing.
+            agent_streams.refuse(tables, row, "no_time", now, out)
 
 
 def _start_group(
@@ -372,7 +378,7 @@
             row.run_id,
             row.body,
             msg.max_tokens,
-            msg.priority,
+            queueing_fair.engine_priority(item),
             msg.adapter,
             msg.version,
             msg.forced_prefix,
