Fit cache summaries and load reports into the control budget

Cause: an agent sent every cache change each 2 s and up to 4,000 hashes each 120 s; for 136 agents that is over 41 KB/s for the full summaries alone, against 19 KB/s for all control. 20,000 hints per agent don't fit 64 MB. Change: a summary carries at most 16 added and 8 removed blocks each 10 s and 64 blocks each 600 s; entries note the prefixes of their own requests at dispatch; 400 hints per agent; pings are limited to 68 a second per entry, so 17 agents are pinged each 0.25 s and 136 each 2 s. Conclusion: hints cost a bounded share of the budget.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -31,6 +31,7 @@
 TEAMS: Final = 1_400
 MODELS: Final = 17
 NOTES_PER_HOUR: Final = 67_000 / 24
+ROUTING_TARGET_US: Final = 100
 
 _CONNECTION_SIZES: Final = (16, 64, 128)
 _TEAM_SIZES: Final = (100, 400, 1_400)
@@ -337,7 +338,14 @@
         lines.append(slope._asdict() | {"size": size, "figure": figure})
     RESULTS.parent.mkdir(exist_ok=True)
     RESULTS.write_text(json.dumps(lines, indent=1) + "\n")
-    return 0
+    costs = [line for line in lines if "routing decision" in line["name"]]
+    worst_us = max(cost for line in costs for cost in line["costs"])
+    met = worst_us <= ROUTING_TARGET_US
+    print(
+        f"routing decision at most {ROUTING_TARGET_US} us: "
+        + ("met" if met else "missed")
+    )
+    return 0 if met else 1
 
 
 if __name__ == "__main__":
--- a/src/apricottrestle/agent_reports.py
+++ b/src/apricottrestle/agent_reports.py
@@ -19,10 +19,15 @@
 """Allowed for the way of a start to the engine and of the load back."""
 
 CACHE_POLL_S: Final = 1.0
-SUMMARY_S: Final = 2.0
-FULL_SUMMARY_S: Final = 120.0
+SUMMARY_S: Final = 10.0
+FULL_SUMMARY_S: Final = 600.0
 MAX_BLOCKS: Final = 20_000
-SUMMARY_BLOCKS: Final = 4_000
+SUMMARY_BLOCKS: Final = 64
+SUMMARY_ADDED: Final = 16
+SUMMARY_REMOVED: Final = 8
+"""Blocks of a summary. An entry hears of 136 agents and has 19 KB/s for all of
+its control; 24 hashes of 9 bytes each 10 s take 4 KB/s of it. What is left out
+costs a cache hit at most, and entries also note the prefixes they send."""
 """Blocks in a full summary, newest first: 36 KB, which at 13 entries and
 FULL_SUMMARY_S takes 4 KB/s of the 19 KB/s that a node may use."""
 
@@ -210,7 +215,8 @@
         cache.next_full = now + FULL_SUMMARY_S
         summary = _full_summary(tables)
     else:
-        added, removed = list(cache.added), list(cache.removed)
+        added = list(cache.added)[-SUMMARY_ADDED:]
+        removed = list(cache.removed)[-SUMMARY_REMOVED:]
         summary = messages.CacheSummary(cache.seq, False, added, removed)
     cache.reset = False
     cache.added.clear()
--- a/src/apricottrestle/entry_dispatch.py
+++ b/src/apricottrestle/entry_dispatch.py
@@ -108,6 +108,8 @@
     )
     row.kv = None
     t.upstreams.dispatched(agent_id, spec.prompt_tokens, spec.priority)
+    # The engine will hold this prefix; its summary comes much later.
+    t.upstreams.add_cached(agent_id, spec.prefix_blocks)
     t.send(agent_id, msg, spec.body if inline else b"")
 
 
--- a/src/apricottrestle/entry_peers.py
+++ b/src/apricottrestle/entry_peers.py
@@ -315,19 +315,21 @@
         _greet(t, peer.conn)
 
 
-def _ping_slot(now: float) -> int:
-    """Returns the number of the ping period.
+def _ping_period_s(t: entry_tables.Tables) -> float:
+    """Returns the time between two pings of a peer.
 
-    All peers are pinged in the same tick, so that one wake-up of the process
-    handles many answers.
+    All peers are pinged in the same tick of a period, so that one wake-up of
+    the process handles many answers.
     """
-    return int(now / entry_tables.PING_S)
+    period_s = len(t.peers) / entry_tables.PINGS_PER_S
+    return min(max(period_s, entry_tables.MIN_PING_S), entry_tables.PING_S)
 
 
 def _tick_up(
     t: entry_tables.Tables, peer: entry_tables.PeerRow, now: float
 ) -> None:
-    if _ping_slot(now) > _ping_slot(peer.last_ping):
+    period_s = _ping_period_s(t)
+    if int(now / period_s) > int(peer.last_ping / period_s):
         _ping(t, peer, now)
     silent = now - peer.last_frame >= entry_tables.SILENT_S
     unanswered = (
--- a/src/apricottrestle/upstream_table.py
+++ b/src/apricottrestle/upstream_table.py
@@ -10,8 +10,9 @@
 
 from apricottrestle import messages
 
-MAX_CACHED_BLOCKS: Final = 20_000
-"""Bound of the cache hints kept per agent; the oldest go first."""
+MAX_CACHED_BLOCKS: Final = 400
+"""Cache hints kept per agent, the newest. An entry knows 136 agents, and a hint
+takes about 300 bytes in row and index: 16 MB of the 64 MB that it may use."""
 
 
 class UpstreamRow:
--- a/tests/test_entry_cache.py
+++ b/tests/test_entry_cache.py
@@ -40,3 +40,12 @@
     for summary in summaries:
         entry_peers.apply_cache(t, t.peers[agent_id], summary)
     assert (t.upstreams.cached_at(_BLOCKS, 2) == [agent_id]) is found
+
+
+def test_own_request_is_a_hint_at_once() -> None:
+    """Without it a shared prefix spreads over engines until a summary."""
+    world = entry_world.World()
+    world.entry.generate(blocks=_BLOCKS)
+    t = world.entry.tables
+    (row,) = [r for r in t.upstreams.rows.values() if r.outstanding]
+    assert t.upstreams.cached_at(_BLOCKS, 2) == [row.agent_id]
