Submit requests through a method of the agent's test world

Change: World.submit does both; the tests name only what is special. Conclusion: no case and no check is changed.

--- a/tests/test_agent_reports.py
+++ b/tests/test_agent_reports.py
@@ -47,8 +47,8 @@
     world = worlds.World().ready()
     world.engine.tokens_per_tick = 0
     total = agent_queue.kv_tokens_total(world.tables)
-    world.frame(worlds.submit(), worlds.body_of("r1"))
-    world.frame(worlds.submit("r2", model="x"), worlds.body_of("r2"))
+    world.submit()
+    world.submit("r2", model="x")
     world.frame(messages.Reserve("g1", 1600, 10_000))
     world.run(2.5)
     load = world.of(messages.Pong)[-1].load
@@ -75,7 +75,7 @@
     total = agent_queue.kv_tokens_total(world.tables)
     world.frame(messages.Reserve("g1", total - 64, 10_000))
     world.frame(messages.Reserve("g2", 128, 10_000))
-    world.frame(worlds.submit(), worlds.body_of("r1"))
+    world.submit()
     world.run(2)
     assert world.engine.started == []
     assert world.of(messages.Reserved)[0].reason == "no_memory"
@@ -86,7 +86,7 @@
 def test_model_changes_only_after_running_work_has_ended() -> None:
     world = worlds.World().ready()
     world.engine.tokens_per_tick = 1
-    world.frame(worlds.submit(max_tokens=120), worlds.body_of("r1"))
+    world.submit(max_tokens=120)
     world.until(lambda: world.tokens("r1"))
     models = dict(world.config.models)
     models["n"] = models["m"]._replace(name="n")
@@ -98,7 +98,7 @@
     world.inbox.append(agent_events.ConfigChanged(world.config, 0))
     world.inbox.append(agent_events.ModelAssigned("n"))
     world.run(2)
-    world.frame(worlds.submit("r2"), worlds.body_of("r2"))
+    world.submit("r2")
     world.until(lambda: world.of(messages.Finished))
     assert world.engine.config.model == "m"
     assert world.of(messages.Refused)[0].reason == "model_changing"
--- a/tests/test_agent_streams.py
+++ b/tests/test_agent_streams.py
@@ -15,7 +15,7 @@
 def _started(**changes: Any) -> worlds.World:
     """Returns a world whose request has sent at least ten tokens."""
     world = worlds.World().ready()
-    world.frame(worlds.submit(**changes), worlds.body_of("r1"))
+    world.submit(**changes)
     world.until(lambda: len(world.tokens("r1")) >= 10)
     return world
 
@@ -124,9 +124,8 @@
 
 def test_higher_attempt_replaces_a_lower_one() -> None:
     world = _started()
-    again = worlds.submit(attempt=2, forced_prefix=_WANT[:8])
-    world.frame(again, worlds.body_of("r1"))
-    world.frame(worlds.submit(), worlds.body_of("r1"))
+    world.submit(attempt=2, forced_prefix=_WANT[:8])
+    world.submit()
     world.until(lambda: world.of(messages.Finished))
     assert world.engine.started == ["r1.1", "r1.2"]
     finished = world.of(messages.Finished)[0]
@@ -146,8 +145,7 @@
     """A late duplicate must not run what was called not run."""
     world = worlds.World().ready()
     for remaining_ms in (0, 20_000):
-        msg = worlds.submit(remaining_ms=remaining_ms)
-        world.frame(msg, worlds.body_of("r1"))
+        world.submit(remaining_ms=remaining_ms)
         world.run(1)
     assert world.engine.started == []
     reasons = [msg.reason for msg in world.of(messages.Refused)]
@@ -157,7 +155,7 @@
 def test_cancel_that_overtakes_its_submit_holds() -> None:
     world = worlds.World().ready()
     world.frame(messages.Cancel("r1", 1, "gone"))
-    world.frame(worlds.submit(), worlds.body_of("r1"))
+    world.submit()
     world.run(3)
     assert world.engine.started == []
     assert world.of(messages.Refused)[0].reason == "cancelled"
--- a/tests/test_agent_world.py
+++ b/tests/test_agent_world.py
@@ -124,6 +124,10 @@
         got = messages.Received(name, "i", rev, msg, body)
         self.inbox.append(agent_events.FrameIn(routing_id, got))
 
+    def submit(self, req_id: str = "r1", **changes: Any) -> None:
+        """Puts a small request into the agent's inbox."""
+        self.frame(submit(req_id, **changes), body_of(req_id))
+
     def tick(self) -> None:
         """Advances the clock by one tick and runs one step."""
         self.now += TICK_S
@@ -311,7 +315,7 @@
     """Brings request r1 to a step of its path."""
 
     def send(**more: Any) -> None:
-        world.frame(submit(**{**changes, **more}), body_of("r1"))
+        world.submit(**{**changes, **more})
 
     def until_tokens(count: int) -> None:
         world.until(lambda: len(world.tokens("r1")) >= count)
@@ -373,7 +377,7 @@
 
 def test_request_runs_to_the_end() -> None:
     world = World().ready()
-    world.frame(submit(), body_of("r1"))
+    world.submit()
     world.until(lambda: world.of(messages.Finished))
     want = fakes.expected_tokens(body_of("r1"), 40)
     assert world.tokens("r1") == want
--- a/tests/test_machine_agent.py
+++ b/tests/test_machine_agent.py
@@ -51,13 +51,12 @@
 
     @st_machine.rule(req_id=_REQS, attempt=_ATTEMPTS, credit=st.integers(0, 50))
     def submit(self, req_id: str, attempt: int, credit: int) -> None:
-        msg = worlds.submit(
+        self.world.submit(
             req_id,
             attempt=attempt,
             credit_tokens=credit,
             remaining_ms=_LIMIT_MS,
         )
-        self.world.frame(msg, worlds.body_of(req_id))
 
     @st_machine.rule(req_id=_REQS, attempt=_ATTEMPTS)
     def cancel(self, req_id: str, attempt: int) -> None:
--- a/tests/test_matrix_agent_requests.py
+++ b/tests/test_matrix_agent_requests.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 import pytest
 
@@ -24,10 +24,6 @@
 ENDINGS: Final = (messages.Finished, messages.Failed, messages.Refused)
 
 
-def _submit(world: worlds.World, **changes: Any) -> None:
-    world.frame(worlds.submit(**changes), worlds.body_of("r1"))
-
-
 def _kill(world: worlds.World) -> None:
     world.inbox.extend(world.engine.kill())
 
@@ -43,14 +39,14 @@
 def _late(world: worlds.World) -> None:
     """Copies of all messages arrive long after."""
     world.run(LIMIT_S + 5)
-    _submit(world)
+    world.submit()
     world.frame(messages.Reserve(GROUP, 1600, 10_000))
     world.frame(messages.Renew(GROUP, 10_000))
 
 
 def _duplicate(world: worlds.World) -> None:
     world.duplicate = True
-    _submit(world)
+    world.submit()
     world.frame(messages.Reserve(GROUP, 1600, 10_000))
     world.frame(messages.Release(GROUP))
 
@@ -61,7 +57,7 @@
     world.frame(messages.Release("g2"))
     world.frame(messages.Renew(GROUP, 10_000))
     world.frame(messages.Cancel("r2", 1, "swapped"))
-    world.frame(worlds.submit("r2"), worlds.body_of("r2"))
+    world.submit("r2")
 
 
 def _lose_answers(world: worlds.World) -> None:
@@ -209,7 +205,7 @@
 def test_submit_that_waited_through_a_freeze_is_not_run() -> None:
     """Fails when the remaining time of an old frame counts from now."""
     world = worlds.World().ready()
-    world.frame(worlds.submit(), worlds.body_of("r1"))
+    world.submit()
     world.freeze(60)
     world.run(5)
     assert world.engine.started == []
@@ -224,7 +220,7 @@
         "agent-1", reserved.engine_url, reserved.allocation
     )
     world.engine.tokens_per_tick = 0
-    world.frame(worlds.submit(group=[member]), worlds.body_of("r1"))
+    world.submit(group=[member])
     world.until(lambda: world.engine.started)
     world.run(12)
     assert world.of(messages.Failed)[0].reason == "group_lease_lapsed"
--- a/tests/test_matrix_agent_stops.py
+++ b/tests/test_matrix_agent_stops.py
@@ -106,7 +106,7 @@
     world.frame(messages.Credit("r1", 1, 10_000))
     was_up = not world.exited
     if was_up:
-        world.frame(worlds.submit("r2"), worlds.body_of("r2"))
+        world.submit("r2")
     world.until(lambda: world.exited, 70)
     assert world.engine.started == before
     refused = {msg.req_id: msg.reason for msg in world.of(messages.Refused)}
@@ -348,15 +348,13 @@
     """Fails when a withdrawal cuts a stream or lets a new one in."""
     world = worlds.World().ready()
     world.engine.tokens_per_tick = 1
-    world.frame(
-        worlds.submit(max_tokens=120, remaining_ms=60_000), worlds.body_of("r1")
-    )
+    world.submit(max_tokens=120, remaining_ms=60_000)
     world.until(lambda: len(world.tokens("r1")) > 4)
     world.config = worlds.config(7, ("v2",))
     world.inbox.append(agent_events.ConfigChanged(world.config, 0))
     world.run(2)
     assert world.engine.config.versions == ["v1", "v2"]
-    world.frame(worlds.submit("r2"), worlds.body_of("r2"))
+    world.submit("r2")
     world.until(lambda: world.of(messages.Finished))
     assert world.of(messages.Refused)[0].reason == "version_not_served"
     world.run(6)
