--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -280,7 +280,7 @@
         holder = asyncio.ensure_future(hold())
         got = await _send(api, "POST", "/v1/completions", headers, body)
         assert got.status == 200, got
-        await holder
+        await asyncio.wait_for(holder, 5)
         last = _events(got.body)[-1]
         assert last["event"] == "error"
         error = json.loads(last["data"])["error"]
