Change the demand in force only for models that moved

Merging many models below LEAST_PART divided by zero; its test failed first. Change: SMOOTHING 0.1 instead of 0.25, with the plain mean of the first records; 10 minutes before an epoch's first decision; a model that did not move keeps its part. Conclusion: noise moves few engines; a lasting shift still does.

--- a/src/apricottrestle/demand.py
+++ b/src/apricottrestle/demand.py
@@ -27,9 +27,9 @@
 MIN_SPAN_S: Final = 1.0
 """A rate over a shorter time says little: one prompt may have 1 M tokens."""
 
-SMOOTHING: Final = 0.25
-"""Weight of a new record in an entry's rate: four minutes, so that a flood of
-one minute doesn't load models."""
+SMOOTHING: Final = 0.1
+"""Weight of a new record in an entry's rate: ten minutes, so that a flood of
+one minute doesn't load models. The first records of an entry count alike."""
 
 MAX_GAP_S: Final = INTERVAL_S * (1 + JITTER)
 """A longer time without any record is an outage of the log. It counts as this
@@ -54,6 +54,10 @@
 each record is most of the fold's cost, which an agent pays at its start for all
 retained records."""
 
+SETTLE_S: Final = 600.0
+"""Time before the first decision of an epoch, which no hysteresis guards: the
+mean of ten records of each entry."""
+
 MOVE_RATIO: Final = 1.5
 """A model's part of the demand must change by this ratio. It is above the steps
 in which placement counts demand, so a change always concerns engines."""
@@ -172,6 +176,7 @@
     incarnation: str
     seq: int
     seen: float
+    records: int
     rates: Mapping[str, float]
 
 
@@ -214,8 +219,12 @@
         old = self._entries.get(entry)
         if old and old.incarnation == incarnation and seq <= old.seq:
             return
-        rates = _smooth(old.rates if old else None, content)
-        self._entries[entry] = _Entry(incarnation, seq, self._clock, rates)
+        count = old.records + 1 if old else 1
+        weight = max(SMOOTHING, 1 / count)
+        rates = _smooth(old.rates if old else {}, content, weight)
+        self._entries[entry] = _Entry(
+            incarnation, seq, self._clock, count, rates
+        )
         self._decide()
 
     def _advance(self, time: float) -> None:
@@ -232,17 +241,22 @@
             self._time = time
 
     def _decide(self) -> None:
-        if self._clock - self._changed < HOLD_S:
+        wait_s = HOLD_S if self._settled else SETTLE_S
+        if self._clock - self._changed < wait_s:
             return
         if self._clock - self._checked < CHECK_S:
             return
         self._checked = self._clock
         total = self._total()
         # The first decision of an epoch must not depend on the last epoch.
-        if not self._settled or has_moved(self.in_force, total):
-            self.in_force = total
-            self._changed = self._clock
-            self._settled = True
+        if self._settled:
+            moved = moved_models(self.in_force, total)
+            if not moved:
+                return
+            total = _merged(self.in_force, total, moved)
+        self.in_force = total
+        self._changed = self._clock
+        self._settled = True
 
     def _total(self) -> dict[str, float]:
         """Returns the rate per model over all entries, without old ones."""
@@ -258,8 +272,10 @@
         return {model: rate for model, rate in total.items() if rate > 0}
 
 
-def has_moved(old: Mapping[str, float], new: Mapping[str, float]) -> bool:
-    """Returns whether a model's part of the demand changed by MOVE_RATIO.
+def moved_models(
+    old: Mapping[str, float], new: Mapping[str, float]
+) -> set[str]:
+    """Returns the models whose part of the demand changed by MOVE_RATIO.
 
     Only parts count, since placement divides a fixed number of engines. No
     demand at all is no reason for a change.
@@ -269,18 +285,36 @@
         new: Rate per model measured.
     """
     if not new or not old:
-        return bool(new)
+        return set(new)
     before, after = _parts(old), _parts(new)
-    return any(
-        max(one, other) >= MOVE_RATIO * min(one, other)
-        for one, other in (
-            (
-                max(before.get(model, 0.0), LEAST_PART),
-                max(after.get(model, 0.0), LEAST_PART),
-            )
-            for model in before.keys() | after.keys()
-        )
-    )
+    moved = set()
+    for model in before.keys() | after.keys():
+        one = max(before.get(model, 0.0), LEAST_PART)
+        other = max(after.get(model, 0.0), LEAST_PART)
+        if max(one, other) >= MOVE_RATIO * min(one, other):
+            moved.add(model)
+    return moved
+
+
+def _merged(
+    old: Mapping[str, float], new: Mapping[str, float], moved: set[str]
+) -> dict[str, float]:
+    """Returns the new parts of models that moved, and the old parts of others.
+
+    Small changes of the others would move engines for nothing. The result is
+    scaled to the new rate of all models.
+    """
+    before, after = (_parts(rates) if rates else {} for rates in (old, new))
+    merged = {
+        model: (after if model in moved else before).get(model, 0.0)
+        for model in sorted(before.keys() | after.keys())
+    }
+    total = math.fsum(merged.values())
+    if total <= 0:
+        # Many models below LEAST_PART took the place of all in force.
+        return dict(new)
+    scale = math.fsum(new.values()) / total
+    return {model: part * scale for model, part in merged.items() if part > 0}
 
 
 def _parts(rates: Mapping[str, float]) -> dict[str, float]:
@@ -289,19 +323,14 @@
 
 
 def _smooth(
-    old: Mapping[str, float] | None, content: DemandRecord
+    old: Mapping[str, float], content: DemandRecord, weight: float
 ) -> dict[str, float]:
     """Returns the smoothed rates of an entry, in a fixed order of models."""
-    new = {
-        model: tokens / content.span_s
-        for model, tokens in content.tokens.items()
-    }
-    if old is None:
-        return new
     smoothed = {}
-    for model in sorted(old.keys() | new.keys()):
+    for model in sorted(old.keys() | content.tokens.keys()):
         before = old.get(model, 0.0)
-        rate = before + SMOOTHING * (new.get(model, 0.0) - before)
+        new = content.tokens.get(model, 0) / content.span_s
+        rate = before + weight * (new - before)
         # Under a token in a quarter of an hour: a withdrawn model is dropped.
         if rate > 1e-3:
             smoothed[model] = rate
