Wait for an agent that is not listed yet before asking the log

Cause: an entry whose instance list did not show a key's agent yet appended a refusal at once, which settled a fresh key as not_run for good (seen by the clean-up developer: none of seven attempts ran right after start). The answer of a service also had two Date headers. Ruled out: the agent; it never saw the call. Change: a keyed call waits up to CONNECT_TIMEOUT_S for the agent to be listed and connected, then asks the log; the service's Date replaces the server's.

--- a/src/apricottrestle/entry_calls.py
+++ b/src/apricottrestle/entry_calls.py
@@ -231,7 +231,11 @@
     *,
     wait: bool,
 ) -> None:
-    """Sends to the key's incarnation, waits for it, or asks the log."""
+    """Sends to the key's incarnation, waits for it, or asks the log.
+
+    An agent that isn't listed is waited for as well: the instance list lags,
+    and asking the log settles an unused key as not run.
+    """
     assert row.key is not None, "only keyed calls come here"
     agent_id = row.key.agent_id
     peer = t.peers.get(agent_id)
@@ -245,8 +249,6 @@
             _submit(t, row, agent_id, now)
         else:
             _resolve(t, row, now)
-    elif peer is None:
-        _resolve(t, row, now)
     elif wait:
         row.state = "connecting"
         row.step_until = now + entry_tables.CONNECT_TIMEOUT_S
--- a/src/apricottrestle/entry_http.py
+++ b/src/apricottrestle/entry_http.py
@@ -309,6 +309,7 @@
         self.set_status(command.status)
         self.clear_header("Content-Type")
         self.clear_header("Server")
+        self.clear_header("Date")
         for name, value in command.headers:
             if name.lower() not in _ENTRY_HEADERS:
                 self.add_header(name, value)
--- a/tests/test_entry_calls.py
+++ b/tests/test_entry_calls.py
@@ -405,3 +405,19 @@
         if decision.fields["reason"] == "no_candidate"
     ]
     assert len(waits) == 2
+
+
+@pytest.mark.parametrize("list_delay_s", [0.0, 1.0, 3.0])
+def test_key_of_an_agent_not_yet_listed_waits(list_delay_s: float) -> None:
+    """A late instance list once made a fresh key not_run for good."""
+    world = _world()
+    key = world.entry.issue_key()
+    late = worlds.Entry(world, "late", 30.0)
+    world.entries.append(late)
+    caller = late.call(key)
+    world.run(list_delay_s)
+    late.post(entry_events.Instances(world.rows()))
+    world.run(2.0)
+    assert _outcome(caller) == "completed"
+    assert caller.complete
+    assert world.ran() == [key]
