--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,6 +9,7 @@
 import pathlib
 import random
 import sys
+import tracemalloc
 from collections.abc import Callable
 from typing import Final
 
@@ -39,6 +40,7 @@
 _ROW_SIZES: Final = (64, 256, 1_024)
 _AGENT_SIZES: Final = (53, 106, 212, 423, 846)
 _TOKEN_SIZES: Final = (1, 8, 32)
+_HINT_SIZES: Final = (50, 200, 400)
 
 
 def config_with(teams: int) -> config_state.ConfigState:
@@ -249,6 +251,36 @@
     return slopes.cpu_us(pass_on, 2_000)
 
 
+def _allocated_kb(build: Callable[[], object]) -> float:
+    """Returns the memory that an object holds, in kilobytes."""
+    tracemalloc.start()
+    held = build()
+    current, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return current / 1024
+
+
+def hints_kb(hints: int) -> float:
+    """Memory of the cache hints of CONNECTIONS agents, by hints of each."""
+
+    def build() -> upstream_table.UpstreamTable:
+        table = _table_of(CONNECTIONS)
+        rng = random.Random(3)
+        for agent_id in table.rows:
+            blocks = [rng.getrandbits(64) for _ in range(hints)]
+            table.add_cached(agent_id, blocks)
+        return table
+
+    return _allocated_kb(build)
+
+
+def config_kb(teams: int) -> float:
+    """Memory of the folded configuration, by teams."""
+    text = _snapshot(teams)
+    return _allocated_kb(lambda: release_fold.decode_snapshot(text))
+
+
 def measure() -> list[tuple[slopes.Slope, float]]:
     """Returns each cost with the size to extrapolate it to."""
     beats = [heartbeats.measure_fresh(n) for n in _CONNECTION_SIZES]
@@ -315,6 +347,14 @@
             _fit("both: catch up, notes", "us", _NOTE_SIZES, catch_up_cost),
             NOTES_PER_HOUR,
         ),
+        (
+            _fit("entry: cache hints, per agent", "KB", _HINT_SIZES, hints_kb),
+            upstream_table.MAX_CACHED_BLOCKS,
+        ),
+        (
+            _fit("both: configuration, teams", "KB", _TEAM_SIZES, config_kb),
+            TEAMS,
+        ),
         (_fit("both: audit record, rows", "B", _ROW_SIZES, audit_bytes), 243),
         (
             _fit(
--- a/src/apricottrestle/queueing_fair.py
+++ b/src/apricottrestle/queueing_fair.py
@@ -77,7 +77,7 @@
     flood_items: tuple[int, ...] = (8, 8, 4)
     flood_prefills: int = 1
     headroom_slots: float = 12 / 64
-    headroom_kv: float = 0.2
+    headroom_kv: float = 10 / 49
 
 
 def cost_tokens(item: queueing.QueueItem) -> int:
@@ -316,7 +316,7 @@
         An item that needs more than the engine has beside the headroom would
         never start, so it may use the headroom.
         """
-        reserve = int(self._settings.headroom_kv * capacity.kv_tokens)
+        reserve = round(self._settings.headroom_kv * capacity.kv_tokens)
         fits_beside = entry.item.kv_tokens <= capacity.kv_tokens - reserve
         return reserve if fits_beside else 0
 
