--- a/src/apricottrestle/upstream_table.py
+++ b/src/apricottrestle/upstream_table.py
@@ -11,8 +11,10 @@
 from apricottrestle import messages
 
 MAX_CACHED_BLOCKS: Final = 400
-"""Cache hints kept per agent, the newest. An entry knows 136 agents, and a hint
-takes about 300 bytes in row and index: 16 MB of the 64 MB that it may use."""
+MAX_HINTS: Final = 27_200
+"""Cache hints kept per agent and in all, the newest. A hint takes 310 bytes in
+row and index, and 8.4 MB is what connections and the idle process leave of the
+64 MB that an entry may use."""
 
 
 class UpstreamRow:
@@ -143,7 +145,8 @@
             row.cached_blocks.pop(block, None)
             row.cached_blocks[block] = None
             self._holders.setdefault(block, {})[agent_id] = None
-        excess = len(row.cached_blocks) - MAX_CACHED_BLOCKS
+        limit = min(MAX_CACHED_BLOCKS, MAX_HINTS // len(self.rows))
+        excess = len(row.cached_blocks) - limit
         if excess > 0:
             oldest = list(itertools.islice(row.cached_blocks, excess))
             self.remove_cached(agent_id, oldest)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -11,7 +11,7 @@
 import sys
 import tempfile
 import tomllib
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 _ROOT: Final = pathlib.Path(__file__).parent.parent
 _TIMEOUT_S: Final = 300
@@ -37,10 +37,13 @@
     test: str
 
 
-def _load() -> tuple[Mutation, ...]:
+def _read() -> dict[str, Any]:
     path = _ROOT / "tests" / "mutations.toml"
-    rows = tomllib.loads(path.read_text())["mutation"]
-    return tuple(Mutation(**row) for row in rows)
+    return tomllib.loads(path.read_text())
+
+
+def _load() -> tuple[Mutation, ...]:
+    return tuple(Mutation(**row) for row in _read()["mutation"])
 
 
 MUTATIONS: Final = _load()
@@ -54,6 +57,8 @@
         "Each row breaks a guarantee on purpose; `make mutations` applies it",
         "to a copy and expects the test to fail.",
         "",
+        f"Last run: {_read()['last_run']}.",
+        "",
         "| Guarantee | Mutation | File | Test that fails |",
         "|---|---|---|---|",
     ]
--- a/tests/test_routing_expected.py
+++ b/tests/test_routing_expected.py
@@ -164,6 +164,16 @@
     assert len({c.first_token_s for c in chosen.candidates}) == 1
 
 
+@pytest.mark.parametrize(("count", "held"), [(14, 400), (136, 200)])
+def test_hints_are_bounded_in_all(count: int, held: int) -> None:
+    """Guards the entry's 64 MB: hints once took over 100 MB by estimate."""
+    table = routing_cost.table_of(count, seed=1)
+    agent_id = next(iter(table.rows))
+    table.add_cached(agent_id, range(1_000))
+    assert list(table.rows[agent_id].cached_blocks)[-1] == 999
+    assert len(table.rows[agent_id].cached_blocks) == held
+
+
 @pytest.mark.parametrize("count", [14, 106, 423, 846])
 def test_candidates_are_bounded(count: int) -> None:
     """Guards the cost of a decision against the size of the fleet."""
