Serve the users' platform with gateways that reach upstreams directly

Ruled out: the entry with agents, whose path plain services can't use; an agent beside each engine (see docs/platform.md). Change: package gateway (acceptance, routing by the engines' published cost model, retry policy and budget, membership, peers), package platform (settings, store, callers, upstreams), deploy/system.toml, design note.

--- a/src/apricottrestle/errors.py
+++ b/src/apricottrestle/errors.py
@@ -82,7 +82,13 @@
 
 
 class PlatformError(ApricottrestleError):
-    """A platform service failed or is not reachable."""
+    """A platform service failed or is not reachable.
+
+    Attributes:
+        status: HTTP status of its refusal, or None without an answer.
+    """
+
+    status: int | None = None
 
 
 class AppendUnknownError(PlatformError):
--- /dev/null
+++ b/src/apricottrestle/gateway/engine_routing.py
@@ -0,0 +1,277 @@
+"""Chooses the engine for a model request, and engines that help to read.
+
+A pass of an engine reads waiting prompts between the tokens of the requests it
+writes, so a long read delays every writer there. The choice therefore looks for
+engines on which the request is on time and delays no writer beyond the pause
+its caller accepts. Among these it takes the fullest that fits, which keeps
+other engines free for long prompts. A prompt too long for one engine is split
+over the least number of engines that makes it fit.
+
+Pure: the choice depends on the arguments only.
+"""
+
+import math
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from apricottrestle.gateway import engine_costs, engine_load, fleet_config
+
+MAX_HELPERS: Final = 15
+"""Most engines that help; the platform allows sixteen."""
+
+GAP_MARGIN_S: Final = 0.05
+"""Part of an accepted pause that is left for the network and for error."""
+
+TARGET_MARGIN_S: Final = 0.04
+"""Time to the first event that is left for the network and for error."""
+
+KV_MARGIN: Final = 0.97
+"""Share of an engine's memory that is planned with; blocks are rounded up."""
+
+MIN_PART_S: Final = 0.08
+"""Least part of a read that is worth another engine: below it, the engines'
+passes and the network outweigh the gain."""
+
+FREE_SLOTS: Final = 1
+"""Slots left free on an engine, for requests that peers send meanwhile."""
+
+
+class Ask(NamedTuple):
+    """What a request needs.
+
+    Attributes:
+        prompt_tokens: Tokens to read.
+        output_tokens: Estimate of the tokens to write.
+        target_left_s: Time left to a first event that is on time; negative
+            when it is already late.
+        time_left_s: Time until the caller leaves.
+        gap_s: Longest pause between events that is on time; 0 when any is.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    target_left_s: float
+    time_left_s: float
+    gap_s: float
+
+
+class Candidate(NamedTuple):
+    """An engine that may be chosen.
+
+    Attributes:
+        engine: Its upstream id.
+        row: Its load.
+        slots: Requests it runs at a time.
+        distance_s: Time to reach it, one way.
+        pace: Factor by which it is slower than nominal; 1 when it is not.
+    """
+
+    engine: str
+    row: engine_load.EngineRow
+    slots: int
+    distance_s: float
+    pace: float
+
+
+class Choice(NamedTuple):
+    """Where a request goes.
+
+    Attributes:
+        engine: Engine that writes.
+        helpers: Engines that read a part.
+        part_s: Time of each engine's part.
+        held_tokens: Memory to set aside on each helper; 0 for none.
+        first_event_s: Estimated time to the first event.
+        on_time: Whether first event and all pauses are expected on time.
+    """
+
+    engine: str
+    helpers: tuple[str, ...]
+    part_s: float
+    held_tokens: int
+    first_event_s: float
+    on_time: bool
+
+
+class _Room(NamedTuple):
+    """What a candidate can take on now.
+
+    Attributes:
+        candidate: The engine.
+        pass_s: Time of one of its passes without reads.
+        backlog_s: Time of the reads before a new one.
+        slack_s: Longest read that delays no writer too much.
+        kv_free: Memory that is free, in tokens.
+        slots_free: Requests that it can take.
+    """
+
+    candidate: Candidate
+    pass_s: float
+    backlog_s: float
+    slack_s: float
+    kv_free: int
+    slots_free: int
+
+
+def _room(
+    candidate: Candidate, model: fleet_config.EngineModel, now: float
+) -> _Room:
+    row = candidate.row
+    writers = len(row.runs)
+    pace = candidate.pace
+    pass_s = 0.0
+    if writers:
+        pass_s = pace * engine_costs.pass_s(model, writers, row.context_tokens)
+    backlog_s = pace * row.backlog_s(now)
+    gap_s = row.least_gap_s
+    slack_s = gap_s - pass_s - backlog_s - min(GAP_MARGIN_S, gap_s / 4)
+    return _Room(
+        candidate,
+        pass_s,
+        backlog_s,
+        slack_s / pace,
+        int(model.kv_tokens * KV_MARGIN) - row.kv_tokens,
+        candidate.slots - FREE_SLOTS - writers,
+    )
+
+
+def choose(
+    ask: Ask,
+    candidates: Sequence[Candidate],
+    model: fleet_config.EngineModel,
+    now: float,
+) -> Choice | None:
+    """Returns the best place that is on time and delays nobody, or None.
+
+    Args:
+        ask: The request.
+        candidates: Engines that may be used.
+        model: Their cost model.
+        now: Monotonic time in seconds.
+    """
+    rooms = [_room(candidate, model, now) for candidate in candidates]
+    whole_s = engine_costs.read_s(model, ask.prompt_tokens)
+    most = min(
+        MAX_HELPERS,
+        len(rooms) - 1,
+        max(int(whole_s / MIN_PART_S), _least_helpers(ask, model)),
+    )
+    for helpers in range(_least_helpers(ask, model), most + 1):
+        choice = _with_helpers(ask, rooms, model, helpers)
+        if choice is not None:
+            return choice
+    return None
+
+
+def _least_helpers(ask: Ask, model: fleet_config.EngineModel) -> int:
+    """Returns the helpers that the prompt's memory needs."""
+    total = ask.prompt_tokens + ask.output_tokens
+    return math.ceil(total / (model.kv_tokens * KV_MARGIN)) - 1
+
+
+def _held_tokens(
+    ask: Ask, model: fleet_config.EngineModel, helpers: int
+) -> int:
+    """Returns the memory to set aside on each helper, 0 for none."""
+    if _least_helpers(ask, model) <= 0:
+        return 0
+    total = ask.prompt_tokens + ask.output_tokens
+    return math.ceil(total / (helpers + 1))
+
+
+def _with_helpers(
+    ask: Ask,
+    rooms: Sequence[_Room],
+    model: fleet_config.EngineModel,
+    helpers: int,
+) -> Choice | None:
+    """Returns a choice with exactly so many helpers, or None."""
+    part_s = engine_costs.part_s(model, ask.prompt_tokens, helpers + 1)
+    held = _held_tokens(ask, model, helpers)
+    total = ask.prompt_tokens + ask.output_tokens
+    own_tokens = total - held * helpers
+    latest_s = ask.target_left_s - TARGET_MARGIN_S
+    fitting = [
+        room
+        for room in rooms
+        if room.slack_s >= part_s
+        and room.kv_free >= held
+        and _first_event_s(room, part_s) <= latest_s
+    ]
+    if len(fitting) < helpers + 1:
+        return None
+    writers = [
+        room
+        for room in fitting
+        if room.slots_free > 0
+        and room.kv_free >= own_tokens
+        and _gap_fits(ask, room, model)
+    ]
+    if not writers:
+        return None
+    writer = min(writers, key=_fullness)
+    readers = sorted(
+        (room for room in fitting if room is not writer), key=_fullness
+    )[:helpers]
+    first_s = max(_first_event_s(room, part_s) for room in [writer, *readers])
+    return Choice(
+        writer.candidate.engine,
+        tuple(room.candidate.engine for room in readers),
+        part_s,
+        held,
+        first_s,
+        True,
+    )
+
+
+def _gap_fits(ask: Ask, room: _Room, model: fleet_config.EngineModel) -> bool:
+    """Whether the request's own pauses are on time beside the others."""
+    if ask.gap_s <= 0:
+        return True
+    row = room.candidate.row
+    pass_s = room.candidate.pace * engine_costs.pass_s(
+        model, len(row.runs) + 1, row.context_tokens + ask.prompt_tokens
+    )
+    return pass_s + GAP_MARGIN_S <= ask.gap_s
+
+
+def _first_event_s(room: _Room, part_s: float) -> float:
+    candidate = room.candidate
+    return (
+        room.pass_s
+        + room.backlog_s
+        + candidate.pace * part_s
+        + 2 * candidate.distance_s
+    )
+
+
+def _fullness(room: _Room) -> tuple[float, float, str]:
+    """Orders engines: the least slack first, then the nearest."""
+    candidate = room.candidate
+    return (room.slack_s, candidate.distance_s, candidate.engine)
+
+
+def least_late(
+    ask: Ask,
+    candidates: Sequence[Candidate],
+    model: fleet_config.EngineModel,
+    now: float,
+) -> Choice | None:
+    """Returns a place for a request that can't be on time any more, or None.
+
+    The request must not delay writers elsewhere, so it takes the engine with
+    the shortest backlog on which it fits without harm, and as few helpers as
+    let it end within its time.
+    """
+    late = ask._replace(target_left_s=ask.time_left_s)
+    return choose(late, candidates, model, now)
+
+
+def shortest_service_s(
+    ask: Ask, model: fleet_config.EngineModel, engines: int
+) -> float:
+    """Returns the time to serve a request on idle engines, all helping."""
+    helpers = min(MAX_HELPERS, max(engines - 1, 0))
+    read = engine_costs.part_s(model, ask.prompt_tokens, helpers + 1)
+    write = engine_costs.write_s(model, ask.output_tokens, 1, ask.prompt_tokens)
+    return read + write
--- /dev/null
+++ b/src/apricottrestle/gateway/fleet_state.py
@@ -0,0 +1,89 @@
+"""What a gateway believes about configuration and upstreams.
+
+Invariant: the configuration in force never gets older, whatever the source.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from apricottrestle import logs, metrics
+from apricottrestle.gateway import accept, fleet_config, upstream_list
+
+_LOG: Final = logging.getLogger(__name__)
+
+OnGone = Callable[[upstream_list.Change], None]
+
+
+class FleetState:
+    """Configuration in force, and membership of the upstreams.
+
+    Attributes:
+        compiled: Configuration in force, or None before the first.
+        members: Upstreams.
+        list_known: Whether an upstream list has been read or learned.
+    """
+
+    def __init__(self, on_change: OnGone) -> None:
+        """Starts without any knowledge.
+
+        Args:
+            on_change: Called for each change of an upstream's state.
+        """
+        self.compiled: accept.CompiledConfig | None = None
+        self.members = upstream_list.Membership()
+        self.list_known = False
+        self._on_change = on_change
+        self._on_config: list[Callable[[fleet_config.FleetConfig], None]] = []
+
+    @property
+    def config_version(self) -> int:
+        """Version in force; -1 when there is none."""
+        return self.compiled.config.version if self.compiled else -1
+
+    def watch_config(
+        self, callback: Callable[[fleet_config.FleetConfig], None]
+    ) -> None:
+        """Calls back after each new configuration."""
+        self._on_config.append(callback)
+
+    def adopt(self, config: fleet_config.FleetConfig, source: str) -> bool:
+        """Puts a configuration in force unless a newer one is."""
+        before = self.config_version
+        is_newer = config.version > before
+        logs.decision(
+            _LOG,
+            "configuration",
+            version=config.version,
+            before=before,
+            source=source,
+            outcome="adopted" if is_newer else "kept",
+            routes=len(config.routes),
+        )
+        if not is_newer:
+            return False
+        self.compiled = accept.compile_config(config)
+        metrics.CONFIG_REVISION.set(config.version)
+        for callback in self._on_config:
+            callback(config)
+        return True
+
+    def apply_upstreams(
+        self,
+        changes: Iterable[upstream_list.Change],
+        source: str,
+    ) -> None:
+        """Logs and passes on changes of the membership."""
+        for change in changes:
+            logs.decision(
+                _LOG,
+                "upstream",
+                upstream=change.upstream_id,
+                before=change.before,
+                after=change.after,
+                restarted=change.restarted,
+                reason=change.reason,
+                source=source,
+                list_version=self.members.version,
+            )
+            self._on_change(change)
--- /dev/null
+++ b/src/apricottrestle/gateway/gateway.py
@@ -0,0 +1,623 @@
+"""The gateway's systems over its tables: accept, wait, choose, send, account.
+
+Invariants: a request waits here only while it can still be served in its time;
+each run and call is in the load tables from its send to its end.
+"""
+
+import asyncio
+import collections
+import logging
+import random
+import time
+from typing import Final
+
+from apricottrestle import errors, logs, metrics
+from apricottrestle.gateway import (
+    accept,
+    calls,
+    engine_load,
+    engine_routing,
+    exchange,
+    fleet_config,
+    fleet_state,
+    retry_budget,
+    retry_policy,
+    service_routing,
+    settings,
+    upstream_health,
+    upstream_list,
+)
+
+TICK_S: Final = 0.015
+"""Interval at which waiting requests are looked at again when nothing else
+happens: small against the shortest target, 250 ms."""
+
+START_RETRY_AFTER_S: Final = 0.3
+"""Retry-After while no configuration is known: about a store call and a
+connection to a peer."""
+
+FULL_RETRY_AFTER_S: Final = 0.2
+"""Retry-After of a plain service whose upstreams are all full or gone: a few
+of its calls."""
+
+QUEUE_PER_SLOT: Final = 3
+"""Calls per slot after which a plain upstream counts as full: those that it
+queues would be late."""
+
+HOLD_MARGIN_S: Final = 2.0
+"""Time added to a run's estimate when memory is set aside for it."""
+
+FAR_S: Final = 0.001
+"""One-way time to another data centre, when no measurement is known."""
+
+REFUSE_FACTOR: Final = 0.7
+"""Part of the estimated least service time that must be left for a request to
+be tried; estimates may be pessimistic."""
+
+_LOG: Final = logging.getLogger(__name__)
+
+
+class RunListener:
+    """Learns of this gateway's runs and calls; the base does nothing."""
+
+    def run_started(self, run: engine_load.Run) -> None:
+        """A run was started."""
+
+    def run_wrote(self, run_id: str) -> None:
+        """A run's first event has arrived."""
+
+    def run_ended(self, run_id: str) -> None:
+        """A run has ended."""
+
+    def calls_changed(self, upstream_id: str, count: int) -> None:
+        """The number of calls to a plain upstream has changed."""
+
+    def gateways(self) -> int:
+        """Returns the gateways alive, this one included."""
+        return 1
+
+
+class Gateway(calls.RequestHandler, exchange.Host):
+    """Serves callers' requests.
+
+    Attributes:
+        state: Configuration and upstreams.
+        load: Runs on engines, of all gateways.
+        listener: Learns of own runs.
+        stopping: New requests are refused.
+        active: Requests under way.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.GatewaySettings,
+        client: calls.UpstreamClient,
+        rng: random.Random,
+        incarnation: str,
+    ) -> None:
+        """Starts without knowledge of the fleet."""
+        self.state = fleet_state.FleetState(self._on_upstream)
+        self.load = engine_load.EngineLoad()
+        self.peer_calls: dict[str, collections.Counter[str]] = {}
+        self.listener = RunListener()
+        self.stopping = False
+        self.active: set[exchange.Exchange] = set()
+        self._cfg = cfg
+        self._client = client
+        self._rng = rng
+        self._health = upstream_health.UpstreamHealth()
+        self._calls: collections.Counter[str] = collections.Counter()
+        self._budgets: dict[str, retry_budget.RetryBudget] = {}
+        self._waiting: list[exchange.Exchange] = []
+        self._reservations: dict[str, list[calls.Reservation]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._run_count = 0
+        self._incarnation = incarnation
+        self._pump_due = False
+
+    # Requests.
+
+    def handle(
+        self, req: calls.CallerRequest, responder: calls.Responder
+    ) -> None:
+        """See RequestHandler.handle."""
+        decision = self._decide(req)
+        if isinstance(decision, accept.Refused):
+            responder.refuse(
+                decision.status, decision.reason, decision.retry_after_s
+            )
+            metrics.REFUSALS.labels(decision.reason).inc()
+            logs.decision(
+                _LOG,
+                "request refused",
+                request_id=req.request_id,
+                status=decision.status,
+                reason=decision.reason,
+                config_version=self.state.config_version,
+            )
+            return
+        logs.decision(
+            _LOG,
+            "request accepted",
+            request_id=req.request_id,
+            route=decision.route.name,
+            route_kind=decision.route.kind,
+            service=decision.service.name,
+            team=decision.team.name if decision.team else None,
+            priority=decision.priority,
+            config_version=decision.config_version,
+            time_left_s=round(decision.ends_at - req.arrived_s, 3),
+            tokens=req.size.prompt_tokens if req.size else None,
+            resume_after=req.resume_after,
+        )
+        now = time.monotonic()
+        self._budget(decision.service.name).count_request(now)
+        one = exchange.Exchange(self, req, decision, responder)
+        self.active.add(one)
+        one.begin()
+
+    def _decide(
+        self, req: calls.CallerRequest
+    ) -> accept.Accepted | accept.Refused:
+        if self.stopping:
+            return accept.Refused(accept.UNAVAILABLE, "stopping", 0.0)
+        if self.state.compiled is None or not self.state.list_known:
+            return accept.Refused(
+                accept.UNAVAILABLE, "no_configuration", START_RETRY_AFTER_S
+            )
+        return accept.decide(req, self.state.compiled, self._rng)
+
+    def _budget(self, service: str) -> retry_budget.RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = retry_budget.RetryBudget(
+                self._cfg.retry_share,
+                self._cfg.retry_window_s,
+                self._cfg.retry_slack,
+            )
+        return budget
+
+    # Host of the exchanges.
+
+    def send(
+        self, one: exchange.Exchange, call: calls.UpstreamCall
+    ) -> calls.Transfer:
+        """See Host.send."""
+        return self._client.send(call, one)
+
+    def place(self, one: exchange.Exchange) -> None:
+        """See Host.place."""
+        if one.accepted.service.engine is None or one.req.size is None:
+            self._place_call(one)
+            return
+        self._waiting.append(one)
+        self.pump()
+
+    def take_retry(self, one: exchange.Exchange) -> bool:
+        """See Host.take_retry."""
+        return self._budget(one.accepted.service.name).take(
+            self.listener.gateways(), time.monotonic()
+        )
+
+    def retry_after_s(self, one: exchange.Exchange) -> float:
+        """See Host.retry_after_s."""
+        return FULL_RETRY_AFTER_S
+
+    def ended(self, one: exchange.Exchange, outcome: exchange.Outcome) -> None:
+        """See Host.ended."""
+        self.active.discard(one)
+        metrics.REQUESTS.labels(str(one.accepted.priority), outcome).inc()
+        if one in self._waiting:
+            self._waiting.remove(one)
+
+    def wrote(self, one: exchange.Exchange, sent: exchange.Sent) -> None:
+        """See Host.wrote."""
+        now = time.monotonic()
+        if self.load.wrote(sent.run_id, now) is not None:
+            self.listener.run_wrote(sent.run_id)
+            self._pump_soon()
+
+    def sent_ended(
+        self,
+        one: exchange.Exchange,
+        sent: exchange.Sent,
+        result: retry_policy.SendResult | None,
+        fault_address: str | None,
+    ) -> None:
+        """See Host.sent_ended."""
+        now = time.monotonic()
+        self._account_health(one, sent, result, fault_address, now)
+        if self.load.run(sent.run_id) is not None:
+            self.load.end(sent.run_id, now)
+            self.listener.run_ended(sent.run_id)
+            self._free(sent.run_id)
+            self._pump_soon()
+        elif self._calls[sent.upstream_id] > 0:
+            self._calls[sent.upstream_id] -= 1
+            self.listener.calls_changed(
+                sent.upstream_id, self._calls[sent.upstream_id]
+            )
+
+    def _account_health(
+        self,
+        one: exchange.Exchange,
+        sent: exchange.Sent,
+        result: retry_policy.SendResult | None,
+        fault_address: str | None,
+        now: float,
+    ) -> None:
+        if result is None:
+            if one.done and not one.answered:
+                return
+            self._health.succeeded(sent.upstream_id, now)
+            return
+        upstream_id = sent.upstream_id
+        if fault_address is not None and fault_address != sent.address:
+            upstream_id = (
+                self._id_at(one.accepted.service.name, fault_address)
+                or upstream_id
+            )
+        lost = result in (
+            retry_policy.SendResult.LOST,
+            retry_policy.SendResult.NOT_SENT,
+        )
+        aside_s = self._health.failed(upstream_id, now, lost=lost)
+        logs.decision(
+            _LOG,
+            "upstream failed",
+            request_id=one.req.request_id,
+            upstream=upstream_id,
+            result=result.value,
+            failure_rate=round(self._health.failure_rate(upstream_id, now), 3),
+            aside_s=aside_s,
+        )
+
+    def _id_at(self, service: str, address: str) -> str | None:
+        for entry in self.state.members.usable(service):
+            if entry.address == address:
+                return entry.upstream_id
+        return None
+
+    # Plain services.
+
+    def _place_call(self, one: exchange.Exchange) -> None:
+        now = time.monotonic()
+        service = one.accepted.service.name
+        entries = self._usable(service, one, now)
+        candidates = [
+            service_routing.Candidate(
+                entry.upstream_id,
+                self._outstanding(entry.upstream_id),
+                entry.slots,
+                self._distance_s(entry),
+                self._health.failure_rate(entry.upstream_id, now),
+                False,
+            )
+            for entry in entries
+        ]
+        room = [
+            each
+            for each in candidates
+            if each.outstanding < QUEUE_PER_SLOT * each.slots
+        ]
+        best = service_routing.choose(room, self._rng)
+        logs.decision(
+            _LOG,
+            "route",
+            request_id=one.req.request_id,
+            service=service,
+            candidates=len(candidates),
+            with_room=len(room),
+            list_version=self.state.members.version,
+            upstream=best.upstream_id if best else None,
+            outstanding=best.outstanding if best else None,
+        )
+        if best is None:
+            one.refuse(
+                accept.UNAVAILABLE,
+                "no_upstream" if not candidates else "full",
+                FULL_RETRY_AFTER_S,
+            )
+            return
+        entry = next(
+            each for each in entries if each.upstream_id == best.upstream_id
+        )
+        self._calls[entry.upstream_id] += 1
+        self.listener.calls_changed(
+            entry.upstream_id, self._calls[entry.upstream_id]
+        )
+        sent = exchange.Sent(
+            entry.upstream_id, entry.address, self._new_run_id(), now, 0.0
+        )
+        one.send(sent, priority=min(one.accepted.priority, 9), helpers=())
+
+    def _outstanding(self, upstream_id: str) -> int:
+        return self._calls[upstream_id] + sum(
+            counts[upstream_id] for counts in self.peer_calls.values()
+        )
+
+    def _usable(
+        self, service: str, one: exchange.Exchange, now: float
+    ) -> list[upstream_list.UpstreamEntry]:
+        """Returns upstreams to choose from: untried and sound ones if any."""
+        usable = self.state.members.usable(service)
+        for choice in (
+            [
+                entry
+                for entry in usable
+                if entry.upstream_id not in one.tried
+                and not self._health.is_aside(entry.upstream_id, now)
+            ],
+            [entry for entry in usable if entry.upstream_id not in one.tried],
+        ):
+            if choice:
+                return choice
+        return usable
+
+    def _distance_s(self, entry: upstream_list.UpstreamEntry) -> float:
+        return 0.0 if entry.data_centre == self._cfg.data_centre else FAR_S
+
+    def _new_run_id(self) -> str:
+        self._run_count += 1
+        return f"{self._incarnation}-{self._run_count}"
+
+    # Engines.
+
+    def _pump_soon(self) -> None:
+        if not self._pump_due and self._waiting:
+            self._pump_due = True
+            asyncio.get_running_loop().call_soon(self.pump)
+
+    def pump(self) -> None:
+        """Places the waiting requests that fit now, most urgent first."""
+        self._pump_due = False
+        now = time.monotonic()
+        waiting = sorted(self._waiting, key=lambda one: _urgency(one, now))
+        for one in waiting:
+            if one.done or one not in self._waiting:
+                continue
+            self._place_run(one, now)
+
+    def _place_run(self, one: exchange.Exchange, now: float) -> None:
+        service = one.accepted.service
+        model = service.engine
+        assert model is not None
+        ask = one.ask(now)
+        candidates = self._engines(service, model, one, now)
+        if not candidates:
+            self._refuse_waiting(one, "no_upstream")
+            return
+        choice = engine_routing.choose(ask, candidates, model, now)
+        if choice is None:
+            least_s = engine_routing.shortest_service_s(
+                ask, model, len(candidates)
+            )
+            if ask.time_left_s < REFUSE_FACTOR * least_s:
+                self._refuse_waiting(one, "too_late")
+                return
+            read_s = least_s
+            if ask.target_left_s > read_s:
+                return
+            choice = engine_routing.least_late(ask, candidates, model, now)
+        if choice is not None:
+            self._start(one, choice, ask, len(candidates), now)
+
+    def _refuse_waiting(self, one: exchange.Exchange, reason: str) -> None:
+        self._waiting.remove(one)
+        metrics.REFUSALS.labels(reason).inc()
+        one.refuse(accept.UNAVAILABLE, reason, FULL_RETRY_AFTER_S)
+
+    def _engines(
+        self,
+        service: fleet_config.Service,
+        model: fleet_config.EngineModel,
+        one: exchange.Exchange,
+        now: float,
+    ) -> list[engine_routing.Candidate]:
+        return [
+            engine_routing.Candidate(
+                entry.upstream_id,
+                self.load.row(entry.upstream_id),
+                min(entry.slots, model.slots),
+                self._distance_s(entry),
+                1.0,
+            )
+            for entry in self._usable(service.name, one, now)
+        ]
+
+    def _start(
+        self,
+        one: exchange.Exchange,
+        choice: engine_routing.Choice,
+        ask: engine_routing.Ask,
+        candidates: int,
+        now: float,
+    ) -> None:
+        self._waiting.remove(one)
+        run = engine_load.Run(
+            self._new_run_id(),
+            choice.engine,
+            choice.helpers,
+            ask.prompt_tokens,
+            ask.output_tokens,
+            choice.part_s,
+            choice.held_tokens,
+            ask.gap_s,
+            False,
+        )
+        row = self.load.row(choice.engine)
+        logs.decision(
+            _LOG,
+            "route",
+            request_id=one.req.request_id,
+            run=run.run_id,
+            upstream=choice.engine,
+            helpers=choice.helpers,
+            candidates=candidates,
+            list_version=self.state.members.version,
+            running=len(row.runs),
+            backlog_s=round(row.backlog_s(now), 4),
+            first_event_s=round(choice.first_event_s, 4),
+            target_left_s=round(ask.target_left_s, 4),
+            on_time=choice.on_time,
+            waited_s=round(now - one.waiting_since, 4),
+        )
+        self.load.start(run, now)
+        self.listener.run_started(run)
+        if choice.held_tokens:
+            task = asyncio.ensure_future(
+                self._reserve_and_send(one, run, choice)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            return
+        self._send_run(one, run, choice, ())
+
+    def _send_run(
+        self,
+        one: exchange.Exchange,
+        run: engine_load.Run,
+        choice: engine_routing.Choice,
+        reservations: tuple[str, ...],
+    ) -> None:
+        members = self.state.members
+        entry = members.get(run.engine)
+        helpers = [members.get(helper) for helper in run.helpers]
+        now = time.monotonic()
+        if one.done or entry is None or None in helpers:
+            self.load.end(run.run_id, now)
+            self.listener.run_ended(run.run_id)
+            self._free(run.run_id)
+            if not one.done:
+                self.place(one)
+            return
+        addresses = [each.address for each in helpers if each is not None]
+        if reservations:
+            addresses = [
+                f"{address}/{ticket}"
+                for address, ticket in zip(addresses, reservations, strict=True)
+            ]
+        sent = exchange.Sent(
+            run.engine, entry.address, run.run_id, now, choice.first_event_s
+        )
+        one.send(
+            sent,
+            priority=min(one.accepted.priority, 9),
+            helpers=tuple(addresses),
+        )
+
+    # Memory on engines.
+
+    async def _reserve_and_send(
+        self,
+        one: exchange.Exchange,
+        run: engine_load.Run,
+        choice: engine_routing.Choice,
+    ) -> None:
+        """Sets memory aside on all helpers, then sends; or frees it all."""
+        hold_s = min(
+            one.time_left_s(time.monotonic()) + HOLD_MARGIN_S,
+            self._cfg.reservation_max_s,
+        )
+        reservations: list[calls.Reservation] = []
+        for helper in run.helpers:
+            entry = self.state.members.get(helper)
+            if entry is not None:
+                reservations.append(
+                    calls.Reservation(
+                        f"{run.run_id}-{len(reservations)}",
+                        entry.address,
+                        helper,
+                        run.held_tokens,
+                        hold_s,
+                    )
+                )
+        self._reservations[run.run_id] = reservations
+        answers = await asyncio.gather(
+            *(self._reserve(each) for each in reservations)
+        )
+        if len(reservations) == len(run.helpers) and all(answers):
+            self._send_run(
+                one,
+                run,
+                choice,
+                tuple(each.reservation_id for each in reservations),
+            )
+            return
+        now = time.monotonic()
+        self.load.end(run.run_id, now)
+        self.listener.run_ended(run.run_id)
+        self._free(run.run_id)
+        if not one.done:
+            self.place(one)
+
+    async def _reserve(self, reservation: calls.Reservation) -> bool:
+        try:
+            granted = await self._client.reserve(reservation)
+            reason = "granted" if granted else "no memory free"
+        except errors.UpstreamError as exc:
+            granted, reason = False, str(exc)
+            self._health.failed(
+                reservation.upstream_id, time.monotonic(), lost=True
+            )
+        logs.decision(
+            _LOG,
+            "reserve",
+            reservation=reservation.reservation_id,
+            upstream=reservation.upstream_id,
+            tokens=reservation.tokens,
+            hold_s=round(reservation.hold_s, 3),
+            outcome=reason,
+        )
+        return granted
+
+    def _free(self, run_id: str) -> None:
+        """Releases the memory of a run that has ended."""
+        reservations = self._reservations.pop(run_id, [])
+        for reservation in reservations:
+            task = asyncio.ensure_future(self._release(reservation))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _release(self, reservation: calls.Reservation) -> None:
+        """Releases one reservation; its hold time bounds a lost release."""
+        outcome = "released"
+        for _ in range(RELEASE_TRIES):
+            try:
+                await self._client.release(reservation)
+                break
+            except errors.UpstreamError as exc:
+                outcome = str(exc)
+                await asyncio.sleep(RELEASE_RETRY_S)
+        logs.decision(
+            _LOG,
+            "release",
+            reservation=reservation.reservation_id,
+            upstream=reservation.upstream_id,
+            outcome=outcome,
+        )
+
+    # Upstreams.
+
+    def _on_upstream(self, change: upstream_list.Change) -> None:
+        if change.after == "gone" or change.restarted:
+            self._health.forget(change.upstream_id)
+        self._pump_soon()
+
+    def close(self) -> None:
+        """Cancels what is under way."""
+        for task in self._tasks:
+            task.cancel()
+
+
+RELEASE_TRIES: Final = 3
+RELEASE_RETRY_S: Final = 0.5
+"""Tries to release memory, within the four seconds after which memory that
+stays set aside counts as leaked."""
+
+
+def _urgency(one: exchange.Exchange, now: float) -> tuple[int, int, float]:
+    """Orders waiting requests: those on time first, by rank, then by slack."""
+    ask = one.ask(now)
+    is_late = ask.target_left_s <= 0
+    return (int(is_late), one.accepted.priority, ask.target_left_s)
--- /dev/null
+++ b/src/apricottrestle/gateway/peer_link.py
@@ -0,0 +1,142 @@
+"""ZeroMQ sockets between gateways.
+
+Each gateway binds one PULL socket and connects a PUSH socket to each peer.
+ZMTP heartbeats end connections that have gone silent; ZeroMQ reconnects.
+
+Invariant: sending never blocks. What a peer doesn't take is dropped; the next
+beat tells it what it missed through a new welcome.
+"""
+
+import logging
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any, Final, Self
+
+import zmq
+from zmq.eventloop.zmqstream import ZMQStream
+
+from apricottrestle import errors, metrics
+from apricottrestle.gateway import peer_messages
+
+HEARTBEAT_MS: Final = 500
+HEARTBEAT_TIMEOUT_MS: Final = 1_200
+"""Interval of ZMTP pings, and the silence after which a connection ends."""
+
+RECONNECT_MS: Final = 100
+RECONNECT_MAX_MS: Final = 1_000
+CONNECT_TIMEOUT_MS: Final = 1_000
+"""A peer that starts again should be reached within a second."""
+
+QUEUE_FRAMES: Final = 512
+MAX_FRAME_BYTES: Final = 4 * 1024 * 1024
+
+_LOG: Final = logging.getLogger(__name__)
+
+OnMessage = Callable[[peer_messages.Message], None]
+
+
+class PeerLink:
+    """Sockets to all peers. A context manager that owns them."""
+
+    def __init__(self, address: str, on_message: OnMessage) -> None:
+        """Prepares the sockets.
+
+        Args:
+            address: "ip:port" to bind.
+            on_message: Receives each valid message.
+        """
+        self._address = address
+        self._on_message = on_message
+        self._ctx = zmq.Context()
+        self._peers: dict[str, zmq.Socket[bytes]] = {}
+
+    def __enter__(self) -> Self:
+        """Binds; runs on the event loop.
+
+        Raises:
+            ZMQError: The address can't be bound.
+        """
+        sock = self._ctx.socket(zmq.PULL)
+        sock.setsockopt(zmq.RCVHWM, QUEUE_FRAMES)
+        sock.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        sock.setsockopt(zmq.LINGER, 0)
+        sock.bind(f"tcp://{self._address}")
+        self._stream = ZMQStream(sock)
+        self._stream.on_recv(self._receive)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Closes all sockets."""
+        self._stream.close()
+        for sock in self._peers.values():
+            sock.close(0)
+        self._ctx.destroy(0)
+
+    @property
+    def addresses(self) -> list[str]:
+        """Peers that a socket is connected to."""
+        return list(self._peers)
+
+    def connect(self, address: str) -> bool:
+        """Connects to a peer; False when it is connected already."""
+        if address in self._peers or address == self._address:
+            return False
+        sock = self._ctx.socket(zmq.PUSH)
+        sock.setsockopt(zmq.SNDHWM, QUEUE_FRAMES)
+        sock.setsockopt(zmq.LINGER, 0)
+        sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        sock.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        # Frames for a peer that is away would only be stale when it returns.
+        sock.setsockopt(zmq.IMMEDIATE, 1)
+        sock.connect(f"tcp://{address}")
+        self._peers[address] = sock
+        return True
+
+    def disconnect(self, address: str) -> None:
+        """Closes the socket to a peer."""
+        sock = self._peers.pop(address, None)
+        if sock is not None:
+            sock.close(0)
+
+    def send(self, address: str, message: peer_messages.Message) -> bool:
+        """Sends to one peer; False when it can't take the message now."""
+        return self._send(address, peer_messages.encode(message))
+
+    def broadcast(self, message: peer_messages.Message) -> None:
+        """Sends to all peers."""
+        if not self._peers:
+            return
+        frame = peer_messages.encode(message)
+        for address in self._peers:
+            self._send(address, frame)
+
+    def _send(self, address: str, frame: bytes) -> bool:
+        sock = self._peers.get(address)
+        if sock is None:
+            return False
+        try:
+            sock.send(frame, flags=zmq.NOBLOCK)
+        except zmq.Again:
+            metrics.FRAMES_UNSENT.inc()
+            return False
+        metrics.FRAME_BYTES_SENT.inc(len(frame))
+        return True
+
+    def _receive(self, frames: list[Any]) -> None:
+        metrics.FRAMES_RECEIVED.inc()
+        metrics.FRAME_BYTES_RECEIVED.inc(sum(map(len, frames)))
+        try:
+            message = peer_messages.decode(frames[0])
+        except errors.ProtocolError as exc:
+            metrics.FRAMES_DROPPED.inc()
+            _LOG.warning("frame dropped", extra={"reason": exc.message})
+            return
+        self._on_message(message)
--- /dev/null
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -0,0 +1,318 @@
+"""Keeps this gateway's tables in step with those of its peers.
+
+Own runs are told to the peers as they start and end, so that each gateway sees
+the load that the others put on engines. Configuration and upstream list travel
+the same way to a gateway that can't reach the store.
+"""
+
+import asyncio
+import collections
+import logging
+import time
+from typing import Final
+
+from tornado import ioloop
+
+from apricottrestle import logs
+from apricottrestle.gateway import (
+    engine_load,
+    fleet_config,
+    gateway,
+    peer_link,
+    peer_messages,
+    peers,
+    settings,
+    store,
+)
+
+FLUSH_S: Final = 0.005
+"""Time for which changes of runs are collected into one message."""
+
+HELLO_S: Final = 0.5
+"""Interval of hellos to peers that have not been heard."""
+
+_LOG: Final = logging.getLogger(__name__)
+
+
+class PeerSync(gateway.RunListener):
+    """Exchanges beats, configuration and upstreams with the peers.
+
+    Attributes:
+        stopping: This gateway is leaving.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.GatewaySettings,
+        core: gateway.Gateway,
+        incarnation: str,
+    ) -> None:
+        """Prepares the exchange."""
+        self.stopping = False
+        self._cfg = cfg
+        self._core = core
+        self._incarnation = incarnation
+        self._peers = peers.PeerTable()
+        self._peer_runs: dict[str, set[str]] = {}
+        self._own: dict[str, tuple[engine_load.Run, float]] = {}
+        self._started: list[tuple[engine_load.Run, float]] = []
+        self._wrote: list[str] = []
+        self._ended: list[str] = []
+        self._calls: dict[str, int] = {}
+        self._flush_due = False
+        self._last_beat = 0.0
+        self._link: peer_link.PeerLink | None = None
+        self._greetings: set[asyncio.Task[None]] = set()
+        core.state.watch_config(self._on_config)
+
+    def start(self, link: peer_link.PeerLink) -> None:
+        """Connects to the seeds and begins to beat."""
+        self._link = link
+        for seed in self._cfg.seeds:
+            self._connect(seed)
+        self._timer = ioloop.PeriodicCallback(
+            self._tick, peers.BEAT_S * 1000 / 4
+        )
+        self._timer.start()
+
+    def stop(self) -> None:
+        """Ends the beats."""
+        self._timer.stop()
+        for task in self._greetings:
+            task.cancel()
+
+    def connect_rows(self, rows: list[store.GatewayRow]) -> None:
+        """Connects to gateways that the store knows."""
+        for row in rows:
+            self._connect(row.address)
+
+    def gateways(self) -> int:
+        """See RunListener.gateways."""
+        return self._peers.count()
+
+    # Own changes.
+
+    def run_started(self, run: engine_load.Run) -> None:
+        """See RunListener.run_started."""
+        entry = (run, time.monotonic())
+        self._own[run.run_id] = entry
+        self._started.append(entry)
+        self._flush_soon()
+
+    def run_wrote(self, run_id: str) -> None:
+        """See RunListener.run_wrote."""
+        entry = self._own.get(run_id)
+        if entry is not None:
+            self._own[run_id] = (entry[0]._replace(writing=True), entry[1])
+            self._wrote.append(run_id)
+            self._flush_soon()
+
+    def run_ended(self, run_id: str) -> None:
+        """See RunListener.run_ended."""
+        if self._own.pop(run_id, None) is not None:
+            self._ended.append(run_id)
+            self._flush_soon()
+
+    def calls_changed(self, upstream_id: str, count: int) -> None:
+        """See RunListener.calls_changed."""
+        self._calls[upstream_id] = count
+
+    def _flush_soon(self) -> None:
+        if not self._flush_due:
+            self._flush_due = True
+            asyncio.get_running_loop().call_later(FLUSH_S, self._beat)
+
+    def _beat(self) -> None:
+        self._flush_due = False
+        now = time.monotonic()
+        self._last_beat = now
+        if self._link is None:
+            return
+        self._link.broadcast(
+            peer_messages.Beat(
+                self._sender(),
+                [
+                    peer_messages.StartedRun(run, now - at)
+                    for run, at in self._started
+                ],
+                self._wrote,
+                self._ended,
+                self._calls,
+            )
+        )
+        self._started, self._wrote, self._ended = [], [], []
+        self._calls = {}
+
+    def _sender(self) -> peer_messages.Sender:
+        return peer_messages.Sender(
+            self._cfg.instance_id,
+            self._cfg.peers,
+            self._incarnation,
+            self._core.state.config_version,
+            self.stopping,
+        )
+
+    def _tick(self) -> None:
+        now = time.monotonic()
+        gone, given_up = self._peers.expire(now)
+        for peer in gone:
+            logs.decision(
+                _LOG,
+                "peer lost",
+                peer=peer.instance_id,
+                address=peer.address,
+                silent_s=round(now - peer.heard_at, 3),
+            )
+            self._drop_runs(peer.incarnation)
+        for address in given_up:
+            if self._link is not None:
+                self._link.disconnect(address)
+        if now - self._last_beat >= peers.BEAT_S:
+            self._beat()
+
+    # Messages of peers.
+
+    def receive(self, message: peer_messages.Message) -> None:
+        """Takes over a message of a peer."""
+        now = time.monotonic()
+        sender = message.sender
+        if sender.incarnation == self._incarnation:
+            return
+        self._heard(sender, now)
+        match message:
+            case peer_messages.Beat():
+                self._on_beat(message, now)
+            case peer_messages.Hello():
+                self._welcome(sender.address)
+            case peer_messages.Welcome():
+                self._on_welcome(message, now)
+            case peer_messages.ConfigUpdate():
+                self._core.state.adopt(message.config, sender.instance_id)
+            case peer_messages.UpstreamUpdate():
+                pass
+        if sender.stopping:
+            self._on_leaving(sender)
+
+    def _heard(self, sender: peer_messages.Sender, now: float) -> None:
+        is_new, ended = self._peers.heard(
+            sender.address, sender.instance_id, sender.incarnation, now
+        )
+        if ended is not None:
+            self._drop_runs(ended)
+        if is_new:
+            logs.decision(
+                _LOG,
+                "peer found",
+                peer=sender.instance_id,
+                address=sender.address,
+                incarnation=sender.incarnation,
+                config_version=sender.config_version,
+            )
+            if not self._connect(sender.address):
+                self._welcome(sender.address)
+        if sender.config_version < self._core.state.config_version:
+            self._send_config(sender.address)
+
+    def _on_leaving(self, sender: peer_messages.Sender) -> None:
+        """A peer that stops still tells its runs until it is gone."""
+
+    def _on_beat(self, beat: peer_messages.Beat, now: float) -> None:
+        self._add_runs(beat.sender.incarnation, beat.started, now)
+        runs = self._peer_runs.setdefault(beat.sender.incarnation, set())
+        for run_id in beat.wrote:
+            self._core.load.wrote(run_id, now)
+        for run_id in beat.ended:
+            runs.discard(run_id)
+            self._core.load.end(run_id, now)
+        if beat.calls:
+            counts = self._core.peer_calls.setdefault(
+                beat.sender.incarnation, collections.Counter()
+            )
+            counts.update(
+                {key: beat.calls[key] - counts[key] for key in beat.calls}
+            )
+        if beat.ended or beat.wrote:
+            self._core.pump()
+
+    def _on_welcome(self, welcome: peer_messages.Welcome, now: float) -> None:
+        source = welcome.sender.instance_id
+        if welcome.config is not None:
+            self._core.state.adopt(welcome.config, source)
+        if not self._core.state.list_known and welcome.upstreams:
+            self._core.state.list_known = True
+            self._core.state.apply_upstreams(
+                self._core.state.members.learn(welcome.upstreams), source
+            )
+        for address in welcome.gateways:
+            self._connect(address)
+        self._drop_runs(welcome.sender.incarnation)
+        self._add_runs(welcome.sender.incarnation, welcome.started, now)
+
+    def _add_runs(
+        self,
+        incarnation: str,
+        started: list[peer_messages.StartedRun],
+        now: float,
+    ) -> None:
+        runs = self._peer_runs.setdefault(incarnation, set())
+        for each in started:
+            runs.add(each.run.run_id)
+            self._core.load.start(each.run, now, age_s=each.age_s)
+
+    def _drop_runs(self, incarnation: str) -> None:
+        runs = self._peer_runs.pop(incarnation, set())
+        self._core.load.end_all(runs, time.monotonic())
+        self._core.peer_calls.pop(incarnation, None)
+
+    # Sending to single peers.
+
+    def _connect(self, address: str) -> bool:
+        """Connects and says hello; False when connected already."""
+        if self._link is None or not self._link.connect(address):
+            return False
+        task = asyncio.ensure_future(self._greet(address))
+        self._greetings.add(task)
+        task.add_done_callback(self._greetings.discard)
+        return True
+
+    async def _greet(self, address: str) -> None:
+        """Says hello until the connection takes it, or gives up."""
+        tries = int(peers.FORGET_S / HELLO_S)
+        for _ in range(tries):
+            if self._link is None:
+                return
+            hello = peer_messages.Hello(self._sender())
+            if self._link.send(address, hello):
+                return
+            await asyncio.sleep(HELLO_S / 10)
+
+    def _welcome(self, address: str) -> None:
+        if self._link is None:
+            return
+        now = time.monotonic()
+        compiled = self._core.state.compiled
+        self._link.send(
+            address,
+            peer_messages.Welcome(
+                self._sender(),
+                compiled.config if compiled else None,
+                self._core.state.members.entries(),
+                [peer.address for peer in self._peers.alive()],
+                [
+                    peer_messages.StartedRun(run, now - at)
+                    for run, at in self._own.values()
+                ],
+            ),
+        )
+
+    def _on_config(self, config: fleet_config.FleetConfig) -> None:
+        """Tells the peers of a new version: with the next beat they answer."""
+        self._flush_soon()
+
+    def _send_config(self, address: str) -> None:
+        compiled = self._core.state.compiled
+        if compiled is not None and self._link is not None:
+            self._link.send(
+                address,
+                peer_messages.ConfigUpdate(self._sender(), compiled.config),
+            )
--- /dev/null
+++ b/src/apricottrestle/gateway/settings.py
@@ -0,0 +1,35 @@
+"""Settings of a gateway process."""
+
+from typing import NamedTuple
+
+
+class GatewaySettings(NamedTuple):
+    """Settings that a gateway gets from the platform it runs on.
+
+    Attributes:
+        instance_id: Id of this instance.
+        data_centre: Its data centre.
+        callers: "ip:port" for callers.
+        ready: "ip:port" for the readiness check.
+        ops: "ip:port" for operators, or empty.
+        peers: "ip:port" of the socket for other gateways.
+        seeds: Peer addresses to try while the store gives none.
+        grace_s: Time between the notice of a stop and its end.
+        retry_share: Retries that each request earns the whole fleet.
+        retry_window_s: Time over which retries are counted.
+        retry_slack: Retries per window that the whole fleet has besides.
+        reservation_max_s: Longest time an engine sets memory aside.
+    """
+
+    instance_id: str
+    data_centre: str
+    callers: str
+    ready: str
+    ops: str
+    peers: str
+    seeds: tuple[str, ...]
+    grace_s: float
+    retry_share: float
+    retry_window_s: float
+    retry_slack: float
+    reservation_max_s: float
--- /dev/null
+++ b/src/apricottrestle/platform/__main__.py
@@ -0,0 +1,41 @@
+"""Runs a gateway on the users' platform: `python -m apricottrestle.platform`.
+
+Exit codes: 0 stopped as asked, 2 bad settings.
+"""
+
+import sys
+
+from apricottrestle import errors, logs
+from apricottrestle.gateway import daemon
+from apricottrestle.platform import (
+    caller_server,
+    settings_file,
+    store_client,
+    upstream_client,
+)
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> int:
+    """Reads the settings and runs the gateway."""
+    logs.configure(sys.stdout)
+    try:
+        cfg, store_address = settings_file.load()
+    except errors.SettingsError as exc:
+        sys.stderr.write(f"{exc}\n")
+        return EXIT_BAD_SETTINGS
+    daemon.run(
+        cfg,
+        daemon.Ports(
+            store_client.StoreClient(store_address),
+            upstream_client.HttpUpstreamClient,
+            caller_server.CallerServer,
+            caller_server.ReadyServer,
+        ),
+    )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/apricottrestle/platform/codec.py
@@ -0,0 +1,201 @@
+"""Decodes configuration and upstream entries from the store's JSON.
+
+Field names of the wire stay in this module. Where one misleads, a comment says
+what it holds.
+"""
+
+from typing import Final, Literal
+
+import msgspec
+
+from apricottrestle import errors
+from apricottrestle.gateway import fleet_config, upstream_list
+
+_MS: Final = 1e-3
+_MILLION: Final = 1e6
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    host: str
+    path_prefix: str
+    kind: str
+    name: str = ""
+    timeout_ms: float = 0.0
+    # Bound of an answer that is on time, not a latency that is aimed at.
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    service: str = ""
+    split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_capacity: int
+    step_ms: float
+    per_seq_ms: float = 0.0
+    # Milliseconds of a step for each thousand tokens of context.
+    context_per_k: float = 0.0
+    read_per_s: float = 0.0
+    pairs_per_m: float = 0.0
+    chunk: int = 1
+    stride: int = 1
+    hop_ms: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Absent when callers need no key; empty when no key is valid.
+    tenants: list[_Tenant] | None = None
+
+
+class _Upstream(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: Literal["ready", "draining"]
+    slots: int = fleet_config.DEFAULT_SLOTS
+    cold_left_ms: float = 0.0
+    born: int = 0
+
+
+def decode_config(value: bytes) -> fleet_config.FleetConfig:
+    """Decodes a configuration.
+
+    Raises:
+        PlatformError: The value doesn't have the published form.
+    """
+    try:
+        got = msgspec.json.decode(value, type=_Config)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise errors.PlatformError(
+            f"malformed configuration: {exc}", step="configure", peer="store"
+        ) from exc
+    teams = None
+    if got.tenants is not None:
+        teams = {
+            key: fleet_config.Team(tenant.name, tenant.priority)
+            for tenant in got.tenants
+            for key in tenant.api_keys
+        }
+    return fleet_config.FleetConfig(
+        got.version,
+        tuple(_route(route) for route in got.routes),
+        {service.name: _service(service) for service in got.services},
+        fleet_config.CallerLimits(
+            got.limits.max_header_bytes,
+            got.limits.max_body_bytes,
+            got.limits.header_timeout_ms * _MS,
+            got.limits.idle_timeout_ms * _MS,
+        ),
+        teams,
+    )
+
+
+def decode_upstream(
+    upstream_id: str, value: bytes
+) -> upstream_list.UpstreamEntry:
+    """Decodes an upstream's entry.
+
+    Raises:
+        PlatformError: A field is missing, of another type or out of range;
+            the entry names no upstream that can be used.
+    """
+    try:
+        got = msgspec.json.decode(value, type=_Upstream)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise _bad_entry(upstream_id, str(exc)) from exc
+    host, _, port = got.address.rpartition(":")
+    if not host or not port.isdigit() or got.slots < 1 or not got.service:
+        raise _bad_entry(upstream_id, "address, slots or service out of range")
+    return upstream_list.UpstreamEntry(
+        upstream_id,
+        got.service,
+        got.address,
+        got.zone,
+        got.state == "draining",
+        got.slots,
+        max(got.cold_left_ms, 0.0) * _MS,
+        got.born,
+    )
+
+
+def _bad_entry(upstream_id: str, reason: str) -> errors.PlatformError:
+    return errors.PlatformError(
+        f"malformed upstream entry: {reason}", step="list", peer=upstream_id
+    )
+
+
+def _route(route: _Route) -> fleet_config.Route:
+    targets = tuple(
+        fleet_config.RouteTarget(part.service, part.weight)
+        for part in route.split
+    ) or (fleet_config.RouteTarget(route.service, 1.0),)
+    kind: fleet_config.RequestKind = "unsafe"
+    if route.kind == "safe":
+        kind = "safe"
+    elif route.kind == "stream":
+        kind = "stream"
+    return fleet_config.Route(
+        route.name,
+        route.host,
+        route.path_prefix,
+        kind,
+        route.timeout_ms * _MS,
+        route.target_latency_ms * _MS,
+        route.gap_target_ms * _MS,
+        route.priority,
+        targets,
+        max(route.max_attempts, 1),
+        route.public,
+        route.resumable,
+    )
+
+
+def _service(service: _Service) -> fleet_config.Service:
+    engine = service.engine
+    model = None
+    if engine is not None:
+        model = fleet_config.EngineModel(
+            engine.slots,
+            engine.kv_capacity,
+            engine.step_ms * _MS,
+            engine.per_seq_ms * _MS,
+            engine.context_per_k * _MS / 1000,
+            engine.read_per_s,
+            engine.pairs_per_m * _MS / _MILLION,
+            engine.chunk,
+            engine.stride,
+            engine.hop_ms * _MS,
+        )
+    return fleet_config.Service(service.name, service.max_conns, model)
--- a/src/apricottrestle/platform_http.py
+++ b/src/apricottrestle/platform_http.py
@@ -48,6 +48,7 @@
         *,
         body: bytes | None = None,
         appends: bool = False,
+        timeout_s: float | None = None,
     ) -> bytes:
         """Makes one call and returns the body of a 2xx answer.
 
@@ -58,6 +59,7 @@
             body: Request body or None.
             appends: The call stores something, so that a lost answer leaves
                 its outcome unknown.
+            timeout_s: Time limit of this call; by default the client's.
 
         Raises:
             AppendUnknownError: `appends`, and the service may have acted.
@@ -70,7 +72,7 @@
             body=body,
             headers={"Content-Type": "application/json"} if body else None,
             connect_timeout=_CONNECT_TIMEOUT_S,
-            request_timeout=self._timeout_s,
+            request_timeout=timeout_s or self._timeout_s,
             follow_redirects=False,
         )
         try:
@@ -110,7 +112,9 @@
         # 503 is the published answer of an outage; another 5xx may come from a
         # gateway that lost the service's answer.
         unknown = answer.code >= 500 and answer.code != _UNAVAILABLE
-        raise self._error(f"HTTP {answer.code}", step, appends and unknown)
+        exc = self._error(f"HTTP {answer.code}", step, appends and unknown)
+        exc.status = answer.code
+        raise exc
 
     def _error(
         self, reason: object, step: str, unknown: bool
