End an upstream's work when its caller leaves

Ruled out: callers' closes not noticed (the close callback ran). Change: compare the wrapped request; tests of the upstream client, of which the cancel ones failed before.

--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -58,7 +58,7 @@
     def cancel(self, req: httpclient.HTTPRequest) -> None:
         """Ends a transfer; its fetch fails with E_ABORTED_BY_CALLBACK."""
         for waiting in list(self._requests):
-            if waiting[0] is req:
+            if _is_of(waiting[0], req):
                 self._requests.remove(waiting)
                 waiting[1](
                     httpclient.HTTPResponse(
@@ -68,12 +68,17 @@
                 return
         for curl in self._curls:
             info = getattr(curl, "info", None)
-            if info is not None and info["request"] is req:
+            if info is not None and _is_of(info["request"], req):
                 self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
                 self._process_queue()
                 return
 
 
+def _is_of(held: object, req: httpclient.HTTPRequest) -> bool:
+    """Whether a request that tornado holds, maybe wrapped, is `req`."""
+    return getattr(held, "request", held) is req
+
+
 def _cancelled() -> curl_httpclient.CurlError:
     return curl_httpclient.CurlError(pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
 
--- /dev/null
+++ b/tests/test_platform_upstream_client.py
@@ -0,0 +1,265 @@
+"""Guards the HTTP client for upstreams: whole answers, cancels, single sends."""
+
+import asyncio
+
+import pytest
+
+from apricottrestle.gateway import calls
+from apricottrestle.platform import upstream_client
+from tests import async_helpers, gateway_parts, scripted_upstream
+
+
+class _Sink(calls.AnswerSink):
+    def __init__(self) -> None:
+        self.head: calls.AnswerHead | None = None
+        self.data = b""
+        self.ends: list[calls.EndKind] = []
+
+    def on_head(self, head: calls.AnswerHead) -> None:
+        assert self.head is None
+        assert not self.data
+        self.head = head
+
+    def on_data(self, data: bytes) -> None:
+        self.data += data
+
+    def on_end(self, end: calls.EndKind, detail: str) -> None:
+        self.ends.append(end)
+
+
+def _call(address: str, **changes: object) -> calls.UpstreamCall:
+    return calls.UpstreamCall(
+        gateway_parts.request(),
+        "up-1",
+        address,
+        2.0,
+        "team-a",
+        3,
+        (),
+        None,
+        False,
+    )._replace(**changes)
+
+
+async def _run(
+    script: scripted_upstream.Script, **changes: object
+) -> tuple[_Sink, scripted_upstream.Upstream]:
+    sink = _Sink()
+    async with scripted_upstream.running(script) as upstream:
+        client = upstream_client.HttpUpstreamClient()
+        client.send(_call(upstream.address, **changes), sink)
+        await async_helpers.until(lambda: sink.ends)
+        await asyncio.sleep(0.02)
+    return sink, upstream
+
+
+async def _whole(
+    received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    conn.write(scripted_upstream.answer(received, b"body"))
+
+
+async def _chunked(
+    received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    head = scripted_upstream.answer(received).replace(
+        b"Content-Length: 0", b"Transfer-Encoding: chunked"
+    )
+    conn.write(head + b"4\r\nbody\r\n0\r\n\r\n")
+
+
+async def _unframed(
+    received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    head = scripted_upstream.answer(received).replace(
+        b"Content-Length: 0\r\n", b""
+    )
+    conn.write(head + b"body")
+    conn.writer.close()
+
+
+async def _unframed_reset(
+    received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    head = scripted_upstream.answer(received).replace(
+        b"Content-Length: 0\r\n", b""
+    )
+    conn.write(head + b"bo")
+    await conn.writer.drain()
+    await asyncio.sleep(0.05)
+    conn.reset()
+
+
+async def _short(
+    received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    conn.write(scripted_upstream.answer(received, b"bo", length=4))
+    conn.writer.close()
+
+
+async def _extra(
+    received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    whole = scripted_upstream.answer(received, b"body")
+    conn.write(whole + whole)
+
+
+async def _garbage(
+    _received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    conn.write(b"\x00\x01no answer at all\r\n\r\n")
+    conn.writer.close()
+
+
+async def _reset(
+    _received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    conn.reset()
+
+
+async def _early(
+    received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    conn.write(
+        scripted_upstream.answer(
+            received,
+            b"full",
+            status="503 Service Unavailable",
+            headers="Apricottrestle-Not-Executed: 1\r\n",
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    ("script", "end", "data", "not_run"),
+    [
+        (_whole, "complete", b"body", False),
+        (_chunked, "complete", b"body", False),
+        (_unframed, "complete", b"body", False),
+        (_unframed_reset, "broken", b"bo", False),
+        (_short, "broken", b"bo", False),
+        (_extra, "complete", b"body", False),
+        (_garbage, "broken", b"", False),
+        (_reset, "broken", b"", False),
+        (_early, "complete", b"full", True),
+    ],
+)
+@async_helpers.on_loop
+async def test_answer_is_whole_or_reported_as_broken(
+    script: scripted_upstream.Script,
+    end: str,
+    data: bytes,
+    not_run: bool,
+) -> None:
+    """Guards against a cut or foreign answer that looks complete."""
+    sink, _ = await _run(script)
+    assert sink.ends == [end]
+    assert sink.data == data
+    assert (sink.head is not None and sink.head.not_run) == not_run
+
+
+@async_helpers.on_loop
+async def test_refused_connection_is_not_sent() -> None:
+    """Guards against "may have run" for what can't have run."""
+    sink = _Sink()
+    server = await asyncio.start_server(lambda _r, _w: None, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    server.close()
+    await server.wait_closed()
+    client = upstream_client.HttpUpstreamClient()
+    client.send(_call(f"{host}:{port}"), sink)
+    await async_helpers.until(lambda: sink.ends)
+    assert sink.ends == ["not_sent"]
+
+
+@pytest.mark.parametrize("with_data", [False, True])
+@async_helpers.on_loop
+async def test_cancel_closes_the_connection(with_data: bool) -> None:
+    """Guards against work that goes on after its caller has left."""
+    waiting = asyncio.Event()
+
+    async def script(
+        received: scripted_upstream.Received, conn: scripted_upstream.Connection
+    ) -> None:
+        if with_data:
+            conn.write(scripted_upstream.answer(received, b"bo", length=400))
+            await conn.writer.drain()
+        waiting.set()
+        await conn.until_closed()
+
+    sink = _Sink()
+    async with scripted_upstream.running(script) as upstream:
+        client = upstream_client.HttpUpstreamClient()
+        transfer = client.send(_call(upstream.address), sink)
+        await waiting.wait()
+        if with_data:
+            await async_helpers.until(lambda: sink.data)
+        transfer.cancel()
+        async with asyncio.timeout(1):
+            await upstream.connections[0].closed.wait()
+        await async_helpers.until(lambda: sink.ends)
+        assert sink.ends == ["cancelled"]
+        transfer.cancel()
+        await asyncio.sleep(0.02)
+        assert sink.ends == ["cancelled"]
+
+
+@async_helpers.on_loop
+async def test_single_send_is_not_repeated_on_a_broken_kept_connection() -> (
+    None
+):
+    """Guards against a second run: libcurl repeats on kept connections."""
+    count = 0
+
+    async def script(
+        received: scripted_upstream.Received, conn: scripted_upstream.Connection
+    ) -> None:
+        nonlocal count
+        count += 1
+        if count == 1:
+            conn.write(scripted_upstream.answer(received, b"body"))
+        else:
+            conn.reset()
+
+    async with scripted_upstream.running(script) as upstream:
+        client = upstream_client.HttpUpstreamClient()
+        for expected in ("complete", "broken"):
+            sink = _Sink()
+            client.send(_call(upstream.address, single_send=True), sink)
+            await async_helpers.until(lambda: sink.ends)
+            assert sink.ends == [expected]
+        assert len(upstream.received) == 2
+
+
+@async_helpers.on_loop
+async def test_request_reaches_the_upstream_unchanged() -> None:
+    """Guards target, body and headers against changes on the way."""
+    req = gateway_parts.request(
+        "/short/../x%2f/./y?a=b&&c=%20",
+        headers=(("X-One", "1"), ("X-One", "2"), ("Apricottrestle-Model", "m")),
+        body=b"\x00\r\nbytes",
+    )
+    sink, upstream = await _run(
+        _whole,
+        req=req,
+        helpers=("10.0.0.1:80/r1", "10.0.0.2:80"),
+        resume_after="7",
+    )
+    assert sink.ends == ["complete"]
+    got = upstream.received[0]
+    assert got.line == "POST /short/../x%2f/./y?a=b&&c=%20 HTTP/1.1"
+    assert got.body == b"\x00\r\nbytes"
+    assert got.headers["x-one"] == "2"
+    expected = {
+        "host": "fleet.example",
+        "apricottrestle-attempt-id": "request-1",
+        "apricottrestle-expect-instance": "up-1",
+        "apricottrestle-tenant": "team-a",
+        "apricottrestle-request-priority": "3",
+        "apricottrestle-helpers": "10.0.0.1:80/r1,10.0.0.2:80",
+        "last-event-id": "7",
+    }
+    assert {name: got.headers.get(name) for name in expected} == expected
+    assert int(got.headers["apricottrestle-deadline-ms"]) <= 2000
+    assert "authorization" not in got.headers
+    assert "accept-encoding" not in got.headers
