Hold engines' memory for short, renewed times

Ruled out: lost releases (the logs show the holder killed before any). Change: module memory_holds: 3 s holds, renewed each second, released at the end; releases repeated while an unanswered order may still take effect.

--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -11,7 +11,7 @@
 import time
 from typing import Final
 
-from apricottrestle import errors, logs, metrics
+from apricottrestle import logs, metrics
 from apricottrestle.gateway import (
     accept,
     calls,
@@ -20,6 +20,7 @@
     exchange,
     fleet_config,
     fleet_state,
+    memory_holds,
     retry_budget,
     retry_policy,
     service_routing,
@@ -44,9 +45,6 @@
 """Calls per slot after which a plain upstream counts as full: those that it
 queues would be late."""
 
-HOLD_MARGIN_S: Final = 2.0
-"""Time added to a run's estimate when memory is set aside for it."""
-
 FAR_S: Final = 0.001
 """One-way time to another data centre, when no measurement is known."""
 
@@ -109,7 +107,9 @@
         self._calls: collections.Counter[str] = collections.Counter()
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._waiting: list[exchange.Exchange] = []
-        self._reservations: dict[str, list[calls.Reservation]] = {}
+        self._holds = memory_holds.MemoryHolds(
+            client, cfg.memory_free_s, cfg.reservation_max_s
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._run_count = 0
         self._incarnation = incarnation
@@ -230,7 +230,7 @@
         if self.load.run(sent.run_id) is not None:
             self.load.end(sent.run_id, now)
             self.listener.run_ended(sent.run_id)
-            self._free(sent.run_id)
+            self._holds.free(sent.run_id)
             self._pump_soon()
         elif self._calls[sent.upstream_id] > 0:
             self._calls[sent.upstream_id] -= 1
@@ -485,11 +485,7 @@
         helpers = [members.get(helper) for helper in run.helpers]
         now = time.monotonic()
         if one.done or entry is None or None in helpers:
-            self.load.end(run.run_id, now)
-            self.listener.run_ended(run.run_id)
-            self._free(run.run_id)
-            if not one.done:
-                self.place(one)
+            self._withdraw(one, run)
             return
         addresses = [each.address for each in helpers if each is not None]
         if reservations:
@@ -506,97 +502,42 @@
             helpers=tuple(addresses),
         )
 
-    # Memory on engines.
-
     async def _reserve_and_send(
         self,
         one: exchange.Exchange,
         run: engine_load.Run,
         choice: engine_routing.Choice,
     ) -> None:
-        """Sets memory aside on all helpers, then sends; or frees it all."""
-        hold_s = min(
-            one.time_left_s(time.monotonic()) + HOLD_MARGIN_S,
-            self._cfg.reservation_max_s,
-        )
-        reservations: list[calls.Reservation] = []
+        """Sets memory aside on all helpers, then sends; else places anew."""
+        wanted: list[calls.Reservation] = []
         for helper in run.helpers:
             entry = self.state.members.get(helper)
-            if entry is not None:
-                reservations.append(
-                    calls.Reservation(
-                        f"{run.run_id}-{len(reservations)}",
-                        entry.address,
-                        helper,
-                        run.held_tokens,
-                        hold_s,
-                    )
+            if entry is None:
+                self._withdraw(one, run)
+                return
+            wanted.append(
+                calls.Reservation(
+                    f"{run.run_id}-{len(wanted)}",
+                    entry.address,
+                    helper,
+                    run.held_tokens,
+                    self._holds.hold_s,
                 )
-        self._reservations[run.run_id] = reservations
-        answers = await asyncio.gather(
-            *(self._reserve(each) for each in reservations)
-        )
-        if len(reservations) == len(run.helpers) and all(answers):
-            self._send_run(
-                one,
-                run,
-                choice,
-                tuple(each.reservation_id for each in reservations),
             )
-            return
-        now = time.monotonic()
-        self.load.end(run.run_id, now)
+        if await self._holds.acquire(run.run_id, wanted):
+            tickets = tuple(each.reservation_id for each in wanted)
+            self._send_run(one, run, choice, tickets)
+        else:
+            self._withdraw(one, run)
+
+    def _withdraw(self, one: exchange.Exchange, run: engine_load.Run) -> None:
+        """Takes back a run that was not sent, and places the request anew."""
+        self.load.end(run.run_id, time.monotonic())
         self.listener.run_ended(run.run_id)
-        self._free(run.run_id)
+        self._holds.free(run.run_id)
         if not one.done:
             self.place(one)
 
-    async def _reserve(self, reservation: calls.Reservation) -> bool:
-        try:
-            granted = await self._client.reserve(reservation)
-            reason = "granted" if granted else "no memory free"
-        except errors.UpstreamError as exc:
-            granted, reason = False, str(exc)
-            self._health.failed(
-                reservation.upstream_id, time.monotonic(), lost=True
-            )
-        logs.decision(
-            _LOG,
-            "reserve",
-            reservation=reservation.reservation_id,
-            upstream=reservation.upstream_id,
-            tokens=reservation.tokens,
-            hold_s=round(reservation.hold_s, 3),
-            outcome=reason,
-        )
-        return granted
-
-    def _free(self, run_id: str) -> None:
-        """Releases the memory of a run that has ended."""
-        reservations = self._reservations.pop(run_id, [])
-        for reservation in reservations:
-            task = asyncio.ensure_future(self._release(reservation))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    async def _release(self, reservation: calls.Reservation) -> None:
-        """Releases one reservation; its hold time bounds a lost release."""
-        outcome = "released"
-        for _ in range(RELEASE_TRIES):
-            try:
-                await self._client.release(reservation)
-                break
-            except errors.UpstreamError as exc:
-                outcome = str(exc)
-                await asyncio.sleep(RELEASE_RETRY_S)
-        logs.decision(
-            _LOG,
-            "release",
-            reservation=reservation.reservation_id,
-            upstream=reservation.upstream_id,
-            outcome=outcome,
-        )
-
     # Upstreams.
 
     def _on_upstream(self, change: upstream_list.Change) -> None:
@@ -608,12 +549,7 @@
         """Cancels what is under way."""
         for task in self._tasks:
             task.cancel()
-
-
-RELEASE_TRIES: Final = 3
-RELEASE_RETRY_S: Final = 0.5
-"""Tries to release memory, within the four seconds after which memory that
-stays set aside counts as leaked."""
+        self._holds.close()
 
 
 def _urgency(one: exchange.Exchange, now: float) -> tuple[int, int, float]:
--- a/src/apricottrestle/gateway/settings.py
+++ b/src/apricottrestle/gateway/settings.py
@@ -18,6 +18,7 @@
         retry_share: Retries that each request earns the whole fleet.
         retry_window_s: Time over which retries are counted.
         retry_slack: Retries per window that the whole fleet has besides.
+        memory_free_s: Time within which engines' unused memory must be free.
         reservation_max_s: Longest time an engine sets memory aside.
     """
 
@@ -32,4 +33,5 @@
     retry_share: float
     retry_window_s: float
     retry_slack: float
+    memory_free_s: float
     reservation_max_s: float
--- a/src/apricottrestle/platform/settings_file.py
+++ b/src/apricottrestle/platform/settings_file.py
@@ -26,6 +26,8 @@
     retry_budget: float
     budget_window_s: float
     budget_slack: float
+    # Both only where engines set memory aside.
+    free_ms: float = 4_000.0
     hold_max_ms: float = 20_000.0
 
 
@@ -87,5 +89,6 @@
         got.bounds.retry_budget,
         got.bounds.budget_window_s,
         got.bounds.budget_slack,
+        got.bounds.free_ms * _MS,
         got.bounds.hold_max_ms * _MS,
     )
--- a/tests/test_platform_upstream_client.py
+++ b/tests/test_platform_upstream_client.py
@@ -1,6 +1,8 @@
-"""Guards the HTTP client for upstreams: whole answers, cancels, single sends."""
+"""Guards the client for upstreams: whole answers, cancels, single sends."""
 
 import asyncio
+import functools
+from typing import Any
 
 import pytest
 
@@ -27,7 +29,7 @@
         self.ends.append(end)
 
 
-def _call(address: str, **changes: object) -> calls.UpstreamCall:
+def _call(address: str, **changes: Any) -> calls.UpstreamCall:
     return calls.UpstreamCall(
         gateway_parts.request(),
         "up-1",
@@ -42,7 +44,7 @@
 
 
 async def _run(
-    script: scripted_upstream.Script, **changes: object
+    script: scripted_upstream.Script, **changes: Any
 ) -> tuple[_Sink, scripted_upstream.Upstream]:
     sink = _Sink()
     async with scripted_upstream.running(script) as upstream:
@@ -226,7 +228,7 @@
         for expected in ("complete", "broken"):
             sink = _Sink()
             client.send(_call(upstream.address, single_send=True), sink)
-            await async_helpers.until(lambda: sink.ends)
+            await async_helpers.until(functools.partial(getattr, sink, "ends"))
             assert sink.ends == [expected]
         assert len(upstream.received) == 2
 
