Follow the engines' passes in the load table

Change: each row follows the passes by the cost model and corrects itself by the events seen; a choice must keep waiting first events and all pauses on time.

--- a/src/apricottrestle/gateway/engine_load.py
+++ b/src/apricottrestle/gateway/engine_load.py
@@ -1,14 +1,26 @@
 """What runs on each engine, as far as this gateway and its peers know.
 
+An engine works in passes. A pass with writers gives each of them a stride of
+steps, reads the prompts that were waiting when it began, and ends with an event
+for each writer and for each prompt that was read. The table follows these
+passes by the published cost model and corrects itself with each event seen.
+
 Invariant: an engine's row is the sum of the runs that name it; ending a run
 leaves nothing behind.
 """
 
+import math
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-STALE_READ_S: Final = 0.02
-"""Time left that is assumed for a read that takes longer than estimated."""
+from apricottrestle.gateway import engine_costs, fleet_config
+
+MAX_PASSES: Final = 400
+"""Passes that one look may follow; more means that nothing was seen for long,
+and the row starts from the present."""
+
+SAME_PASS: Final = 0.3
+"""Share of a pass within which events count as those of its beginning."""
 
 
 class Run(NamedTuple):
@@ -24,6 +36,7 @@
         held_tokens: Memory set aside on each helper; 0 when all of the
             prompt's memory is on the engine that writes.
         gap_s: Longest pause between events that is on time; 0 when any is.
+        target_left_s: Time left at the start to a first event that is on time.
         writing: Whether the first event has arrived.
     """
 
@@ -35,6 +48,7 @@
     part_s: float
     held_tokens: int
     gap_s: float
+    target_left_s: float
     writing: bool
 
     @property
@@ -43,6 +57,38 @@
         total = self.prompt_tokens + self.output_tokens
         return max(total - self.held_tokens * len(self.helpers), 0)
 
+    @property
+    def step_tokens(self) -> int:
+        """Tokens of context that a step on the engine that writes costs."""
+        if self.held_tokens:
+            return self.prompt_tokens // (1 + len(self.helpers))
+        return self.prompt_tokens
+
+
+class _Read:
+    """A prompt, or a part of one, that an engine has still to read."""
+
+    __slots__ = ("due_at", "in_pass_s", "left_s")
+
+    def __init__(self, left_s: float, due_at: float) -> None:
+        self.left_s = left_s
+        self.due_at = due_at
+        self.in_pass_s = 0.0
+
+
+class Outlook(NamedTuple):
+    """When a new read on an engine would be done, and what it may take.
+
+    Attributes:
+        wait_s: Time until the pass under way ends.
+        next_pass_s: Time of the next pass without the new read.
+        slack_s: Longest new read that makes nobody late.
+    """
+
+    wait_s: float
+    next_pass_s: float
+    slack_s: float
+
 
 class EngineRow:
     """Load of one engine.
@@ -52,23 +98,15 @@
         helping: Runs that it reads a part of, by id.
     """
 
-    __slots__ = ("_busy_until", "helping", "runs")
+    __slots__ = ("_pass_began", "_pass_ends", "_reads", "helping", "runs")
 
     def __init__(self) -> None:
         """Starts idle."""
         self.runs: dict[str, Run] = {}
         self.helping: dict[str, Run] = {}
-        self._busy_until = 0.0
-
-    @property
-    def context_tokens(self) -> int:
-        """Tokens of context of all runs that it writes."""
-        return sum(
-            run.prompt_tokens // (1 + len(run.helpers))
-            if run.held_tokens
-            else run.prompt_tokens
-            for run in self.runs.values()
-        )
+        self._reads: dict[str, _Read] = {}
+        self._pass_began = -math.inf
+        self._pass_ends = -math.inf
 
     @property
     def kv_tokens(self) -> int:
@@ -78,34 +116,140 @@
         )
 
     @property
-    def least_gap_s(self) -> float:
-        """Shortest pause that its runs allow; infinite without runs."""
-        return min(
-            (run.gap_s for run in self.runs.values() if run.gap_s > 0),
-            default=float("inf"),
-        )
+    def context_tokens(self) -> int:
+        """Tokens of context of all runs that it writes or will write."""
+        return sum(run.step_tokens for run in self.runs.values())
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is known to be under way."""
+        return not self.runs and not self.helping
+
+    def add_read(
+        self, run_id: str, part_s: float, due_at: float, now: float
+    ) -> None:
+        """Adds a read; an idle engine begins with it at once."""
+        if not self._reads and not self._writers():
+            self._pass_ends = now
+        self._reads[run_id] = _Read(part_s, due_at)
+
+    def end_read(self, run_id: str) -> None:
+        """Removes a read that is done or given up."""
+        self._reads.pop(run_id, None)
+
+    def saw_event(
+        self, model: fleet_config.EngineModel, at: float, now: float
+    ) -> None:
+        """Notes that a pass ended at `at`, as an event shows."""
+        self.advance(model, now)
+        length_s = self._pass_ends - self._pass_began
+        if self._pass_ends <= now or not math.isfinite(length_s):
+            return
+        if at - self._pass_began <= SAME_PASS * length_s:
+            # Another event of the end that this pass began with.
+            shift_s = at - self._pass_began
+            self._pass_began += shift_s
+            self._pass_ends += shift_s
+            return
+        self._pass_ends = at
+        self.advance(model, now)
 
-    def backlog_s(self, now: float) -> float:
-        """Time until it has read all that it was given."""
-        left = self._busy_until - now
-        if left > 0:
-            return left
-        is_reading = any(not run.writing for run in self.runs.values()) or any(
-            not run.writing for run in self.helping.values()
+    def advance(self, model: fleet_config.EngineModel, now: float) -> None:
+        """Follows the passes up to now."""
+        for _ in range(MAX_PASSES):
+            if self._pass_ends > now:
+                return
+            self._end_pass()
+            if not self._reads and not self._writers():
+                return
+            if not math.isfinite(self._pass_ends):
+                self._pass_ends = now
+            self._begin_pass(model)
+        self._pass_ends = now
+
+    def _end_pass(self) -> None:
+        for run_id, read in list(self._reads.items()):
+            read.left_s -= read.in_pass_s
+            if read.in_pass_s > 0 and read.left_s <= 1e-9:
+                del self._reads[run_id]
+            read.in_pass_s = 0.0
+
+    def _begin_pass(self, model: fleet_config.EngineModel) -> None:
+        self._pass_began = self._pass_ends
+        writers = self._writers()
+        length_s = self._steps_s(model, writers)
+        if writers:
+            room_s = pass_read_s(model)
+            for read in self._reads.values():
+                read.in_pass_s = min(read.left_s, room_s)
+                room_s -= read.in_pass_s
+                length_s += read.in_pass_s
+        else:
+            # Without writers the pass is one step, so the first read is done
+            # before the next begins.
+            read = next(iter(self._reads.values()))
+            read.in_pass_s = read.left_s
+            length_s += read.left_s
+        self._pass_ends = self._pass_began + max(length_s, 1e-4)
+
+    def _writers(self) -> list[Run]:
+        return [
+            run for run in self.runs.values() if run.run_id not in self._reads
+        ]
+
+    def _steps_s(
+        self, model: fleet_config.EngineModel, writers: list[Run]
+    ) -> float:
+        if not writers:
+            return 0.0
+        return engine_costs.pass_s(
+            model, len(writers), sum(run.step_tokens for run in writers)
         )
-        return STALE_READ_S if is_reading else 0.0
 
-    def add_read(self, part_s: float, now: float) -> None:
-        """Adds a read to the backlog."""
-        self._busy_until = max(self._busy_until, now) + part_s
+    def outlook(
+        self,
+        model: fleet_config.EngineModel,
+        now: float,
+        gap_margin_s: float,
+        due_margin_s: float,
+    ) -> Outlook:
+        """Returns what a new read would find.
 
-    def end_reads(self, now: float) -> None:
-        """Corrects the backlog after a read has ended."""
-        is_reading = any(not run.writing for run in self.runs.values()) or any(
-            not run.writing for run in self.helping.values()
+        Args:
+            model: The engine's cost model.
+            now: Monotonic time in seconds.
+            gap_margin_s: Part of an accepted pause that is left.
+            due_margin_s: Time to a due first event that is left.
+        """
+        self.advance(model, now)
+        wait_s = max(self._pass_ends - now, 0.0)
+        waiting = [read for read in self._reads.values() if read.in_pass_s <= 0]
+        left_s = sum(
+            read.left_s - read.in_pass_s for read in self._reads.values()
         )
-        if not is_reading:
-            self._busy_until = min(self._busy_until, now)
+        next_s = left_s
+        if self.runs:
+            # All runs here will write in the next pass, or soon after.
+            next_s += engine_costs.pass_s(
+                model, len(self.runs), self.context_tokens
+            )
+        slack_s = math.inf
+        for run in self.runs.values():
+            if run.gap_s > 0:
+                margin_s = min(gap_margin_s, run.gap_s / 4)
+                slack_s = min(slack_s, run.gap_s - margin_s - next_s)
+        for read in waiting:
+            if read.due_at > now:
+                left = read.due_at - now - due_margin_s - wait_s - next_s
+                if left + due_margin_s > 0:
+                    slack_s = min(slack_s, left)
+        return Outlook(wait_s, next_s, slack_s)
+
+
+def pass_read_s(model: fleet_config.EngineModel) -> float:
+    """Returns the time that reads may take in a pass with writers."""
+    tokens = model.chunk_tokens * model.stride_steps
+    return engine_costs.read_s(model, tokens)
 
 
 class EngineLoad:
@@ -132,50 +276,50 @@
         if run.run_id in self._runs:
             return
         self._runs[run.run_id] = run
-        row = self.row(run.engine)
-        row.runs[run.run_id] = run
-        rows = [row]
-        for helper in run.helpers:
-            helping = self.row(helper)
-            helping.helping[run.run_id] = run
-            rows.append(helping)
+        due_at = now - age_s + run.target_left_s
+        rows = [self.row(run.engine)]
+        rows += [self.row(helper) for helper in run.helpers]
         if not run.writing:
-            for each in rows:
-                each.add_read(max(run.part_s - age_s, 0.0), now)
+            for row in rows:
+                row.add_read(run.run_id, run.part_s, due_at, now - age_s)
+        rows[0].runs[run.run_id] = run
+        for row in rows[1:]:
+            row.helping[run.run_id] = run
 
-    def wrote(self, run_id: str, now: float) -> Run | None:
+    def wrote(self, run_id: str) -> Run | None:
         """Notes the first event; returns the run if it was still reading."""
         run = self._runs.get(run_id)
         if run is None or run.writing:
             return None
         run = run._replace(writing=True)
         self._runs[run_id] = run
-        self.row(run.engine).runs[run_id] = run
-        self.row(run.engine).end_reads(now)
+        row = self.row(run.engine)
+        row.runs[run_id] = run
+        row.end_read(run_id)
         for helper in run.helpers:
             self.row(helper).helping[run_id] = run
-            self.row(helper).end_reads(now)
+            self.row(helper).end_read(run_id)
         return run
 
-    def end(self, run_id: str, now: float) -> None:
+    def end(self, run_id: str) -> None:
         """Removes a run."""
         run = self._runs.pop(run_id, None)
         if run is None:
             return
         row = self.row(run.engine)
         row.runs.pop(run_id, None)
-        row.end_reads(now)
+        row.end_read(run_id)
         for helper in run.helpers:
             self.row(helper).helping.pop(run_id, None)
-            self.row(helper).end_reads(now)
+            self.row(helper).end_read(run_id)
 
-    def end_all(self, run_ids: Iterable[str], now: float) -> None:
+    def end_all(self, run_ids: Iterable[str]) -> None:
         """Removes runs."""
         for run_id in list(run_ids):
-            self.end(run_id, now)
+            self.end(run_id)
 
     def forget_engine(self, engine: str) -> None:
         """Drops the row of an engine that is gone, if nothing runs there."""
         row = self._rows.get(engine)
-        if row is not None and not row.runs and not row.helping:
+        if row is not None and row.idle:
             del self._rows[engine]
--- a/src/apricottrestle/gateway/engine_routing.py
+++ b/src/apricottrestle/gateway/engine_routing.py
@@ -98,16 +98,16 @@
 
     Attributes:
         candidate: The engine.
-        pass_s: Time of one of its passes without reads.
-        backlog_s: Time of the reads before a new one.
-        slack_s: Longest read that delays no writer too much.
+        wait_s: Time until its pass under way ends.
+        next_pass_s: Time of its next pass without the new read.
+        slack_s: Longest read that makes nobody else late.
         kv_free: Memory that is free, in tokens.
         slots_free: Requests that it can take.
     """
 
     candidate: Candidate
-    pass_s: float
-    backlog_s: float
+    wait_s: float
+    next_pass_s: float
     slack_s: float
     kv_free: int
     slots_free: int
@@ -117,21 +117,15 @@
     candidate: Candidate, model: fleet_config.EngineModel, now: float
 ) -> _Room:
     row = candidate.row
-    writers = len(row.runs)
     pace = candidate.pace
-    pass_s = 0.0
-    if writers:
-        pass_s = pace * engine_costs.pass_s(model, writers, row.context_tokens)
-    backlog_s = pace * row.backlog_s(now)
-    gap_s = row.least_gap_s
-    slack_s = gap_s - pass_s - backlog_s - min(GAP_MARGIN_S, gap_s / 4)
+    outlook = row.outlook(model, now, GAP_MARGIN_S, TARGET_MARGIN_S)
     return _Room(
         candidate,
-        pass_s,
-        backlog_s,
-        slack_s / pace,
+        pace * outlook.wait_s,
+        pace * outlook.next_pass_s,
+        outlook.slack_s / pace,
         int(model.kv_tokens * KV_MARGIN) - row.kv_tokens,
-        candidate.slots - FREE_SLOTS - writers,
+        candidate.slots - FREE_SLOTS - len(row.runs),
     )
 
 
@@ -238,8 +232,8 @@
 def _first_event_s(room: _Room, part_s: float) -> float:
     candidate = room.candidate
     return (
-        room.pass_s
-        + room.backlog_s
+        room.wait_s
+        + room.next_pass_s
         + candidate.pace * part_s
         + 2 * candidate.distance_s
     )
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -84,6 +84,10 @@
     def wrote(self, exchange: "Exchange", sent: Sent) -> None:
         """Notes the first event of a send."""
 
+    @abc.abstractmethod
+    def saw_event(self, exchange: "Exchange", sent: Sent) -> None:
+        """Notes that an engine has just ended a pass."""
+
     @abc.abstractmethod
     def sent_ended(
         self,
@@ -147,6 +151,9 @@
         self._body_bytes = 0
         self._events = 0
         self._is_valid = False
+        self._first_event_at: float | None = None
+        self._last_event_at = 0.0
+        self._longest_gap_s = 0.0
         self._done = False
         self._loop = asyncio.get_running_loop()
         self._stall_timer: asyncio.TimerHandle | None = None
@@ -322,14 +329,21 @@
     ) -> None:
         sent = self._sent
         assert sent is not None
+        now = time.monotonic()
         if not self._history.answered:
             self._history = self._history._replace(answered=True)
             self._responder.begin(head.status, head.headers)
+            self._first_event_at = now
             metrics.FIRST_TOKEN_SECONDS.labels(
                 str(self.accepted.priority)
-            ).observe(time.monotonic() - self.req.arrived_s)
+            ).observe(now - self.req.arrived_s)
+        else:
+            gap_s = now - self._last_event_at
+            self._longest_gap_s = max(self._longest_gap_s, gap_s)
+        self._last_event_at = now
         if self._events == 0:
             self._host.wrote(self, sent)
+        self._host.saw_event(self, sent)
         self._events += len(chunks)
         self._responder.write(b"".join(chunks))
         self._arm_stall_timer(0.0)
@@ -535,6 +549,8 @@
             detail=detail,
             upstreams=self.tried,
             last_event_id=self.last_event_id,
+            first_event_s=_since(self._first_event_at, self.req.arrived_s),
+            longest_gap_s=round(self._longest_gap_s, 4),
             after_s=round(time.monotonic() - self.req.arrived_s, 4),
         )
         self._host.ended(self, outcome)
@@ -551,6 +567,10 @@
         )
 
 
+def _since(at: float | None, start: float) -> float | None:
+    return None if at is None else round(at - start, 4)
+
+
 def _order(
     event_id: str | None, last_id: str | None
 ) -> Literal["next", "repeated", "gap"]:
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -212,11 +212,17 @@
 
     def wrote(self, one: exchange.Exchange, sent: exchange.Sent) -> None:
         """See Host.wrote."""
-        now = time.monotonic()
-        if self.load.wrote(sent.run_id, now) is not None:
+        if self.load.wrote(sent.run_id) is not None:
             self.listener.run_wrote(sent.run_id)
             self._pump_soon()
 
+    def saw_event(self, one: exchange.Exchange, sent: exchange.Sent) -> None:
+        """See Host.saw_event."""
+        model = one.accepted.service.engine
+        if model is not None:
+            now = time.monotonic()
+            self.load.row(sent.upstream_id).saw_event(model, now, now)
+
     def sent_ended(
         self,
         one: exchange.Exchange,
@@ -228,7 +234,7 @@
         now = time.monotonic()
         self._account_health(one, sent, result, fault_address, now)
         if self.load.run(sent.run_id) is not None:
-            self.load.end(sent.run_id, now)
+            self.load.end(sent.run_id)
             self.listener.run_ended(sent.run_id)
             self._holds.free(sent.run_id)
             self._pump_soon()
@@ -443,6 +449,7 @@
             choice.part_s,
             choice.held_tokens,
             ask.gap_s,
+            ask.target_left_s,
             False,
         )
         row = self.load.row(choice.engine)
@@ -456,7 +463,6 @@
             candidates=candidates,
             list_version=self.state.members.version,
             running=len(row.runs),
-            backlog_s=round(row.backlog_s(now), 4),
             first_event_s=round(choice.first_event_s, 4),
             target_left_s=round(ask.target_left_s, 4),
             on_time=choice.on_time,
@@ -532,7 +538,7 @@
 
     def _withdraw(self, one: exchange.Exchange, run: engine_load.Run) -> None:
         """Takes back a run that was not sent, and places the request anew."""
-        self.load.end(run.run_id, time.monotonic())
+        self.load.end(run.run_id)
         self.listener.run_ended(run.run_id)
         self._holds.free(run.run_id)
         if not one.done:
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -220,10 +220,10 @@
         self._add_runs(beat.sender.incarnation, beat.started, now)
         runs = self._peer_runs.setdefault(beat.sender.incarnation, set())
         for run_id in beat.wrote:
-            self._core.load.wrote(run_id, now)
+            self._core.load.wrote(run_id)
         for run_id in beat.ended:
             runs.discard(run_id)
-            self._core.load.end(run_id, now)
+            self._core.load.end(run_id)
         if beat.calls:
             counts = self._core.peer_calls.setdefault(
                 beat.sender.incarnation, collections.Counter()
@@ -261,7 +261,7 @@
 
     def _drop_runs(self, incarnation: str) -> None:
         runs = self._peer_runs.pop(incarnation, set())
-        self._core.load.end_all(runs, time.monotonic())
+        self._core.load.end_all(runs)
         self._core.peer_calls.pop(incarnation, None)
 
     # Sending to single peers.
