Share the calls to the store between the gateways

Ruled out: one elected reader (a term without duty whenever it fails); rarer polls (an upstream that leaves must get no work after 2 s). Change: module store_duty: two gateways wait for configurations and one polls the list, by the order of incarnations among those heard that reach the store; what they read goes to the others; the others read by themselves when they hear none.

--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -60,8 +60,8 @@
     incarnation = secrets.token_hex(4)
     rng = random.Random(secrets.randbits(128))
     core = gateway.Gateway(cfg, ports.client(), rng, incarnation)
-    sync = store_sync.StoreSync(ports.store, core.state, rng)
     peers = peer_sync.PeerSync(cfg, core, incarnation)
+    sync = store_sync.StoreSync(ports.store, core.state, peers, rng)
     core.listener = peers
     server = ports.callers(cfg.callers, core)
 
@@ -90,7 +90,7 @@
         server,
         ports.ready(cfg.ready, is_ready),
     ):
-        peers.start(link)
+        peers.start(link, sync)
         sync.start(
             store.GatewayRow(cfg.instance_id, cfg.peers, incarnation),
             peers.connect_rows,
--- a/src/apricottrestle/gateway/peer_messages.py
+++ b/src/apricottrestle/gateway/peer_messages.py
@@ -21,6 +21,7 @@
         incarnation: Random id of the process.
         config_version: Configuration it serves by; -1 when it has none.
         stopping: Whether it is leaving.
+        reaches_store: Whether the store answers it.
     """
 
     instance_id: str
@@ -28,6 +29,7 @@
     incarnation: str
     config_version: int
     stopping: bool = False
+    reaches_store: bool = False
 
 
 class StartedRun(msgspec.Struct, array_like=True, frozen=True):
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -23,6 +23,8 @@
     peers,
     settings,
     store,
+    store_duty,
+    store_sync,
 )
 
 FLUSH_S: Final = 0.005
@@ -34,7 +36,7 @@
 _LOG: Final = logging.getLogger(__name__)
 
 
-class PeerSync(gateway.RunListener):
+class PeerSync(gateway.RunListener, store_sync.Readers):
     """Exchanges beats, configuration and upstreams with the peers.
 
     Attributes:
@@ -62,12 +64,16 @@
         self._flush_due = False
         self._last_beat = 0.0
         self._link: peer_link.PeerLink | None = None
+        self._store_sync: store_sync.StoreSync | None = None
         self._greetings: set[asyncio.Task[None]] = set()
         core.state.watch_config(self._on_config)
 
-    def start(self, link: peer_link.PeerLink) -> None:
+    def start(
+        self, link: peer_link.PeerLink, sync: store_sync.StoreSync
+    ) -> None:
         """Connects to the seeds and begins to beat."""
         self._link = link
+        self._store_sync = sync
         for seed in self._cfg.seeds:
             self._connect(seed)
         self._timer = ioloop.PeriodicCallback(
@@ -90,6 +96,31 @@
         """See RunListener.gateways."""
         return self._peers.count()
 
+    # Shared calls to the store.
+
+    def rank(self, *, reaches_store: bool) -> int:
+        """See Readers.rank."""
+        return store_duty.rank(
+            store_duty.Reader(self._incarnation, reaches_store),
+            [
+                store_duty.Reader(peer.incarnation, peer.reaches_store)
+                for peer in self._peers.alive()
+            ],
+        )
+
+    def share_upstreams(self, since: int, read: store.UpstreamsRead) -> None:
+        """See Readers.share_upstreams."""
+        if self._link is not None:
+            self._link.broadcast(
+                peer_messages.UpstreamUpdate(
+                    self._sender(), since, read.position, read.changes
+                )
+            )
+
+    def contact_changed(self) -> None:
+        """See Readers.contact_changed."""
+        self._flush_soon()
+
     # Own changes.
 
     def run_started(self, run: engine_load.Run) -> None:
@@ -150,6 +181,7 @@
             self._incarnation,
             self._core.state.config_version,
             self.stopping,
+            self._store_sync is not None and self._store_sync.reaches_store,
         )
 
     def _tick(self) -> None:
@@ -189,13 +221,15 @@
             case peer_messages.ConfigUpdate():
                 self._core.state.adopt(message.config, sender.instance_id)
             case peer_messages.UpstreamUpdate():
-                pass
-        if sender.stopping:
-            self._on_leaving(sender)
+                self._on_upstreams(message)
 
     def _heard(self, sender: peer_messages.Sender, now: float) -> None:
         is_new, ended = self._peers.heard(
-            sender.address, sender.instance_id, sender.incarnation, now
+            sender.address,
+            sender.instance_id,
+            sender.incarnation,
+            now,
+            reaches_store=sender.reaches_store and not sender.stopping,
         )
         if ended is not None:
             self._drop_runs(ended)
@@ -213,8 +247,13 @@
         if sender.config_version < self._core.state.config_version:
             self._send_config(sender.address)
 
-    def _on_leaving(self, sender: peer_messages.Sender) -> None:
-        """A peer that stops still tells its runs until it is gone."""
+    def _on_upstreams(self, update: peer_messages.UpstreamUpdate) -> None:
+        if self._store_sync is not None:
+            self._store_sync.learn(
+                update.since,
+                store.UpstreamsRead(update.changes, update.position),
+                update.sender.instance_id,
+            )
 
     def _on_beat(self, beat: peer_messages.Beat, now: float) -> None:
         self._add_runs(beat.sender.incarnation, beat.started, now)
@@ -306,8 +345,11 @@
         )
 
     def _on_config(self, config: fleet_config.FleetConfig) -> None:
-        """Tells the peers of a new version: with the next beat they answer."""
-        self._flush_soon()
+        """Gives the peers a new version at once."""
+        if self._link is not None:
+            self._link.broadcast(
+                peer_messages.ConfigUpdate(self._sender(), config)
+            )
 
     def _send_config(self, address: str) -> None:
         compiled = self._core.state.compiled
--- a/src/apricottrestle/gateway/peers.py
+++ b/src/apricottrestle/gateway/peers.py
@@ -9,8 +9,10 @@
 BEAT_S: Final = 0.4
 """Interval of beats without news."""
 
-SILENCE_S: Final = 1.5
-"""Silence after which a peer counts as gone: three beats and some delay."""
+SILENCE_S: Final = 1.2
+"""Silence after which a peer counts as gone: three beats. What a gone peer did
+for the fleet must be taken over within the two seconds in which a new
+configuration comes into force."""
 
 FORGET_S: Final = 30.0
 """Silence after which the connection to a peer is given up. It says hello by
@@ -26,6 +28,7 @@
         incarnation: Random id of its process.
         heard_at: Monotonic time of its last message.
         alive: Whether it counts as alive.
+        reaches_store: Whether it says that the store answers it.
     """
 
     address: str
@@ -33,6 +36,7 @@
     incarnation: str
     heard_at: float
     alive: bool
+    reaches_store: bool
 
 
 class PeerTable:
@@ -43,7 +47,13 @@
         self._rows: dict[str, Peer] = {}
 
     def heard(
-        self, address: str, instance_id: str, incarnation: str, now: float
+        self,
+        address: str,
+        instance_id: str,
+        incarnation: str,
+        now: float,
+        *,
+        reaches_store: bool = True,
     ) -> tuple[bool, str | None]:
         """Notes a message of a peer.
 
@@ -52,7 +62,9 @@
             another process was at its address before.
         """
         before = self._rows.get(address)
-        self._rows[address] = Peer(address, instance_id, incarnation, now, True)
+        self._rows[address] = Peer(
+            address, instance_id, incarnation, now, True, reaches_store
+        )
         if before is None:
             return True, None
         if before.incarnation != incarnation:
--- a/src/apricottrestle/gateway/store_sync.py
+++ b/src/apricottrestle/gateway/store_sync.py
@@ -1,9 +1,10 @@
 """Follows the store: configuration by long poll, upstream list by short polls.
 
-Each loop goes on while the store fails, with growing pauses, and logs when it
-loses and regains the store.
+The gateways share the calls, see `store_duty`. Each loop goes on while the
+store fails, with growing pauses, and logs when it loses and regains the store.
 """
 
+import abc
 import asyncio
 import logging
 import random
@@ -12,15 +13,19 @@
 from typing import Final
 
 from apricottrestle import errors, logs
-from apricottrestle.gateway import fleet_state, store
+from apricottrestle.gateway import (
+    fleet_state,
+    store,
+    store_duty,
+    upstream_list,
+)
 
 CONFIG_WAIT_S: Final = 1.8
 """Longest wait of a long poll: bounds the time that a silent connection hides
 a new configuration."""
 
-LIST_POLL_S: Final = 0.5
-"""Interval of polls of the upstream list; a quarter of the time within which
-an upstream that leaves may get no more work."""
+DUTY_CHECK_S: Final = 0.05
+"""Interval at which a gateway looks whether it should read."""
 
 RETRY_FIRST_S: Final = 0.15
 RETRY_MAX_S: Final = 0.6
@@ -59,20 +64,45 @@
         await asyncio.sleep(self._pause_s * self._rng.uniform(0.7, 1.3))
 
 
+class Readers(abc.ABC):
+    """The gateways that share the calls to the store."""
+
+    @abc.abstractmethod
+    def rank(self, *, reaches_store: bool) -> int:
+        """Returns the number of gateways that should read before this one."""
+
+    @abc.abstractmethod
+    def share_upstreams(self, since: int, read: store.UpstreamsRead) -> None:
+        """Gives the others what was read of the upstream list."""
+
+    @abc.abstractmethod
+    def contact_changed(self) -> None:
+        """Tells the others that the store was lost or regained."""
+
+
 class StoreSync:
-    """Loops that keep the fleet state up to date from the store."""
+    """Loops that keep the fleet state up to date from the store.
+
+    Attributes:
+        reaches_store: Whether the last call was answered.
+    """
 
     def __init__(
         self,
         fleet_store: store.FleetStore,
         state: fleet_state.FleetState,
+        readers: Readers,
         rng: random.Random,
     ) -> None:
         """Prepares the loops."""
         self._store = fleet_store
         self._state = state
+        self._readers = readers
         self._rng = rng
         self._tasks: list[asyncio.Task[None]] = []
+        self._list_position: int | None = None
+        self._list_read_at = 0.0
+        self.reaches_store = False
 
     def start(
         self,
@@ -96,10 +126,38 @@
         for task in self._tasks:
             task.cancel()
 
+    def learn(self, since: int, read: store.UpstreamsRead, source: str) -> None:
+        """Takes over what another gateway read of the upstream list.
+
+        Args:
+            since: Position after which it was read.
+            read: The changes, one for each record.
+            source: The gateway.
+        """
+        position = self._list_position
+        if position is None or position < since or read.position < position:
+            # Records between would be missing; the own poll fetches them.
+            return
+        fresh = read.changes[position - since :]
+        self._take_over(fresh, read.position, source, whole=False)
+
+    def _set_contact(self, reaches_store: bool) -> None:
+        if reaches_store != self.reaches_store:
+            self.reaches_store = reaches_store
+            self._readers.contact_changed()
+
+    def _rank(self) -> int:
+        return self._readers.rank(reaches_store=self.reaches_store)
+
     async def _follow_config(self) -> None:
         contact = _Contact("configuration", self._rng)
         position: int | None = None
         while True:
+            if position is not None and not store_duty.waits_for_config(
+                self._rank()
+            ):
+                await asyncio.sleep(DUTY_CHECK_S)
+                continue
             try:
                 if position is None:
                     read = await self._store.read_config()
@@ -112,17 +170,20 @@
                 position = None
                 continue
             except errors.PlatformError as exc:
+                self._set_contact(False)
                 await contact.failed(exc)
                 continue
             contact.regained()
+            self._set_contact(True)
             position = read.position
             if read.config is not None:
                 self._state.adopt(read.config, "store")
 
     async def _follow_upstreams(self) -> None:
         contact = _Contact("upstream list", self._rng)
-        position: int | None = None
         while True:
+            await self._until_list_due()
+            position = self._list_position
             try:
                 if position is None:
                     read = await self._store.read_upstreams()
@@ -130,28 +191,54 @@
                     read = await self._store.follow_upstreams(position)
             except store.HistoryLostError as exc:
                 _log_lost_history("upstream list", position, exc)
-                position = None
+                self._list_position = None
                 continue
             except errors.PlatformError as exc:
+                self._set_contact(False)
                 await contact.failed(exc)
-                self._expire()
                 continue
             contact.regained()
-            self._take_over(read, whole=position is None)
-            position = read.position
-            await asyncio.sleep(LIST_POLL_S)
+            self._set_contact(True)
+            if position is None:
+                self._take_over(
+                    read.changes, read.position, "store", whole=True
+                )
+            else:
+                self._readers.share_upstreams(position, read)
+                skipped = (self._list_position or position) - position
+                self._take_over(
+                    read.changes[skipped:], read.position, "store", whole=False
+                )
+
+    async def _until_list_due(self) -> None:
+        """Waits until this gateway should poll the upstream list."""
+        while self._list_position is not None:
+            due_s = store_duty.list_due_s(self._rank())
+            left_s = self._list_read_at + due_s - time.monotonic()
             self._expire()
+            if left_s <= 0:
+                return
+            await asyncio.sleep(min(left_s, 4 * DUTY_CHECK_S))
 
-    def _take_over(self, read: store.UpstreamsRead, *, whole: bool) -> None:
+    def _take_over(
+        self,
+        records: list[tuple[str, upstream_list.UpstreamEntry | None]],
+        position: int,
+        source: str,
+        *,
+        whole: bool,
+    ) -> None:
         members = self._state.members
         now = time.monotonic()
         if whole:
-            entries = [entry for _, entry in read.changes if entry is not None]
+            entries = [entry for _, entry in records if entry is not None]
             changes = members.replace(entries, now)
         else:
-            changes = members.apply(read.changes, now)
+            changes = members.apply(records, now)
+        self._list_position = max(position, self._list_position or 0)
+        self._list_read_at = now
         self._state.list_known = True
-        self._state.apply_upstreams(changes, "store")
+        self._state.apply_upstreams(changes, source)
 
     def _expire(self) -> None:
         changes = self._state.members.expire(time.monotonic())
