Give up silent upstreams within three seconds

Ruled out: a lost release (the run had not ended for the gateway). Change: two keep-alive probes; after the first event, the limit of silence rests on the accepted pause only. Test of the socket options, which failed before.

--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -501,15 +501,19 @@
         self._finish("timeout", "")
 
     def _arm_stall_timer(self, first_event_s: float) -> None:
+        """Starts the wait for the next event.
+
+        Args:
+            first_event_s: Expected time to the first event of a send, or 0
+                when it has arrived.
+        """
         self._cancel_stall_timer()
         route = self.accepted.route
-        limit_s = STALL_SHARE * max(
-            ABANDON_LEAST_S,
-            ABANDON_TARGETS * route.target_s,
-            ABANDON_GAPS * route.event_gap_target_s,
-        )
+        pause_s = max(ABANDON_LEAST_S, ABANDON_GAPS * route.event_gap_target_s)
+        if first_event_s > 0:
+            pause_s = max(pause_s, ABANDON_TARGETS * route.target_s)
         self._stall_timer = self._loop.call_later(
-            max(limit_s, 2 * first_event_s), self._on_stall
+            max(STALL_SHARE * pause_s, 2 * first_event_s), self._on_stall
         )
 
     def _cancel_stall_timer(self) -> None:
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -28,6 +28,10 @@
 KEEPALIVE_S: Final = 1
 """Idle time before and between keep-alive probes; TCP's least."""
 
+KEEPALIVE_PROBES: Final = 2
+"""Unanswered probes after which a connection ends: three seconds of silence,
+within the four in which memory held for a lost run must be free."""
+
 ORDER_TIMEOUT_S: Final = 0.5
 """Time for the answer to a memory order."""
 
@@ -83,12 +87,15 @@
     return curl_httpclient.CurlError(pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
 
 
-def _set_user_timeout(fd: int, _purpose: int) -> int:
-    """Sets TCP_USER_TIMEOUT on a socket that libcurl has just made."""
+def bound_silence(fd: int, _purpose: int = 0) -> int:
+    """Sets when a socket that libcurl has just made gives up a silent peer."""
     with socket.socket(fileno=socket.dup(fd)) as sock:
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
         )
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES
+        )
     return 0
 
 
@@ -141,7 +148,7 @@
         # Not tornado's header callback: it runs later than the data's when an
         # answer arrives at once.
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header_line)
-        curl.setopt(pycurl.SOCKOPTFUNCTION, _set_user_timeout)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, bound_silence)
         curl.setopt(pycurl.TCP_KEEPALIVE, 1)
         curl.setopt(pycurl.TCP_KEEPIDLE, KEEPALIVE_S)
         curl.setopt(pycurl.TCP_KEEPINTVL, KEEPALIVE_S)
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -45,6 +45,9 @@
 UNSAFE = SAFE._replace(
     name="order", path_prefix="/order/", kind="unsafe", max_attempts=1
 )
+MEMORY_FREE_S = 4.0
+"""Time within which unused memory must be free, from the platform's pages."""
+
 LIMITS = fleet_config.CallerLimits(16_384, 4 * 1024 * 1024, 3.0, 15.0)
 
 
--- a/tests/test_platform_upstream_client.py
+++ b/tests/test_platform_upstream_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import socket
 from typing import Any
 
 import pytest
@@ -174,6 +175,23 @@
     assert sink.ends == ["not_sent"]
 
 
+def test_connections_give_up_a_silent_upstream_in_time() -> None:
+    """Guards against a connection that waits for a dark machine.
+
+    Seen as LEAK on ledena grown, mix --seed 614641230727: memory was renewed
+    for 5.5 s for a run whose engine had lost power.
+    """
+    with socket.socket() as sock:
+        upstream_client.bound_silence(sock.fileno())
+        probes = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT)
+        silence_s = upstream_client.KEEPALIVE_S * (1 + probes)
+        assert silence_s < gateway_parts.MEMORY_FREE_S
+        timeout_ms = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+        )
+        assert timeout_ms < 1000 * gateway_parts.MEMORY_FREE_S
+
+
 @pytest.mark.parametrize("with_data", [False, True])
 @async_helpers.on_loop
 async def test_cancel_closes_the_connection(with_data: bool) -> None:
