Wire a gateway's parts in one assembly, on the event loop's clock

Cause: tornado's periodic callbacks follow the time of day, so a clock set back delays beats and waiting requests by the step; and nothing but the daemon could run a whole gateway. Change: module clock (the loop's monotonic time, Ticker), module assembly, used by the daemon and by experiments in virtual time to come; an interface Link. Conclusion: no reading of the time of day is left in the gateway.

--- a/src/apricottrestle/gateway/calls.py
+++ b/src/apricottrestle/gateway/calls.py
@@ -38,7 +38,7 @@
         api_key: Bearer key, or None.
         time_left_s: Time the caller still waits, counted from the arrival, or
             None when it stated none.
-        arrived_s: When the request had been read.
+        arrived_s: When it had been read, by the event loop's clock.
         resume_after: Id of the last event the caller has, or None.
         size: Size of the prompt, or None for other requests.
     """
--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -1,26 +1,23 @@
-"""Process of a gateway: wiring, timers, signals and the planned stop."""
+"""Process of a gateway: sockets, signals and the planned stop."""
 
 import asyncio
+import contextlib
 import logging
 import random
 import secrets
 import signal
-import time
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
-from tornado import ioloop
-
 from apricottrestle import logs, ops_http
 from apricottrestle.gateway import (
+    assembly,
     calls,
+    clock,
     fleet_config,
-    gateway,
     peer_link,
-    peer_sync,
     settings,
     store,
-    store_sync,
 )
 
 ACCEPT_AFTER_STOP_S: Final = 2.6
@@ -59,25 +56,16 @@
 async def _run(cfg: settings.GatewaySettings, ports: Ports) -> None:
     incarnation = secrets.token_hex(4)
     rng = random.Random(secrets.randbits(128))
-    core = gateway.Gateway(cfg, ports.client(), rng, incarnation)
-    peers = peer_sync.PeerSync(cfg, core, incarnation)
-    sync = store_sync.StoreSync(ports.store, core.state, peers, rng)
-    core.listener = peers
-    server = ports.callers(cfg.callers, core)
+    notice = _stop_notice(cfg)
+    parts = assembly.Assembly(
+        cfg, ports.store, ports.client(), rng, incarnation
+    )
+    server = ports.callers(cfg.callers, parts.core)
 
     def on_config(config: fleet_config.FleetConfig) -> None:
         server.set_idle_timeout(config.limits.idle_timeout_s)
 
-    core.state.watch_config(on_config)
-
-    def is_ready() -> bool:
-        return (
-            core.state.compiled is not None
-            and core.state.list_known
-            and not core.stopping
-            and not peers.stopping
-        )
-
+    parts.core.state.watch_config(on_config)
     logs.decision(
         _LOG,
         "start",
@@ -86,64 +74,62 @@
         data_centre=cfg.data_centre,
     )
     with (
-        peer_link.PeerLink(cfg.peers, peers.receive) as link,
+        parts,
+        peer_link.PeerLink(cfg.peers, parts.peers.receive) as link,
         server,
-        ports.ready(cfg.ready, is_ready),
+        ports.ready(cfg.ready, lambda: parts.ready),
+        _ops(cfg, parts),
     ):
-        peers.start(link, sync)
-        sync.start(
-            store.GatewayRow(cfg.instance_id, cfg.peers, incarnation),
-            peers.connect_rows,
-        )
-        ticks = ioloop.PeriodicCallback(core.pump, gateway.TICK_S * 1000)
-        ticks.start()
-        with _ops(cfg, is_ready):
-            await _until_stopped(cfg, core, peers, server)
-        ticks.stop()
-        sync.stop()
-        peers.stop()
-        core.close()
+        parts.start(link)
+        await notice.wait()
+        await _drain(cfg, parts, server)
     logs.decision(_LOG, "stop", instance=cfg.instance_id)
 
 
 def _ops(
-    cfg: settings.GatewaySettings, is_ready: Callable[[], bool]
-) -> ops_http.OpsServer:
+    cfg: settings.GatewaySettings, parts: assembly.Assembly
+) -> contextlib.AbstractContextManager[Any]:
+    if not cfg.ops:
+        return contextlib.nullcontext()
     return ops_http.OpsServer(
-        cfg.ops, lambda: [] if is_ready() else ["not ready"]
+        cfg.ops, lambda: [] if parts.ready else ["not ready"]
     )
 
 
-async def _until_stopped(
-    cfg: settings.GatewaySettings,
-    core: gateway.Gateway,
-    peers: peer_sync.PeerSync,
-    server: Any,
-) -> None:
-    """Waits for the notice of a stop, then ends what is under way."""
+def _stop_notice(cfg: settings.GatewaySettings) -> asyncio.Event:
+    """Returns an event that a signal to stop sets."""
     loop = asyncio.get_running_loop()
     notice = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, notice.set)
-    loop.add_signal_handler(signal.SIGHUP, _on_reload, cfg)
-    await notice.wait()
-    started = time.monotonic()
+    loop.add_signal_handler(
+        signal.SIGHUP,
+        lambda: logs.decision(_LOG, "reload", instance=cfg.instance_id),
+    )
+    return notice
+
+
+async def _drain(
+    cfg: settings.GatewaySettings, parts: assembly.Assembly, server: Any
+) -> None:
+    """Ends what is under way within the grace period.
+
+    Requests are served until the load balancer has noticed, then refused as
+    not run; connections end with their next answer.
+    """
+    core = parts.core
+    started = clock.now()
     logs.decision(
         _LOG, "stop requested", requests=len(core.active), grace_s=cfg.grace_s
     )
-    peers.stopping = True
+    parts.peers.stopping = True
     server.stopping = True
-    while time.monotonic() - started < ACCEPT_AFTER_STOP_S:
-        await asyncio.sleep(STOP_CHECK_S)
+    await asyncio.sleep(ACCEPT_AFTER_STOP_S)
     core.stopping = True
     server.stop_listening()
     server.close_idle()
     last = started + cfg.grace_s - LAST_WRITES_S
-    while core.active and time.monotonic() < last:
+    while core.active and clock.now() < last:
         await asyncio.sleep(STOP_CHECK_S)
         server.close_idle()
     await asyncio.sleep(LAST_WRITES_S / 2)
-
-
-def _on_reload(cfg: settings.GatewaySettings) -> None:
-    logs.decision(_LOG, "reload", instance=cfg.instance_id)
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -11,13 +11,13 @@
 import abc
 import asyncio
 import logging
-import time
 from typing import Final, Literal, NamedTuple
 
 from apricottrestle import logs, metrics
 from apricottrestle.gateway import (
     accept,
     calls,
+    clock,
     engine_routing,
     event_stream,
     retry_policy,
@@ -200,7 +200,7 @@
     def begin(self) -> None:
         """Starts the timer and looks for an upstream."""
         self._responder.on_close(self._on_caller_left)
-        left_s = self.time_left_s(time.monotonic())
+        left_s = self.time_left_s(clock.now())
         self._end_timer: asyncio.TimerHandle | None = None
         if left_s < float("inf"):
             self._end_timer = self._loop.call_later(
@@ -218,7 +218,7 @@
         """Sends the request to an upstream."""
         if self._done:
             return
-        now = time.monotonic()
+        now = clock.now()
         self._sent = sent
         self._head = None
         self._splitter = event_stream.EventSplitter()
@@ -329,7 +329,7 @@
     ) -> None:
         sent = self._sent
         assert sent is not None
-        now = time.monotonic()
+        now = clock.now()
         if not self._history.answered:
             self._history = self._history._replace(answered=True)
             self._responder.begin(head.status, head.headers)
@@ -366,7 +366,7 @@
             detail=detail,
             status=head.status if head else None,
             events=self._events,
-            after_s=round(time.monotonic() - sent.started_at, 4),
+            after_s=round(clock.now() - sent.started_at, 4),
             outcome=result.value if result else "served",
         )
         self._events = 0
@@ -427,7 +427,7 @@
         if result is retry_policy.SendResult.FAILED and head is not None:
             self._error = (head, b"".join(self._body))
         self._history = history
-        now = time.monotonic()
+        now = clock.now()
         could_repeat = retry_policy.decide(
             result,
             history,
@@ -465,7 +465,7 @@
         match step:
             case retry_policy.Next.SEND_AGAIN:
                 metrics.RETRIES.labels("failed_send").inc()
-                self.waiting_since = time.monotonic()
+                self.waiting_since = clock.now()
                 self._host.place(self)
             case retry_policy.Next.PASS_ON if self._error is not None:
                 self._write_whole(*self._error)
@@ -555,7 +555,7 @@
             last_event_id=self.last_event_id,
             first_event_s=_since(self._first_event_at, self.req.arrived_s),
             longest_gap_s=round(self._longest_gap_s, 4),
-            after_s=round(time.monotonic() - self.req.arrived_s, 4),
+            after_s=round(clock.now() - self.req.arrived_s, 4),
         )
         self._host.ended(self, outcome)
 
--- a/src/apricottrestle/gateway/fleet_state.py
+++ b/src/apricottrestle/gateway/fleet_state.py
@@ -50,6 +50,8 @@
     def adopt(self, config: fleet_config.FleetConfig, source: str) -> bool:
         """Puts a configuration in force unless a newer one is."""
         before = self.config_version
+        if config.version == before:
+            return False
         is_newer = config.version > before
         logs.decision(
             _LOG,
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -8,13 +8,13 @@
 import collections
 import logging
 import random
-import time
 from typing import Final
 
 from apricottrestle import logs, metrics
 from apricottrestle.gateway import (
     accept,
     calls,
+    clock,
     engine_load,
     engine_routing,
     exchange,
@@ -150,7 +150,7 @@
             tokens=req.size.prompt_tokens if req.size else None,
             resume_after=req.resume_after,
         )
-        now = time.monotonic()
+        now = clock.now()
         self._budget(decision.service.name).count_request(now)
         one = exchange.Exchange(self, req, decision, responder)
         self.active.add(one)
@@ -196,7 +196,7 @@
     def take_retry(self, one: exchange.Exchange) -> bool:
         """See Host.take_retry."""
         return self._budget(one.accepted.service.name).take(
-            self.listener.gateways(), time.monotonic()
+            self.listener.gateways(), clock.now()
         )
 
     def retry_after_s(self, one: exchange.Exchange) -> float:
@@ -220,7 +220,7 @@
         """See Host.saw_event."""
         model = one.accepted.service.engine
         if model is not None:
-            now = time.monotonic()
+            now = clock.now()
             self.load.row(sent.upstream_id).saw_event(model, now, now)
 
     def sent_ended(
@@ -231,7 +231,7 @@
         fault_address: str | None,
     ) -> None:
         """See Host.sent_ended."""
-        now = time.monotonic()
+        now = clock.now()
         self._account_health(one, sent, result, fault_address, now)
         if self.load.run(sent.run_id) is not None:
             self.load.end(sent.run_id)
@@ -287,7 +287,7 @@
     # Plain services.
 
     def _place_call(self, one: exchange.Exchange) -> None:
-        now = time.monotonic()
+        now = clock.now()
         service = one.accepted.service.name
         entries = self._usable(service, one, now)
         candidates = [
@@ -377,7 +377,7 @@
     def pump(self) -> None:
         """Places the waiting requests that fit now, most urgent first."""
         self._pump_due = False
-        now = time.monotonic()
+        now = clock.now()
         waiting = sorted(self._waiting, key=lambda one: _urgency(one, now))
         for one in waiting:
             if one.done or one not in self._waiting:
@@ -489,7 +489,7 @@
         members = self.state.members
         entry = members.get(run.engine)
         helpers = [members.get(helper) for helper in run.helpers]
-        now = time.monotonic()
+        now = clock.now()
         if one.done or entry is None or None in helpers:
             self._withdraw(one, run)
             return
--- a/src/apricottrestle/gateway/memory_holds.py
+++ b/src/apricottrestle/gateway/memory_holds.py
@@ -14,7 +14,7 @@
 from typing import Any, Final
 
 from apricottrestle import errors, logs
-from apricottrestle.gateway import calls
+from apricottrestle.gateway import calls, clock
 
 HOLD_SHARE: Final = 0.75
 """Hold time as a share of the time within which unused memory must be free."""
@@ -115,7 +115,7 @@
             outcome = "granted" if granted else "no memory free"
         except errors.UpstreamError as exc:
             outcome = str(exc)
-            self._unanswered[reservation.reservation_id] = _now()
+            self._unanswered[reservation.reservation_id] = clock.now()
         logs.decision(
             _LOG,
             "reserve",
@@ -130,7 +130,7 @@
     async def _release(self, reservation: calls.Reservation) -> None:
         answered = await self._release_once(reservation, RELEASE_TRIES)
         sent_at = self._unanswered.pop(reservation.reservation_id, None)
-        while sent_at is not None and _now() < sent_at + LATE_ORDER_S:
+        while sent_at is not None and clock.now() < sent_at + LATE_ORDER_S:
             await asyncio.sleep(LATE_RELEASE_S)
             answered = await self._release_once(reservation, 1)
         logs.decision(
@@ -161,7 +161,3 @@
             else:
                 return True
         return False
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/src/apricottrestle/gateway/peer_link.py
+++ b/src/apricottrestle/gateway/peer_link.py
@@ -7,6 +7,7 @@
 beat tells it what it missed through a new welcome.
 """
 
+import abc
 import logging
 from collections.abc import Callable
 from types import TracebackType
@@ -35,8 +36,28 @@
 OnMessage = Callable[[peer_messages.Message], None]
 
 
-class PeerLink:
-    """Sockets to all peers. A context manager that owns them."""
+class Link(abc.ABC):
+    """Connections to all peers; sending never blocks."""
+
+    @abc.abstractmethod
+    def connect(self, address: str) -> bool:
+        """Connects to a peer; False when it is connected already."""
+
+    @abc.abstractmethod
+    def disconnect(self, address: str) -> None:
+        """Closes the connection to a peer."""
+
+    @abc.abstractmethod
+    def send(self, address: str, message: peer_messages.Message) -> bool:
+        """Sends to one peer; False when it can't take the message now."""
+
+    @abc.abstractmethod
+    def broadcast(self, message: peer_messages.Message) -> None:
+        """Sends to all peers."""
+
+
+class PeerLink(Link):
+    """ZeroMQ sockets to all peers. A context manager that owns them."""
 
     def __init__(self, address: str, on_message: OnMessage) -> None:
         """Prepares the sockets.
@@ -77,13 +98,8 @@
             sock.close(0)
         self._ctx.destroy(0)
 
-    @property
-    def addresses(self) -> list[str]:
-        """Peers that a socket is connected to."""
-        return list(self._peers)
-
     def connect(self, address: str) -> bool:
-        """Connects to a peer; False when it is connected already."""
+        """See Link.connect."""
         if address in self._peers or address == self._address:
             return False
         sock = self._ctx.socket(zmq.PUSH)
@@ -101,17 +117,17 @@
         return True
 
     def disconnect(self, address: str) -> None:
-        """Closes the socket to a peer."""
+        """See Link.disconnect."""
         sock = self._peers.pop(address, None)
         if sock is not None:
             sock.close(0)
 
     def send(self, address: str, message: peer_messages.Message) -> bool:
-        """Sends to one peer; False when it can't take the message now."""
+        """See Link.send."""
         return self._send(address, peer_messages.encode(message))
 
     def broadcast(self, message: peer_messages.Message) -> None:
-        """Sends to all peers."""
+        """See Link.broadcast."""
         if not self._peers:
             return
         frame = peer_messages.encode(message)
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -8,13 +8,11 @@
 import asyncio
 import collections
 import logging
-import time
 from typing import Final
 
-from tornado import ioloop
-
 from apricottrestle import logs
 from apricottrestle.gateway import (
+    clock,
     engine_load,
     fleet_config,
     gateway,
@@ -27,6 +25,9 @@
     store_sync,
 )
 
+TICK_S: Final = 0.1
+"""Interval at which silence of peers is noticed: a quarter of a beat."""
+
 FLUSH_S: Final = 0.005
 """Time for which changes of runs are collected into one message."""
 
@@ -63,27 +64,20 @@
         self._calls: dict[str, int] = {}
         self._flush_due = False
         self._last_beat = 0.0
-        self._link: peer_link.PeerLink | None = None
+        self._link: peer_link.Link | None = None
         self._store_sync: store_sync.StoreSync | None = None
         self._greetings: set[asyncio.Task[None]] = set()
         core.state.watch_config(self._on_config)
 
-    def start(
-        self, link: peer_link.PeerLink, sync: store_sync.StoreSync
-    ) -> None:
+    def start(self, link: peer_link.Link, sync: store_sync.StoreSync) -> None:
         """Connects to the seeds and begins to beat."""
         self._link = link
         self._store_sync = sync
         for seed in self._cfg.seeds:
             self._connect(seed)
-        self._timer = ioloop.PeriodicCallback(
-            self._tick, peers.BEAT_S * 1000 / 4
-        )
-        self._timer.start()
 
     def stop(self) -> None:
         """Ends the beats."""
-        self._timer.stop()
         for task in self._greetings:
             task.cancel()
 
@@ -125,7 +119,7 @@
 
     def run_started(self, run: engine_load.Run) -> None:
         """See RunListener.run_started."""
-        entry = (run, time.monotonic())
+        entry = (run, clock.now())
         self._own[run.run_id] = entry
         self._started.append(entry)
         self._flush_soon()
@@ -155,7 +149,7 @@
 
     def _beat(self) -> None:
         self._flush_due = False
-        now = time.monotonic()
+        now = clock.now()
         self._last_beat = now
         if self._link is None:
             return
@@ -184,8 +178,9 @@
             self._store_sync is not None and self._store_sync.reaches_store,
         )
 
-    def _tick(self) -> None:
-        now = time.monotonic()
+    def tick(self) -> None:
+        """Notices peers that have gone, and beats when it is time."""
+        now = clock.now()
         gone, given_up = self._peers.expire(now)
         for peer in gone:
             logs.decision(
@@ -206,7 +201,7 @@
 
     def receive(self, message: peer_messages.Message) -> None:
         """Takes over a message of a peer."""
-        now = time.monotonic()
+        now = clock.now()
         sender = message.sender
         if sender.incarnation == self._incarnation:
             return
@@ -328,7 +323,7 @@
     def _welcome(self, address: str) -> None:
         if self._link is None:
             return
-        now = time.monotonic()
+        now = clock.now()
         compiled = self._core.state.compiled
         self._link.send(
             address,
--- a/src/apricottrestle/gateway/store_sync.py
+++ b/src/apricottrestle/gateway/store_sync.py
@@ -8,12 +8,12 @@
 import asyncio
 import logging
 import random
-import time
 from collections.abc import Callable
 from typing import Final
 
 from apricottrestle import errors, logs
 from apricottrestle.gateway import (
+    clock,
     fleet_state,
     store,
     store_duty,
@@ -51,13 +51,13 @@
                 _LOG,
                 "store regained",
                 what=self._what,
-                after_s=round(time.monotonic() - self._lost_at, 3),
+                after_s=round(clock.now() - self._lost_at, 3),
             )
             self._lost_at = None
 
     async def failed(self, exc: errors.PlatformError) -> None:
         if self._lost_at is None:
-            self._lost_at = time.monotonic()
+            self._lost_at = clock.now()
             logs.decision(_LOG, "store lost", what=self._what, reason=str(exc))
         self._pause_s = min(max(2 * self._pause_s, RETRY_FIRST_S), RETRY_MAX_S)
         # Spread, so that gateways don't return in step.
@@ -214,7 +214,7 @@
         """Waits until this gateway should poll the upstream list."""
         while self._list_position is not None:
             due_s = store_duty.list_due_s(self._rank())
-            left_s = self._list_read_at + due_s - time.monotonic()
+            left_s = self._list_read_at + due_s - clock.now()
             self._expire()
             if left_s <= 0:
                 return
@@ -229,7 +229,7 @@
         whole: bool,
     ) -> None:
         members = self._state.members
-        now = time.monotonic()
+        now = clock.now()
         if whole:
             entries = [entry for _, entry in records if entry is not None]
             changes = members.replace(entries, now)
@@ -241,7 +241,7 @@
         self._state.apply_upstreams(changes, source)
 
     def _expire(self) -> None:
-        changes = self._state.members.expire(time.monotonic())
+        changes = self._state.members.expire(clock.now())
         self._state.apply_upstreams(changes, "expiry")
 
     async def _announce(
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -6,14 +6,13 @@
 
 import http
 import logging
-import time
 from collections.abc import Callable
 from typing import Final
 
 from tornado import http1connection, httpserver, httputil, web
 
 from apricottrestle import http_server
-from apricottrestle.gateway import calls
+from apricottrestle.gateway import calls, clock
 from apricottrestle.platform import names
 
 MAX_HEADER_BYTES: Final = 64 * 1024
@@ -226,7 +225,7 @@
             self._start_line,
             self._headers,
             b"".join(self._chunks),
-            time.monotonic(),
+            clock.now(),
         )
         self._chunks = []
         self._responder = _HttpResponder(self._conn, req.request_id)
