--- /dev/null
+++ b/src/apricottrestle_standins/platform/chaos.py
@@ -0,0 +1,213 @@
+"""Random faults for a world: which, when and how long follow from a seed."""
+
+import asyncio
+import random
+from typing import Final, NamedTuple
+
+from apricottrestle_standins.platform import virtual_upstreams, world
+
+KINDS: Final = (
+    "kill_gateway",
+    "kill_all_gateways",
+    "crash_engine",
+    "dark_engine",
+    "crash_plain",
+    "lost_answers",
+    "slow_engine",
+    "store_refuses_some",
+    "store_silent",
+    "store_slow",
+    "store_forgets",
+    "entries_lapse",
+    "new_config",
+    "drain_upstream",
+    "cut_gateways",
+)
+
+
+class Fault(NamedTuple):
+    """A fault of a day.
+
+    Attributes:
+        at_s: Start, from the start of the traffic.
+        kind: One of KINDS.
+        for_s: How long it lasts.
+    """
+
+    at_s: float
+    kind: str
+    for_s: float
+
+
+def draw(rng: random.Random, length_s: float, count: int) -> list[Fault]:
+    """Returns so many faults of a day, in order; they may overlap."""
+    faults = [
+        Fault(
+            rng.uniform(0.5, length_s),
+            rng.choice(KINDS),
+            rng.uniform(0.5, 6.0),
+        )
+        for _ in range(count)
+    ]
+    return sorted(faults)
+
+
+async def inject(
+    fleet: world.World, faults: list[Fault], rng: random.Random
+) -> None:
+    """Injects faults at their times and ends them."""
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    running = []
+    for fault in faults:
+        await asyncio.sleep(max(start + fault.at_s - loop.time(), 0))
+        work = getattr(_Injector(fleet, fault, rng), fault.kind)
+        running.append(asyncio.ensure_future(work()))
+    await asyncio.gather(*running)
+
+
+class _Injector:
+    """One fault; each method is a kind."""
+
+    def __init__(
+        self, fleet: world.World, fault: Fault, rng: random.Random
+    ) -> None:
+        self._fleet = fleet
+        self._for_s = fault.for_s
+        self._rng = rng
+
+    async def kill_gateway(self) -> None:
+        if self._fleet.gateways:
+            address = self._rng.choice(sorted(self._fleet.gateways))
+            await self._restart([address])
+
+    async def kill_all_gateways(self) -> None:
+        await self._restart(sorted(self._fleet.gateways))
+
+    async def _restart(self, addresses: list[str]) -> None:
+        rows = [self._fleet.gateways[address] for address in addresses]
+        for address in addresses:
+            self._fleet.kill_gateway(address)
+        await asyncio.sleep(min(self._for_s, 1.5))
+        for row in rows:
+            if row.address not in self._fleet.gateways:
+                self._fleet.start_gateway(row.data_centre)
+
+    async def crash_engine(self) -> None:
+        await self._crash(self._rng.choice(self._fleet.engines), dark=False)
+
+    async def dark_engine(self) -> None:
+        await self._crash(self._rng.choice(self._fleet.engines), dark=True)
+
+    async def crash_plain(self) -> None:
+        await self._crash(self._rng.choice(self._fleet.plain), dark=False)
+
+    async def _crash(
+        self, upstream: virtual_upstreams.Upstream, *, dark: bool
+    ) -> None:
+        """Crashes an upstream; its entry lapses and comes back with it."""
+        if upstream.state != "up":
+            return
+        upstream.crash(dark=dark)
+        await asyncio.sleep(self._for_s)
+        if self._for_s > 3.6:
+            self._fleet.log.list_change(upstream.upstream_id, None)
+        upstream.restart()
+        if upstream.leaving_at is None:
+            self._fleet.log.list_change(
+                upstream.upstream_id, self._fleet.entry(upstream)
+            )
+
+    async def lost_answers(self) -> None:
+        for upstream in self._fleet.plain:
+            upstream.lost_share = 0.3
+        await asyncio.sleep(self._for_s)
+        for upstream in self._fleet.plain:
+            upstream.lost_share = 0.0
+
+    async def slow_engine(self) -> None:
+        engine = self._rng.choice(self._fleet.engines)
+        engine.passes.pace = 5.0
+        await asyncio.sleep(self._for_s)
+        engine.passes.pace = 1.0
+
+    async def store_refuses_some(self) -> None:
+        rows = sorted(self._fleet.gateways)
+        await self._store(rows[: max(len(rows) // 3, 1)], "refuse")
+
+    async def store_silent(self) -> None:
+        await self._store(sorted(self._fleet.gateways), "silent")
+
+    async def store_slow(self) -> None:
+        await self._store(sorted(self._fleet.gateways), "slow")
+
+    async def _store(self, addresses: list[str], trouble: str) -> None:
+        views = [
+            self._fleet.gateways[address].store
+            for address in addresses
+            if address in self._fleet.gateways
+        ]
+        for view in views:
+            view.trouble = trouble
+        await asyncio.sleep(self._for_s)
+        for view in views:
+            view.trouble = ""
+
+    async def store_forgets(self) -> None:
+        self._fleet.log.forget()
+
+    async def entries_lapse(self) -> None:
+        """Entries lapse while the store is away, and return with it."""
+        addresses = sorted(self._fleet.gateways)
+        lapsing = [
+            upstream
+            for upstream in self._fleet.by_address.values()
+            if upstream.leaving_at is None and upstream.state == "up"
+        ]
+        for upstream in lapsing:
+            self._fleet.log.list_change(upstream.upstream_id, None)
+        await self._store(addresses, "refuse")
+        await asyncio.sleep(1.0)
+        for upstream in lapsing:
+            if upstream.leaving_at is None:
+                self._fleet.log.list_change(
+                    upstream.upstream_id, self._fleet.entry(upstream)
+                )
+
+    async def new_config(self) -> None:
+        self._fleet.publish_next()
+
+    async def drain_upstream(self) -> None:
+        """An upstream says that it leaves; it goes and another comes."""
+        ready = [
+            upstream
+            for upstream in self._fleet.by_address.values()
+            if upstream.leaving_at is None and upstream.state == "up"
+        ]
+        if len(ready) < 2 or self._store_in_trouble():
+            return
+        upstream = self._rng.choice(ready)
+        upstream.leaving_at = asyncio.get_running_loop().time()
+        self._fleet.log.list_change(
+            upstream.upstream_id, self._fleet.entry(upstream, draining=True)
+        )
+        await asyncio.sleep(2.0 + self._for_s)
+        self._fleet.log.list_change(upstream.upstream_id, None)
+        upstream.leaving_at = None
+        upstream.born_ms += 1
+        self._fleet.log.list_change(
+            upstream.upstream_id, self._fleet.entry(upstream)
+        )
+
+    def _store_in_trouble(self) -> bool:
+        return any(row.store.trouble for row in self._fleet.gateways.values())
+
+    async def cut_gateways(self) -> None:
+        """Two gateways lose each other."""
+        addresses = sorted(self._fleet.gateways)
+        if len(addresses) < 2:
+            return
+        pair = frozenset(self._rng.sample(addresses, 2))
+        self._fleet.cut.add(pair)
+        await asyncio.sleep(self._for_s)
+        self._fleet.cut.discard(pair)
--- /dev/null
+++ b/src/apricottrestle_standins/platform/virtual_store.py
@@ -0,0 +1,131 @@
+"""The platform's store in virtual time, with its troubles."""
+
+import asyncio
+from typing import Final
+
+from apricottrestle import errors
+from apricottrestle.gateway import fleet_config, store, upstream_list
+
+ANSWER_S: Final = 0.004
+SILENT_S: Final = 2.5
+
+
+class SharedLog:
+    """The records that all views of the store show.
+
+    Attributes:
+        configs: Versions in order.
+        list_records: Changes of the upstream list in order.
+        first: Offset of the first list record that is retained.
+        gateways: Rows of the gateways by instance.
+        calls: Calls made, refused ones included.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.configs: list[fleet_config.FleetConfig] = []
+        self.list_records: list[
+            tuple[str, upstream_list.UpstreamEntry | None]
+        ] = []
+        self.first = 0
+        self.gateways: dict[str, store.GatewayRow] = {}
+        self.calls = 0
+        self._changed = asyncio.Event()
+
+    def publish(self, config: fleet_config.FleetConfig) -> None:
+        """Stores a version of the configuration."""
+        self.configs.append(config)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def list_change(
+        self, upstream_id: str, entry: upstream_list.UpstreamEntry | None
+    ) -> None:
+        """Stores an entry of an upstream, or its removal."""
+        self.list_records.append((upstream_id, entry))
+
+    def forget(self) -> None:
+        """Drops the history; the newest record of each key stays."""
+        self.first = len(self.list_records)
+
+    async def until_changed(self, wait_s: float) -> None:
+        """Waits for a new configuration, at most so long."""
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+
+class VirtualStore(store.FleetStore):
+    """One gateway's view of the store.
+
+    Attributes:
+        trouble: "" when in order; "refuse", "silent" or "slow".
+        slow_s: Time of an answer while slow.
+    """
+
+    def __init__(self, log: SharedLog) -> None:
+        """Starts in order."""
+        self._log = log
+        self.trouble = ""
+        self.slow_s = 0.3
+
+    async def read_config(self) -> store.ConfigRead:
+        """See FleetStore.read_config."""
+        await self._answer()
+        configs = self._log.configs
+        return store.ConfigRead(configs[-1] if configs else None, len(configs))
+
+    async def follow_config(
+        self, position: int, wait_s: float
+    ) -> store.ConfigRead:
+        """See FleetStore.follow_config."""
+        await self._answer()
+        if position >= len(self._log.configs):
+            await self._log.until_changed(wait_s)
+        if self.trouble:
+            await self._answer()
+        configs = self._log.configs
+        newest = configs[-1] if len(configs) > position else None
+        return store.ConfigRead(newest, len(configs))
+
+    async def read_upstreams(self) -> store.UpstreamsRead:
+        """See FleetStore.read_upstreams."""
+        await self._answer()
+        newest = dict(self._log.list_records)
+        listed: list[tuple[str, upstream_list.UpstreamEntry | None]] = [
+            (upstream_id, entry)
+            for upstream_id, entry in newest.items()
+            if entry is not None
+        ]
+        return store.UpstreamsRead(listed, len(self._log.list_records))
+
+    async def follow_upstreams(self, position: int) -> store.UpstreamsRead:
+        """See FleetStore.follow_upstreams."""
+        await self._answer()
+        if position < self._log.first:
+            raise store.HistoryLostError("410", step="read", peer="store")
+        records = self._log.list_records[position:]
+        return store.UpstreamsRead(records, position + len(records))
+
+    async def announce(self, row: store.GatewayRow) -> None:
+        """See FleetStore.announce."""
+        await self._answer()
+        self._log.gateways[row.instance_id] = row
+
+    async def read_gateways(self) -> list[store.GatewayRow]:
+        """See FleetStore.read_gateways."""
+        await self._answer()
+        return list(self._log.gateways.values())
+
+    def close(self) -> None:
+        """See FleetStore.close."""
+
+    async def _answer(self) -> None:
+        self._log.calls += 1
+        if self.trouble == "silent":
+            await asyncio.sleep(SILENT_S)
+        await asyncio.sleep(self.slow_s if self.trouble == "slow" else ANSWER_S)
+        if self.trouble in ("refuse", "silent"):
+            raise errors.PlatformError("no answer", step="read", peer="store")
