--- a/src/apricottrestle_standins/platform/chaos.py
+++ b/src/apricottrestle_standins/platform/chaos.py
@@ -157,8 +157,11 @@
         self._fleet.log.forget()
 
     async def entries_lapse(self) -> None:
-        """Entries lapse while the store is away, and return with it."""
-        addresses = sorted(self._fleet.gateways)
+        """Entries lapse while the store is away, and return after it."""
+        away = asyncio.ensure_future(
+            self._store(sorted(self._fleet.gateways), "refuse")
+        )
+        await asyncio.sleep(self._for_s / 2)
         lapsing = [
             upstream
             for upstream in self._fleet.by_address.values()
@@ -166,7 +169,7 @@
         ]
         for upstream in lapsing:
             self._fleet.log.list_change(upstream.upstream_id, None)
-        await self._store(addresses, "refuse")
+        await away
         await asyncio.sleep(1.0)
         for upstream in lapsing:
             if upstream.leaving_at is None:
--- a/src/apricottrestle_standins/platform/virtual_upstreams.py
+++ b/src/apricottrestle_standins/platform/virtual_upstreams.py
@@ -95,7 +95,7 @@
         address: Its address.
         data_centre: Its data centre.
         state: "up", "gone" (connections are refused) or "dark" (silence).
-        transfers: Calls under way.
+        transfers: Calls under way, in order, so that a seed replays.
         leaving_at: When its leaving was stored, or None.
         born_ms: Start of its process; grows with each.
     """
@@ -114,7 +114,7 @@
         self.state = "up"
         self.book = book
         self.rng = rng
-        self.transfers: set[VirtualTransfer] = set()
+        self.transfers: dict[VirtualTransfer, None] = {}
         self.leaving_at: float | None = None
         self.born_ms = 1
 
@@ -164,7 +164,7 @@
             exchange.transfer.head(503, not_run=True)
             exchange.transfer.end("complete")
             return
-        self.transfers.add(exchange.transfer)
+        self.transfers[exchange.transfer] = None
         self._queue.append((exchange, arrival))
         self._next()
 
@@ -189,7 +189,7 @@
         self._running -= 1
         transfer = exchange.transfer
         if transfer in self.transfers and not transfer.ended:
-            self.transfers.discard(transfer)
+            self.transfers.pop(transfer, None)
             if self.rng.random() < self.lost_share:
                 transfer.end("broken")
             else:
@@ -254,7 +254,7 @@
             return
         self.jobs[job.job_id] = (job, exchange)
         self.helpers_of[job.job_id] = helpers
-        self.transfers.add(exchange.transfer)
+        self.transfers[exchange.transfer] = None
         exchange.transfer.on_cancel = lambda: self._drop(job)
         for helper in helpers:
             helper.passes.help(job, now_ms)
@@ -318,7 +318,7 @@
         if row is not None and row[0] is job:
             del self.jobs[job.job_id]
             self.helpers_of.pop(job.job_id, None)
-            self.transfers.discard(row[1].transfer)
+            self.transfers.pop(row[1].transfer, None)
 
     def reserve(self, reservation: calls.Reservation) -> bool:
         """Sets memory aside for a time."""
@@ -385,7 +385,7 @@
         self.closed = False
         self._data_centre = data_centre
         self._far_s = far_s
-        self._open: set[VirtualTransfer] = set()
+        self._open: dict[VirtualTransfer, None] = {}
 
     def _delay_s(self, upstream: Upstream) -> float:
         near = upstream.data_centre == self._data_centre
@@ -398,7 +398,7 @@
         upstream = self.by_address[call.address]
         delay_s = self._delay_s(upstream)
         transfer = VirtualTransfer(sink, delay_s, call.req.request_id)
-        self._open.add(transfer)
+        self._open[transfer] = None
         loop = asyncio.get_running_loop()
         loop.call_later(
             delay_s, self._deliver, Exchange(call, sink, transfer), upstream
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -43,18 +43,18 @@
         """Starts without connections."""
         self._world = world
         self._address = address
-        self._peers: set[str] = set()
+        self._peers: dict[str, None] = {}
 
     def connect(self, address: str) -> bool:
         """See Link.connect."""
         if address in self._peers or address == self._address:
             return False
-        self._peers.add(address)
+        self._peers[address] = None
         return True
 
     def disconnect(self, address: str) -> None:
         """See Link.disconnect."""
-        self._peers.discard(address)
+        self._peers.pop(address, None)
 
     def send(self, address: str, message: peer_messages.Message) -> bool:
         """See Link.send."""
@@ -79,7 +79,7 @@
     parts: assembly.Assembly
     store: virtual_store.VirtualStore
     upstreams: virtual_upstreams.VirtualUpstreams
-    responders: set["CallerSide"]
+    responders: dict["CallerSide", None]
 
 
 class CallerSide(calls.Responder):
@@ -307,7 +307,7 @@
             random.Random(self.rng.random()),
             f"{self._starts:04d}",
         )
-        row = Gateway(address, number, parts, view, client, set())
+        row = Gateway(address, number, parts, view, client, {})
         self.gateways[address] = row
         parts.start(VirtualLink(self, address))
         return row
@@ -409,7 +409,7 @@
             await asyncio.sleep(0.2)
             return
         side = CallerSide(attempt)
-        row.responders.add(side)
+        row.responders[side] = None
         loop = asyncio.get_running_loop()
         kind = arrival.kind
         row.parts.core.handle(
@@ -435,7 +435,7 @@
             side,
         )
         await self._watch(side, ends)
-        row.responders.discard(side)
+        row.responders.pop(side, None)
 
     async def _watch(self, side: CallerSide, ends: float) -> None:
         """Waits for the answer; leaves when it takes too long."""
--- /dev/null
+++ b/tests/test_gateway_decisions.py
@@ -0,0 +1,242 @@
+"""Guards the gateway's pure decisions: acceptance, repeats, plain routing."""
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from apricottrestle.gateway import (
+    accept,
+    fleet_config,
+    retry_budget,
+    retry_policy,
+    service_routing,
+)
+from tests import gateway_parts
+
+Result = retry_policy.SendResult
+Next = retry_policy.Next
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "expected"),
+    [
+        ("/short/x", "key-a", "short"),
+        ("/short/deep/er", "key-a", "short"),
+        ("/short/special/x", "key-a", "special"),
+        ("/short", "key-a", 404),
+        ("/shorter/x", "key-a", 404),
+        ("/none/x", "key-a", 404),
+        ("/short/x", "key-b", 401),
+        ("/short/x", None, 401),
+        ("/open/x", None, "open"),
+        ("/open/x", "key-b", "open"),
+    ],
+)
+def test_route_and_key_decide(
+    path: str, key: str | None, expected: str | int
+) -> None:
+    """Guards against a wrong service, a 404 in place of a 401, or the like."""
+    base = gateway_parts.config()
+    routes = (
+        *base.routes,
+        gateway_parts.STREAM._replace(
+            name="special", path_prefix="/short/special/"
+        ),
+        gateway_parts.SAFE._replace(
+            name="open", path_prefix="/open/", public=True
+        ),
+    )
+    compiled = accept.compile_config(base._replace(routes=routes))
+    got = accept.decide(
+        gateway_parts.request(path, api_key=key), compiled, random.Random(1)
+    )
+    if isinstance(got, accept.Accepted):
+        assert got.route.name == expected
+    else:
+        assert got.status == expected
+
+
+@pytest.mark.parametrize("host", ["fleet.example", "FLEET.example:80"])
+def test_host_is_compared_without_case_and_port(host: str) -> None:
+    """Guards against a 404 for a proper host."""
+    table = fleet_config.RouteTable(gateway_parts.config().routes)
+    assert table.find(host, "/short/x") is not None
+    assert table.find("other.example", "/short/x") is None
+
+
+@pytest.mark.parametrize(
+    ("time_left_s", "timeout_s", "limit_s"),
+    [(2.0, 10.0, 2.0), (10.0, 3.0, 3.0), (None, 3.0, 3.0)],
+)
+def test_time_limit_is_the_shorter_one(
+    time_left_s: float | None, timeout_s: float, limit_s: float
+) -> None:
+    """Guards against a caller kept past its own or its route's limit."""
+    base = gateway_parts.config()
+    route = gateway_parts.STREAM._replace(timeout_s=timeout_s)
+    req = gateway_parts.request(time_left_s=time_left_s)
+    got = accept.decide(
+        req,
+        accept.compile_config(base._replace(routes=(route,))),
+        random.Random(1),
+    )
+    assert isinstance(got, accept.Accepted)
+    assert got.ends_at == req.arrived_s + limit_s
+
+
+def test_split_follows_the_weights() -> None:
+    """Guards against a service that gets another share than configured."""
+    base = gateway_parts.config()
+    route = gateway_parts.SAFE._replace(
+        targets=(
+            fleet_config.RouteTarget("plain", 90.0),
+            fleet_config.RouteTarget("engines", 10.0),
+        )
+    )
+    compiled = accept.compile_config(base._replace(routes=(route,)))
+    rng = random.Random(1)
+    names = [
+        got.service.name
+        for _ in range(1000)
+        if isinstance(
+            got := accept.decide(
+                gateway_parts.request("/lookup/x"), compiled, rng
+            ),
+            accept.Accepted,
+        )
+    ]
+    assert 850 < names.count("plain") < 950
+
+
+@pytest.mark.parametrize(
+    ("route", "result", "sends", "expected"),
+    [
+        # A request that may have run and isn't repeatable never runs again.
+        (gateway_parts.UNSAFE, Result.LOST, 1, Next.FAIL),
+        (gateway_parts.UNSAFE, Result.FAILED, 1, Next.PASS_ON),
+        (gateway_parts.UNSAFE, Result.NOT_RUN, 1, Next.REFUSE),
+        (gateway_parts.UNSAFE, Result.NOT_SENT, 0, Next.SEND_AGAIN),
+        # Repeatable ones go to another upstream within their attempts.
+        (gateway_parts.SAFE, Result.LOST, 1, Next.SEND_AGAIN),
+        (gateway_parts.SAFE, Result.FAILED, 1, Next.SEND_AGAIN),
+        (gateway_parts.SAFE, Result.LOST, 2, Next.FAIL),
+        (gateway_parts.SAFE, Result.FAILED, 2, Next.PASS_ON),
+        (gateway_parts.STREAM, Result.LOST, 1, Next.SEND_AGAIN),
+        (
+            gateway_parts.STREAM._replace(resumable=False),
+            Result.LOST,
+            1,
+            Next.FAIL,
+        ),
+        (
+            gateway_parts.STREAM._replace(resumable=False),
+            Result.NOT_RUN,
+            1,
+            Next.SEND_AGAIN,
+        ),
+    ],
+)
+def test_what_follows_a_failed_send(
+    route: fleet_config.Route, result: Result, sends: int, expected: Next
+) -> None:
+    """Guards against a second run of what may run once, and false refusals."""
+    history = retry_policy.History(
+        sends,
+        int(result is Result.NOT_SENT),
+        result in (Result.LOST, Result.FAILED),
+        False,
+    )
+    got = retry_policy.decide(
+        result, history, route, time_left=True, has_budget=True
+    )
+    assert got is expected
+
+
+@hypothesis.given(
+    strategies.sampled_from(list(Result)),
+    strategies.integers(0, 5),
+    strategies.integers(0, 9),
+    strategies.booleans(),
+    strategies.booleans(),
+    strategies.booleans(),
+    strategies.booleans(),
+)
+def test_promises_hold_for_every_history(
+    result: Result,
+    sends: int,
+    unreached: int,
+    ran_before: bool,
+    answered: bool,
+    time_left: bool,
+    has_budget: bool,
+) -> None:
+    """Guards the two promises: at most one run, and a true "not run"."""
+    may_have_run = ran_before or result in (Result.LOST, Result.FAILED)
+    history = retry_policy.History(sends, unreached, may_have_run, answered)
+    for route in (gateway_parts.UNSAFE, gateway_parts.SAFE):
+        got = retry_policy.decide(
+            result, history, route, time_left=time_left, has_budget=has_budget
+        )
+        if got is Next.REFUSE:
+            assert not may_have_run
+        if got is Next.SEND_AGAIN:
+            assert time_left
+            assert result is Result.NOT_SENT or sends < route.max_attempts
+            proved = result in (Result.NOT_SENT, Result.NOT_RUN)
+            assert route.repeatable or proved
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.floats(0, 30), strategies.sampled_from(["req", "retry"])
+        ),
+        max_size=300,
+    ),
+    strategies.integers(1, 11),
+)
+def test_retries_stay_within_the_fleets_budget(
+    events: list[tuple[float, str]], gateways: int
+) -> None:
+    """Guards against retries that multiply the load of a failing service."""
+    share, window_s, slack = 0.2, 10.0, 100.0
+    budgets = [
+        retry_budget.RetryBudget(share, window_s, slack)
+        for _ in range(gateways)
+    ]
+    requests: list[float] = []
+    granted: list[float] = []
+    for number, (at, what) in enumerate(sorted(events)):
+        budget = budgets[number % gateways]
+        if what == "req":
+            budget.count_request(at)
+            requests.append(at)
+        elif budget.take(gateways, at):
+            granted.append(at)
+    for at in granted:
+        in_window = [each for each in granted if at - window_s < each <= at]
+        asked = [each for each in requests if at - window_s < each <= at]
+        assert len(in_window) <= share * len(asked) + slack
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ({"outstanding": 12}, "a shorter queue"),
+        ({"failure_rate": 0.5}, "fewer failures"),
+        ({"distance_s": 0.05}, "the nearer one"),
+        ({"cold": True}, "the warm one"),
+    ],
+)
+def test_plain_calls_avoid_the_worse_upstream(
+    changes: dict[str, object], reason: str
+) -> None:
+    """Guards against calls to a busy, failing, far or cold upstream."""
+    good = service_routing.Candidate("good", 1, 6, 0.0, 0.0, False)
+    worse = good._replace(upstream_id="worse", **changes)  # type: ignore[arg-type]
+    best = service_routing.choose([worse, good], random.Random(1))
+    assert best is not None
+    assert best.upstream_id == "good", reason
+    assert service_routing.choose([], random.Random(1)) is None
--- /dev/null
+++ b/tests/test_gateway_engine_load.py
@@ -0,0 +1,234 @@
+"""Guards what a gateway believes about engines, and where it sends prompts."""
+
+import math
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from apricottrestle.gateway import engine_costs, engine_load, engine_routing
+from tests import gateway_parts
+
+MODEL = gateway_parts.ENGINE
+SHORT = engine_routing.Ask(5_000, 1_600, 0.25, 10.0, 0.25)
+MIDDLE = engine_routing.Ask(45_000, 1_000, 1.5, 10.0, 0.6)
+LONG = engine_routing.Ask(154_000, 800, 6.0, 15.0, 1.0)
+HUGE = engine_routing.Ask(700_000, 800, 6.0, 15.0, 1.0)
+
+
+def _candidates(
+    load: engine_load.EngineLoad, count: int
+) -> list[engine_routing.Candidate]:
+    return [
+        engine_routing.Candidate(f"e{n}", load.row(f"e{n}"), 8, 0.0, 1.0)
+        for n in range(count)
+    ]
+
+
+def _run(
+    run_id: str, ask: engine_routing.Ask, choice: engine_routing.Choice
+) -> engine_load.Run:
+    return engine_load.Run(
+        run_id,
+        choice.engine,
+        choice.helpers,
+        ask.prompt_tokens,
+        ask.output_tokens,
+        choice.part_s,
+        choice.held_tokens,
+        ask.gap_s,
+        ask.target_left_s,
+        False,
+    )
+
+
+def _writing(run_id: str, engine: str) -> engine_load.Run:
+    """Returns a run that writes a short answer."""
+    return engine_load.Run(
+        run_id, engine, (), 5_000, 1_600, 0.03, 0, 0.25, 0.2, True
+    )
+
+
+def _place(
+    load: engine_load.EngineLoad,
+    ask: engine_routing.Ask,
+    engines: int,
+    now: float,
+    run_id: str,
+) -> engine_routing.Choice | None:
+    choice = engine_routing.choose(ask, _candidates(load, engines), MODEL, now)
+    if choice is not None:
+        load.start(_run(run_id, ask, choice), now)
+    return choice
+
+
+@pytest.mark.parametrize(
+    ("tokens", "expected_s"),
+    [(5_000, 0.0306), (45_000, 0.4405), (154_000, 3.052), (700_000, 49.03)],
+)
+def test_read_time_follows_the_published_formula(
+    tokens: int, expected_s: float
+) -> None:
+    """Guards the estimate on which every choice rests."""
+    assert engine_costs.read_s(MODEL, tokens) == pytest.approx(
+        expected_s, rel=0.01
+    )
+
+
+def test_short_prompts_fill_an_engine_before_they_open_another() -> None:
+    """Guards the engines that long prompts need from scattered short ones."""
+    load = engine_load.EngineLoad()
+    used = set()
+    for number in range(5):
+        choice = _place(load, SHORT, 10, number * 0.3, f"r{number}")
+        assert choice is not None
+        load.wrote(f"r{number}")
+        used.add(choice.engine)
+    assert len(used) == 1
+
+
+def test_batch_of_short_prompts_is_spread_in_time_for_its_target() -> None:
+    """Guards a burst at one moment: reads share a pass and delay each other."""
+    load = engine_load.EngineLoad()
+    for number in range(20):
+        choice = _place(load, SHORT, 10, 0.0, f"r{number}")
+        assert choice is not None
+        assert choice.first_event_s <= SHORT.target_left_s
+    for number in range(10):
+        read_s = 0.0306 * len(load.row(f"e{number}").runs)
+        assert read_s < SHORT.target_left_s
+
+
+def test_long_prompt_avoids_engines_that_write_short_answers() -> None:
+    """Guards short answers against a pause of a second's read."""
+    load = engine_load.EngineLoad()
+    for number in range(6):
+        _place(load, SHORT, 4, number * 0.3, f"r{number}")
+        load.wrote(f"r{number}")
+    busy = {f"e{n}" for n in range(4) if load.row(f"e{n}").runs}
+    choice = engine_routing.choose(LONG, _candidates(load, 4), MODEL, 2.0)
+    assert choice is not None
+    assert not busy & {choice.engine, *choice.helpers}
+
+
+def test_middle_prompt_is_split_when_no_engine_is_idle() -> None:
+    """Guards against refusal or harm when each engine writes short answers."""
+    load = engine_load.EngineLoad()
+    for number in range(6):
+        run = engine_load.Run(
+            f"r{number}",
+            f"e{number}",
+            (),
+            5_000,
+            1_600,
+            0.03,
+            0,
+            0.25,
+            0.2,
+            True,
+        )
+        load.start(run, 0.0)
+    choice = engine_routing.choose(MIDDLE, _candidates(load, 6), MODEL, 0.1)
+    assert choice is not None
+    assert choice.helpers
+    steps_s = engine_costs.pass_s(MODEL, 2, 50_000)
+    assert choice.part_s + steps_s < 0.25
+
+
+def test_prompt_above_an_engines_memory_sets_memory_aside() -> None:
+    """Guards the longest prompts against rejection by every engine."""
+    load = engine_load.EngineLoad()
+    choice = engine_routing.choose(
+        HUGE._replace(target_left_s=15.0), _candidates(load, 14), MODEL, 0.0
+    )
+    assert choice is not None
+    engines = 1 + len(choice.helpers)
+    assert choice.held_tokens * len(choice.helpers) < HUGE.prompt_tokens
+    own = HUGE.prompt_tokens - choice.held_tokens * len(choice.helpers)
+    assert own <= MODEL.kv_tokens
+    assert choice.held_tokens <= MODEL.kv_tokens
+    assert engines >= 3
+
+
+def test_no_place_is_better_than_a_harmful_one() -> None:
+    """Guards answers under way when all engines are full."""
+    load = engine_load.EngineLoad()
+    for number in range(7):
+        run = engine_load.Run(
+            f"r{number}", "e0", (), 5_000, 1_600, 0.03, 0, 0.25, 0.2, True
+        )
+        load.start(run, 0.0)
+    assert (
+        engine_routing.choose(SHORT, _candidates(load, 1), MODEL, 0.1) is None
+    )
+    assert engine_routing.choose(LONG, _candidates(load, 1), MODEL, 0.1) is None
+
+
+def test_slow_engine_is_given_less() -> None:
+    """Guards against an engine that is five times slower than published."""
+    load = engine_load.EngineLoad()
+    slow, sound = _candidates(load, 2)
+    choice = engine_routing.choose(
+        MIDDLE, [slow._replace(pace=5.0), sound], MODEL, 0.0
+    )
+    assert choice is not None
+    assert choice.engine == sound.engine
+
+
+def test_events_correct_the_estimate_of_passes() -> None:
+    """Guards against estimates that drift from what engines do."""
+    load = engine_load.EngineLoad()
+    _place(load, SHORT, 1, 0.0, "r0")
+    row = load.row("e0")
+    load.wrote("r0")
+    row.saw_event(MODEL, 0.05, 0.05)
+    steps_s = engine_costs.pass_s(MODEL, 1, SHORT.prompt_tokens)
+    outlook = row.outlook(MODEL, 0.05 + steps_s / 2, 0.0, 0.0)
+    assert outlook.wait_s == pytest.approx(steps_s / 2, abs=1e-3)
+    early = 0.05 + 0.8 * steps_s
+    row.saw_event(MODEL, early, early)
+    outlook = row.outlook(MODEL, early, 0.0, 0.0)
+    assert outlook.wait_s == pytest.approx(steps_s, rel=0.05)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["start", "wrote", "end", "event"]),
+            strategies.integers(0, 12),
+            strategies.sampled_from([SHORT, MIDDLE, LONG, HUGE]),
+            strategies.floats(0.0, 2.0),
+        ),
+        max_size=60,
+    )
+)
+def test_ended_runs_leave_nothing(
+    steps: list[tuple[str, int, engine_routing.Ask, float]],
+) -> None:
+    """Guards against load that stays counted, or estimates without bound."""
+    load = engine_load.EngineLoad()
+    now = 0.0
+    for what, number, ask, pause_s in steps:
+        now += pause_s
+        run_id = f"r{number}"
+        if what == "start" and load.run(run_id) is None:
+            _place(load, ask, 6, now, run_id)
+        elif what == "wrote":
+            load.wrote(run_id)
+        elif what == "end":
+            load.end(run_id)
+        elif what == "event":
+            load.row(f"e{number % 6}").saw_event(MODEL, now, now)
+        for engine in range(6):
+            outlook = load.row(f"e{engine}").outlook(MODEL, now, 0.05, 0.04)
+            assert 0 <= outlook.wait_s < math.inf
+            assert 0 <= outlook.next_pass_s < math.inf
+    for number in range(13):
+        load.end(f"r{number}")
+    for engine in range(6):
+        row = load.row(f"e{engine}")
+        assert row.idle
+        assert row.kv_tokens == row.context_tokens == 0
+        later = row.outlook(MODEL, now + 60.0, 0.05, 0.04)
+        assert later.wait_s == later.next_pass_s == 0
+        assert later.slack_s == math.inf
