Bound the log output, measure the gateway, test the adapter

Change: log lines go through a bounded queue to a writing thread, which writes all that wait in one call; dropped lines are counted and reported. Histograms of answers, waits and store calls, gauges of peers and upstreams, on port 9464 and on the control address. Tests of codec, settings, store records and the callers' server.

--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -6,7 +6,7 @@
 import random
 import secrets
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, Final, NamedTuple
 
 from apricottrestle import logs, ops_http
@@ -86,14 +86,20 @@
     logs.decision(_LOG, "stop", instance=cfg.instance_id)
 
 
+@contextlib.contextmanager
 def _ops(
     cfg: settings.GatewaySettings, parts: assembly.Assembly
-) -> contextlib.AbstractContextManager[Any]:
-    if not cfg.ops:
-        return contextlib.nullcontext()
-    return ops_http.OpsServer(
-        cfg.ops, lambda: [] if parts.ready else ["not ready"]
-    )
+) -> Iterator[None]:
+    """Serves health, readiness and metrics while the context is open."""
+    with contextlib.ExitStack() as stack:
+        for address in (cfg.ops, cfg.metrics):
+            if address:
+                stack.enter_context(
+                    ops_http.OpsServer(
+                        address, lambda: [] if parts.ready else ["not ready"]
+                    )
+                )
+        yield
 
 
 def _stop_notice(cfg: settings.GatewaySettings) -> asyncio.Event:
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -369,6 +369,7 @@
             after_s=round(clock.now() - sent.started_at, 4),
             outcome=result.value if result else "served",
         )
+        metrics.SENDS.labels(result.value if result else "served").inc()
         self._events = 0
         fault = head.fault_address if head is not None else None
         self._host.sent_ended(self, sent, result, fault)
@@ -544,6 +545,10 @@
             transfer.cancel()
         if sent is not None:
             self._host.sent_ended(self, sent, None, None)
+        after_s = clock.now() - self.req.arrived_s
+        metrics.ANSWER_SECONDS.labels(
+            self.accepted.route.kind, outcome
+        ).observe(after_s)
         logs.decision(
             _LOG,
             "request ended",
@@ -555,7 +560,7 @@
             last_event_id=self.last_event_id,
             first_event_s=_since(self._first_event_at, self.req.arrived_s),
             longest_gap_s=round(self._longest_gap_s, 4),
-            after_s=round(clock.now() - self.req.arrived_s, 4),
+            after_s=round(after_s, 4),
         )
         self._host.ended(self, outcome)
 
--- a/src/apricottrestle/gateway/fleet_state.py
+++ b/src/apricottrestle/gateway/fleet_state.py
@@ -89,3 +89,6 @@
                 list_version=self.members.version,
             )
             self._on_change(change)
+        counts = self.members.counts()
+        for state in ("ready", "draining", "lapsed"):
+            metrics.UPSTREAMS.labels(state).set(counts.get(state, 0))
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -383,6 +383,7 @@
             if one.done or one not in self._waiting:
                 continue
             self._place_run(one, now)
+        metrics.WAITING.set(len(self._waiting))
 
     def _place_run(self, one: exchange.Exchange, now: float) -> None:
         service = one.accepted.service
@@ -468,6 +469,7 @@
             on_time=choice.on_time,
             waited_s=round(now - one.waiting_since, 4),
         )
+        metrics.WAIT_SECONDS.observe(now - one.waiting_since)
         self.load.start(run, now)
         self.listener.run_started(run)
         if choice.held_tokens:
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -10,7 +10,7 @@
 import logging
 from typing import Final
 
-from apricottrestle import logs
+from apricottrestle import logs, metrics
 from apricottrestle.gateway import (
     clock,
     engine_load,
@@ -191,6 +191,7 @@
                 silent_s=round(now - peer.heard_at, 3),
             )
             self._drop_runs(peer.incarnation)
+        metrics.PEERS.set(len(self._peers.alive()))
         for address in given_up:
             if self._link is not None:
                 self._link.disconnect(address)
--- a/src/apricottrestle/gateway/settings.py
+++ b/src/apricottrestle/gateway/settings.py
@@ -11,7 +11,8 @@
         data_centre: Its data centre.
         callers: "ip:port" for callers.
         ready: "ip:port" for the readiness check.
-        ops: "ip:port" for operators, or empty.
+        ops: "ip:port" for operators: health and metrics; or empty.
+        metrics: "ip:port" where the platform reads metrics.
         peers: "ip:port" of the socket for other gateways.
         seeds: Peer addresses to try while the store gives none.
         grace_s: Time between the notice of a stop and its end.
@@ -27,6 +28,7 @@
     callers: str
     ready: str
     ops: str
+    metrics: str
     peers: str
     seeds: tuple[str, ...]
     grace_s: float
--- a/src/apricottrestle/gateway/upstream_list.py
+++ b/src/apricottrestle/gateway/upstream_list.py
@@ -8,6 +8,7 @@
 order is never usable, until an entry of a later start names it again.
 """
 
+import collections
 from collections.abc import Iterable
 from typing import Final, Literal, NamedTuple
 
@@ -103,6 +104,12 @@
         """Returns all entries known, for a process that starts."""
         return [row.entry for row in self._rows.values()]
 
+    def counts(self) -> dict[State, int]:
+        """Returns the number of upstreams in each state."""
+        return dict(
+            collections.Counter(row.state for row in self._rows.values())
+        )
+
     def replace(
         self, entries: Iterable[UpstreamEntry], now: float
     ) -> list[Change]:
--- a/src/apricottrestle/logs.py
+++ b/src/apricottrestle/logs.py
@@ -1,14 +1,45 @@
 """JSON log lines, one a line, on one stream.
 
-Invariant: neither prompt text nor a key is logged; callers of `decision` pass
-ids and counts only.
+Invariants: neither prompt text nor a key is logged; callers of `decision` pass
+ids and counts only. `BoundedLog` never blocks its caller: a thread
+writes, and lines beyond its queue are dropped and counted.
 """
 
+import contextlib
 import logging
-from typing import Any, TextIO
+import queue
+import threading
+import time
+from types import TracebackType
+from typing import Any, Final, Self, TextIO
 
 from pythonjsonlogger import json as json_logger
 
+from apricottrestle import metrics
+
+QUEUE_LINES: Final = 10_000
+"""Lines that wait for a slow reader of the output: a few megabytes, and some
+seconds of a busy process."""
+
+DROP_REPORT_S: Final = 1.0
+"""Least time between two lines that report dropped ones."""
+
+LAST_LINES_S: Final = 0.3
+"""Time at the end for the lines that are queued."""
+
+
+def _formatter() -> logging.Formatter:
+    return json_logger.JsonFormatter(
+        ["asctime", "levelname", "name", "message"],
+        rename_fields={"asctime": "time", "levelname": "level"},
+    )
+
+
+def _install(handler: logging.Handler, level: int) -> None:
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+
 
 def configure(stream: TextIO, level: int = logging.INFO) -> None:
     """Sends all log records to a stream, as JSON, one line each.
@@ -18,15 +49,104 @@
         level: Least level that is written.
     """
     handler = logging.StreamHandler(stream)
-    handler.setFormatter(
-        json_logger.JsonFormatter(
-            ["asctime", "levelname", "name", "message"],
-            rename_fields={"asctime": "time", "levelname": "level"},
+    handler.setFormatter(_formatter())
+    _install(handler, level)
+
+
+class _QueueingHandler(logging.Handler):
+    """Formats and queues lines; drops and counts what the queue can't take."""
+
+    def __init__(self, lines: "queue.Queue[str | None]") -> None:
+        super().__init__()
+        self._lines = lines
+        self._dropped = 0
+        self._reported_at = 0.0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queues a record's line without waiting."""
+        try:
+            if self._dropped:
+                self._report_dropped()
+            self._lines.put_nowait(self.format(record))
+        except queue.Full:
+            self._dropped += 1
+            metrics.LOG_LINES_DROPPED.inc()
+
+    def _report_dropped(self) -> None:
+        """Says how many lines are missing, once there is room again."""
+        now = time.monotonic()
+        if now < self._reported_at + DROP_REPORT_S:
+            return
+        line = logging.makeLogRecord(
+            {
+                "name": __name__,
+                "levelname": "WARNING",
+                "msg": "log lines dropped",
+                "dropped": self._dropped,
+            }
         )
-    )
-    root = logging.getLogger()
-    root.handlers[:] = [handler]
-    root.setLevel(level)
+        self._lines.put_nowait(self.format(line))
+        self._dropped = 0
+        self._reported_at = now
+
+
+class BoundedLog:
+    """Writes log lines from a thread while its context is open."""
+
+    def __init__(
+        self,
+        stream: TextIO,
+        level: int = logging.INFO,
+        lines: int = QUEUE_LINES,
+    ) -> None:
+        """Prepares the output.
+
+        Args:
+            stream: Where the lines go.
+            level: Least level that is written.
+            lines: Lines that may wait for the stream.
+        """
+        self._stream = stream
+        self._level = level
+        self._lines: queue.Queue[str | None] = queue.Queue(lines)
+        self._thread = threading.Thread(target=self._write, daemon=True)
+
+    def __enter__(self) -> Self:
+        """Takes over the root logger and starts the thread."""
+        handler = _QueueingHandler(self._lines)
+        handler.setFormatter(_formatter())
+        _install(handler, self._level)
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Writes what is queued, for a bounded time."""
+        with contextlib.suppress(queue.Full):
+            # Without room the reader has stopped: there is nothing to wait for.
+            self._lines.put_nowait(None)
+            self._thread.join(LAST_LINES_S)
+
+    def _write(self) -> None:
+        """Writes lines as they come, all that wait in one call."""
+        while True:
+            waiting = [self._lines.get()]
+            while not self._lines.empty():
+                waiting.append(self._lines.get())
+            ends = None in waiting
+            text = "".join(f"{line}\n" for line in waiting if line is not None)
+            try:
+                self._stream.write(text)
+                self._stream.flush()
+            except (OSError, ValueError):
+                # Nobody reads the output any more; there is no place to say so.
+                return
+            if ends:
+                return
 
 
 def decision(logger: logging.Logger, kind: str, **fields: Any) -> None:
--- a/src/apricottrestle/metrics.py
+++ b/src/apricottrestle/metrics.py
@@ -61,3 +61,31 @@
     "apricottrestle_demand_records_dropped",
     "Malformed records of the demand stream dropped",
 )
+ANSWER_SECONDS = Histogram(
+    "apricottrestle_answer_seconds",
+    "Time from a request's arrival at a gateway to the end of its answer",
+    ["kind", "outcome"],
+    buckets=(0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20),
+)
+WAIT_SECONDS = Histogram(
+    "apricottrestle_wait_seconds",
+    "Time for which a gateway's request waited for an upstream",
+    buckets=(0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5),
+)
+SENDS = Counter(
+    "apricottrestle_sends", "Sends of a gateway to upstreams", ["result"]
+)
+STORE_SECONDS = Histogram(
+    "apricottrestle_store_seconds",
+    "Time of a gateway's call to the store, waiting for changes included",
+    ["call", "outcome"],
+    buckets=(0.005, 0.01, 0.05, 0.1, 0.5, 1, 2, 5),
+)
+PEERS = Gauge("apricottrestle_peers", "Gateways heard, this one not included")
+WAITING = Gauge("apricottrestle_waiting", "Requests that wait for an engine")
+UPSTREAMS = Gauge(
+    "apricottrestle_upstreams", "Upstreams in the list, by state", ["state"]
+)
+LOG_LINES_DROPPED = Counter(
+    "apricottrestle_log_lines_dropped", "Log lines the output did not take"
+)
--- a/src/apricottrestle/platform/__main__.py
+++ b/src/apricottrestle/platform/__main__.py
@@ -19,21 +19,19 @@
 
 def main() -> int:
     """Reads the settings and runs the gateway."""
-    logs.configure(sys.stdout)
     try:
         cfg, store_address = settings_file.load()
     except errors.SettingsError as exc:
         sys.stderr.write(f"{exc}\n")
         return EXIT_BAD_SETTINGS
-    daemon.run(
-        cfg,
-        daemon.Ports(
-            store_client.StoreClient(store_address),
-            upstream_client.HttpUpstreamClient,
-            caller_server.CallerServer,
-            caller_server.ReadyServer,
-        ),
+    ports = daemon.Ports(
+        store_client.StoreClient(store_address),
+        upstream_client.HttpUpstreamClient,
+        caller_server.CallerServer,
+        caller_server.ReadyServer,
     )
+    with logs.BoundedLog(sys.stdout):
+        daemon.run(cfg, ports)
     return 0
 
 
--- a/src/apricottrestle/platform/names.py
+++ b/src/apricottrestle/platform/names.py
@@ -19,6 +19,9 @@
 AUTHORIZATION: Final = "Authorization"
 RETRY_AFTER: Final = "Retry-After"
 
+METRICS_PORT: Final = 9464
+"""Port of the metrics, as deploy/system.toml states it."""
+
 READY_PATH: Final = "/-/ready"
 ORDER_PATH: Final = "/-/order"
 
--- a/src/apricottrestle/platform/settings_file.py
+++ b/src/apricottrestle/platform/settings_file.py
@@ -83,6 +83,7 @@
         got.listen.front,
         got.listen.ready,
         got.listen.control,
+        f"{got.ip}:{names.METRICS_PORT}",
         f"{got.ip}:{port}",
         seeds,
         got.bounds.grace_s,
--- a/src/apricottrestle/platform/store_client.py
+++ b/src/apricottrestle/platform/store_client.py
@@ -3,13 +3,14 @@
 import base64
 import logging
 import struct
+import time
 import urllib.parse
 from collections.abc import Iterator
 from typing import Final, NamedTuple
 
 import msgspec
 
-from apricottrestle import errors, platform_http
+from apricottrestle import errors, metrics, platform_http
 from apricottrestle.gateway import store, upstream_list
 from apricottrestle.platform import codec, names
 
@@ -119,7 +120,7 @@
         query = urllib.parse.urlencode(
             {"topic": names.GATEWAYS_TOPIC, "part": 0}
         )
-        await self._http.call(
+        await self._call(
             "POST",
             f"{names.LOG_APPEND}?{query}",
             "announce",
@@ -149,6 +150,35 @@
         """See FleetStore.close."""
         self._http.close()
 
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        step: str,
+        *,
+        body: bytes | None = None,
+        appends: bool = False,
+        timeout_s: float | None = None,
+    ) -> bytes:
+        """Makes one call and measures it; see PlatformHttp.call."""
+        started = time.monotonic()
+        outcome = "failed"
+        try:
+            answer = await self._http.call(
+                method,
+                path,
+                step,
+                body=body,
+                appends=appends,
+                timeout_s=timeout_s,
+            )
+            outcome = "answered"
+        finally:
+            metrics.STORE_SECONDS.labels(step, outcome).observe(
+                time.monotonic() - started
+            )
+        return answer
+
     async def _newest(self, topic: str) -> tuple[list[KeyedRecord], int]:
         """Returns the newest record of each key, and where to read on.
 
@@ -162,7 +192,7 @@
             query = {"topic": topic, "part": "0"}
             if after:
                 query["after"] = after
-            body = await self._http.call(
+            body = await self._call(
                 "GET",
                 f"{names.LOG_NEWEST}?{urllib.parse.urlencode(query)}",
                 "read",
@@ -188,7 +218,7 @@
             }
         )
         try:
-            body = await self._http.call(
+            body = await self._call(
                 "GET",
                 f"{names.LOG_READ}?{query}",
                 "read",
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -291,6 +291,7 @@
             "",
             "",
             "",
+            "",
             address,
             tuple(f"gateway-{n}" for n in range(min(3, self.site.gateways))),
             8.0,
--- /dev/null
+++ b/tests/test_platform_caller_server.py
@@ -0,0 +1,220 @@
+"""Guards the HTTP server for callers: whole requests in, whole answers out."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+import pytest
+
+from apricottrestle.gateway import calls
+from apricottrestle.platform import caller_server
+from tests import async_helpers
+
+
+class _Handler(calls.RequestHandler):
+    """Keeps requests; a script answers them."""
+
+    def __init__(
+        self, answer: Callable[[calls.CallerRequest, calls.Responder], None]
+    ) -> None:
+        self.requests: list[calls.CallerRequest] = []
+        self.left: list[str] = []
+        self._answer = answer
+
+    def handle(
+        self, req: calls.CallerRequest, responder: calls.Responder
+    ) -> None:
+        self.requests.append(req)
+        responder.on_close(lambda: self.left.append(req.target))
+        self._answer(req, responder)
+
+
+def _echo(req: calls.CallerRequest, responder: calls.Responder) -> None:
+    responder.begin(200, (("X-Signature", "s"),), len(req.body))
+    responder.write(req.body)
+    responder.finish()
+
+
+def _stream(req: calls.CallerRequest, responder: calls.Responder) -> None:
+    responder.begin(200, ())
+    responder.write(b"id: 1\n\n")
+    responder.write(b"id: 2\n\n")
+    responder.finish()
+
+
+def _cut(req: calls.CallerRequest, responder: calls.Responder) -> None:
+    responder.begin(200, ())
+    responder.write(b"id: 1\n\n")
+    asyncio.get_running_loop().call_later(0.05, responder.abort)
+
+
+def _refuse(req: calls.CallerRequest, responder: calls.Responder) -> None:
+    responder.refuse(503, "not_run", 0.25)
+
+
+def _nothing(req: calls.CallerRequest, responder: calls.Responder) -> None:
+    """Leaves the request open."""
+
+
+@contextlib.asynccontextmanager
+async def _serving(
+    handler: _Handler,
+) -> AsyncIterator[
+    tuple[
+        caller_server.CallerServer, asyncio.StreamReader, asyncio.StreamWriter
+    ]
+]:
+    with caller_server.CallerServer("127.0.0.1:0", handler) as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        yield server, reader, writer
+        writer.close()
+
+
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+POST = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+CHUNKED = (
+    b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("sent", "bodies"),
+    [
+        ([GET], [b""]),
+        ([POST], [b"body"]),
+        ([CHUNKED], [b"body"]),
+        ([POST + GET + CHUNKED], [b"body", b"", b"body"]),
+        ([POST[:30], POST[30:]], [b"body"]),
+        ([bytes([byte]) for byte in POST], [b"body"]),
+    ],
+)
+@async_helpers.on_loop
+async def test_requests_are_read_whole_and_in_order(
+    sent: list[bytes], bodies: list[bytes]
+) -> None:
+    """Guards against requests that are torn, joined or read early."""
+    handler = _Handler(_echo)
+    async with _serving(handler) as (_, reader, writer):
+        for part in sent:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0)
+        for body in bodies:
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200 OK\r\n")
+            assert f"Content-Length: {len(body)}".encode() in head
+            assert await reader.readexactly(len(body)) == body
+    assert [req.body for req in handler.requests] == bodies
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+        b"Content-Length: 5\r\n\r\nbody",
+        b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\nbody",
+        b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+        b"nonsense\r\n\r\n",
+    ],
+)
+@async_helpers.on_loop
+async def test_ambiguous_requests_reach_nobody(bad: bytes) -> None:
+    """Guards against a request smuggled inside another one."""
+    handler = _Handler(_echo)
+    async with _serving(handler) as (_, reader, writer):
+        writer.write(bad + GET)
+        rest = await reader.read()
+    assert handler.requests == []
+    assert not rest or rest.startswith(b"HTTP/1.1 400")
+
+
+@async_helpers.on_loop
+async def test_stream_is_complete_only_when_finished() -> None:
+    """Guards against a cut answer that looks complete."""
+    async with _serving(_Handler(_stream)) as (_, reader, writer):
+        writer.write(GET)
+        got = await reader.readuntil(b"0\r\n\r\n")
+        assert b"id: 2" in got
+    async with _serving(_Handler(_cut)) as (_, reader, writer):
+        writer.write(GET)
+        got = await reader.read()
+        assert b"id: 1" in got
+        assert b"\r\n0\r\n" not in got
+
+
+@async_helpers.on_loop
+async def test_refusal_says_when_to_come_back() -> None:
+    """Guards the fractional Retry-After that callers honour."""
+    async with _serving(_Handler(_refuse)) as (_, reader, writer):
+        writer.write(GET)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After: 0.250" in head
+
+
+@async_helpers.on_loop
+async def test_callers_close_is_noticed() -> None:
+    """Guards against work for callers that have left."""
+    handler = _Handler(_nothing)
+    async with _serving(handler) as (_, _reader, writer):
+        writer.write(GET)
+        await async_helpers.until(lambda: handler.requests)
+        writer.close()
+        await async_helpers.until(lambda: handler.left)
+    assert handler.left == ["/a"]
+
+
+@async_helpers.on_loop
+async def test_stop_ends_connections_with_their_next_answer() -> None:
+    """Guards a planned stop: nothing is cut, and connections don't stay."""
+    handler = _Handler(_echo)
+    async with _serving(handler) as (server, reader, writer):
+        writer.write(POST)
+        await reader.readuntil(b"body")
+        server.stopping = True
+        writer.write(POST)
+        got = await reader.read()
+        assert got.endswith(b"body")
+        assert b"Connection: close" in got
+
+
+@async_helpers.on_loop
+async def test_idle_connections_close_on_demand_and_busy_ones_stay() -> None:
+    """Guards a stop against idle callers, and callers against the stop."""
+    handler = _Handler(_nothing)
+    async with _serving(handler) as (server, idle_reader, _):
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(POST)
+        await async_helpers.until(lambda: handler.requests)
+        server.close_idle()
+        assert await idle_reader.read() == b""
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await reader.read()
+        writer.close()
+
+
+@async_helpers.on_loop
+async def test_idle_timeout_follows_the_configuration() -> None:
+    """Guards against closing connections that callers may still use."""
+    handler = _Handler(_echo)
+    async with _serving(handler) as (server, reader, writer):
+        server.set_idle_timeout(0.05)
+        writer.write(GET)
+        await reader.readuntil(b"\r\n\r\n")
+        async with asyncio.timeout(2):
+            assert await reader.read() == b""
+
+
+@pytest.mark.parametrize(("ready", "status"), [(True, b"200"), (False, b"503")])
+@async_helpers.on_loop
+async def test_readiness_is_answered(ready: bool, status: bytes) -> None:
+    """Guards the load balancer's view."""
+    with caller_server.ReadyServer("127.0.0.1:0", lambda: ready) as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        line = await reader.readline()
+        assert line.split()[1] == status
+        writer.close()
--- /dev/null
+++ b/tests/test_platform_codec.py
@@ -0,0 +1,273 @@
+"""Guards what the adapter reads: store records, entries, settings."""
+
+import pathlib
+import struct
+from typing import Any
+
+import msgspec
+import pytest
+from tornado import httputil
+
+from apricottrestle import errors
+from apricottrestle.platform import (
+    caller_server,
+    codec,
+    names,
+    settings_file,
+    store_client,
+)
+
+CONFIG: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "a.example",
+            "path_prefix": "/x/",
+            "kind": "stream",
+            "timeout_ms": 10000,
+            "target_latency_ms": 250,
+            "priority": 0,
+            "split": [
+                {"service": "s-1", "weight": 90},
+                {"service": "s-2", "weight": 10},
+            ],
+            "max_attempts": 2,
+            "public": False,
+            "resumable": True,
+            "gap_target_ms": 250,
+            "a_new_field": 1,
+        },
+        {
+            "name": "r-2",
+            "host": "a.example",
+            "path_prefix": "/y/",
+            "kind": "keyed",
+            "service": "s-2",
+        },
+    ],
+    "services": [
+        {
+            "name": "s-1",
+            "max_conns": 424,
+            "engine": {
+                "slots": 8,
+                "kv_capacity": 315000,
+                "stride": 51,
+                "step_ms": 0.85,
+                "per_seq_ms": 0.0085,
+                "context_per_k": 0.00285,
+                "read_per_s": 177000.0,
+                "pairs_per_m": 0.184,
+                "chunk": 2048,
+                "hop_ms": 0.05,
+            },
+        },
+        {"name": "s-2"},
+    ],
+    "limits": {"idle_timeout_ms": 15000},
+    "tenants": [{"name": "t-1", "api_keys": ["k-1", "k-2"], "priority": 1}],
+}
+ENTRY: dict[str, Any] = {
+    "service": "s-1",
+    "address": "10.0.0.9:8080",
+    "zone": "dc-1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 500,
+    "seq_no": 4,
+    "born": 1700000000000,
+}
+
+
+def test_configuration_is_decoded_into_seconds_and_tokens() -> None:
+    """Guards units: milliseconds, and costs per thousand or million tokens."""
+    got = codec.decode_config(msgspec.json.encode(CONFIG))
+    first, second = got.routes
+    assert (first.timeout_s, first.target_s, first.event_gap_target_s) == (
+        10.0,
+        0.25,
+        0.25,
+    )
+    assert [part.service for part in first.targets] == ["s-1", "s-2"]
+    assert second.targets[0].service == "s-2"
+    # A kind that isn't known may run once at most.
+    assert not second.repeatable
+    model = got.services["s-1"].engine
+    assert model is not None
+    assert model.step_s == pytest.approx(0.85e-3)
+    assert model.step_per_context_token_s == pytest.approx(2.85e-9)
+    assert model.read_pair_s == pytest.approx(1.84e-10)
+    assert got.services["s-2"].engine is None
+    assert got.teams_by_key is not None
+    assert got.teams_by_key["k-2"].name == "t-1"
+
+
+@pytest.mark.parametrize(("tenants", "expected"), [(None, None), ([], {})])
+def test_no_teams_differs_from_no_keys(
+    tenants: list[Any] | None, expected: dict[str, Any] | None
+) -> None:
+    """Guards against open access when the last key is taken away."""
+    value = {key: CONFIG[key] for key in CONFIG if key != "tenants"}
+    if tenants is not None:
+        value["tenants"] = tenants
+    got = codec.decode_config(msgspec.json.encode(value))
+    assert got.teams_by_key == expected
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"address": "10.0.0.9"},
+        {"address": "10.0.0.9:port"},
+        {"address": 5},
+        {"state": "asleep"},
+        {"state": None},
+        {"service": ""},
+        {"slots": 0},
+        {"slots": "8"},
+        {"zone": 3},
+        {"born": 1.5},
+    ],
+)
+def test_entry_of_another_writer_names_no_upstream(
+    changes: dict[str, Any],
+) -> None:
+    """Guards against work sent by an entry that can't be an upstream's."""
+    assert codec.decode_upstream("up-1", msgspec.json.encode(ENTRY)).slots == 8
+    with pytest.raises(errors.PlatformError):
+        codec.decode_upstream("up-1", msgspec.json.encode(ENTRY | changes))
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b'{"service":'])
+def test_unreadable_values_are_platform_errors(value: bytes) -> None:
+    """Guards the loops against an exception of the decoder."""
+    with pytest.raises(errors.PlatformError):
+        codec.decode_upstream("up-1", value)
+    with pytest.raises(errors.PlatformError):
+        codec.decode_config(value)
+
+
+def _read(*records: bytes) -> bytes:
+    return struct.pack(">QQ", len(records), 0) + b"".join(records)
+
+
+def test_records_survive_the_framing() -> None:
+    """Guards against shifted keys, and a removal that looks like a value."""
+    body = _read(
+        store_client.encode_record("a", b"1"),
+        store_client.encode_record("bé", b""),
+        store_client.encode_record("c", b"\x00" * 300),
+    )
+    assert list(store_client.decode_records(body)) == [
+        ("a", b"1"),
+        ("bé", None),
+        ("c", b"\x00" * 300),
+    ]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        _read(b"\x00\x00"),
+        _read(b"\x00\x00\x00\x09\x01a"),
+        _read(b"\x00\x00\x00\x00"),
+    ],
+)
+def test_torn_records_are_platform_errors(body: bytes) -> None:
+    """Guards against positions that go on after a torn answer."""
+    with pytest.raises(errors.PlatformError):
+        list(store_client.decode_records(body))
+
+
+def test_caller_cannot_set_what_the_gateway_sets() -> None:
+    """Guards team, upstream, key and deadline against a caller's own."""
+    headers = httputil.HTTPHeaders(
+        {
+            "Host": "a.example",
+            "Connection": "keep-alive, x-hop",
+            "X-Hop": "1",
+            "X-Kept": "1",
+            names.REQUEST_ID: "id-1",
+            names.AUTHORIZATION: "bearer  k-1 ",
+            names.TEAM: "forged",
+            names.UPSTREAM_ID: "forged",
+            names.HELPERS: "forged",
+            names.PRIORITY: "0",
+            names.DEADLINE_MS: "1500",
+            names.TOKEN_USAGE: "1460,80",
+            names.LAST_EVENT_ID: "12",
+        }
+    )
+    start = httputil.RequestStartLine("POST", "/x/y?z", "HTTP/1.1")
+    got = caller_server.decode_request(start, headers, b"", 5.0)
+    passed = {name for name, _ in got.headers}
+    assert passed == {"X-Kept", names.REQUEST_ID, names.TOKEN_USAGE}
+    assert got.api_key == "k-1"
+    assert got.time_left_s == 1.5
+    assert got.resume_after == "12"
+    assert got.size is not None
+    assert got.size.prompt_tokens == 1460
+
+
+@pytest.mark.parametrize("value", ["", "x", "1,", ",1", "1;2"])
+def test_malformed_size_is_no_size(value: str) -> None:
+    """Guards against an error page for a caller's odd header."""
+    headers = httputil.HTTPHeaders({names.TOKEN_USAGE: value})
+    start = httputil.RequestStartLine("POST", "/", "HTTP/1.1")
+    assert caller_server.decode_request(start, headers, b"", 0.0).size is None
+
+
+SETTINGS = """
+node = "front-1"
+ip = "10.1.0.40"
+zone = "dc-1"
+internal_port_range = [7340, 7355]
+seeds = ["10.1.0.40:8229", "10.2.0.29:8229"]
+a_new_field = 1
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+control = "10.1.0.40:8229"
+[bounds]
+grace_s = 8
+drain_ms = 2000
+retry_budget = 0.2
+budget_window_s = 10
+budget_slack = 102
+free_ms = 4000
+hold_max_ms = 20000
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+def test_settings_are_translated(tmp_path: pathlib.Path) -> None:
+    """Guards addresses and units of the settings."""
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    cfg, address = settings_file.load(str(path))
+    assert address == "10.200.1.7:8223"
+    assert cfg.peers == "10.1.0.40:7340"
+    assert cfg.seeds == ("10.2.0.29:7340",)
+    assert (cfg.grace_s, cfg.memory_free_s) == (8, 4.0)
+
+
+@pytest.mark.parametrize(
+    "text", ["", "node = ", SETTINGS.replace("grace_s = 8", "grace_s = 'x'")]
+)
+def test_bad_settings_are_named(text: str, tmp_path: pathlib.Path) -> None:
+    """Guards against a start on half-read settings."""
+    path = tmp_path / "settings.toml"
+    path.write_text(text)
+    with pytest.raises(errors.SettingsError) as caught:
+        settings_file.load(str(path))
+    assert str(path) in str(caught.value)
+
+
+def test_missing_settings_are_named(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a start without settings."""
+    monkeypatch.delenv(names.SETTINGS_VARIABLE, raising=False)
+    with pytest.raises(errors.SettingsError, match=names.SETTINGS_VARIABLE):
+        settings_file.load()
