Find slow engines, prefer the own data centre, place late requests soonest

Change: module engine_pace (shortest of three pauses, overdue first events, told to peers); the nearest engines first, ties by a hash of gateway and engine; all slots used; starts told at once; late requests go where the first event is soonest, within the caller's patience.

--- a/bench/fleet_days.py
+++ b/bench/fleet_days.py
@@ -84,9 +84,9 @@
         engine_routing,
         "_fullness",
         lambda room: (
-            -room.slots_free,
             room.candidate.distance_s,
-            room.candidate.engine,
+            -room.slots_free,
+            room.candidate.preference,
         ),
     )
 
--- a/src/apricottrestle/gateway/engine_routing.py
+++ b/src/apricottrestle/gateway/engine_routing.py
@@ -11,7 +11,7 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
 from apricottrestle.gateway import engine_costs, engine_load, fleet_config
@@ -32,9 +32,6 @@
 """Least part of a read that is worth another engine: below it, the engines'
 passes and the network outweigh the gain."""
 
-FREE_SLOTS: Final = 1
-"""Slots left free on an engine, for requests that peers send meanwhile."""
-
 
 class Ask(NamedTuple):
     """What a request needs.
@@ -44,13 +41,15 @@
         output_tokens: Estimate of the tokens to write.
         target_left_s: Time left to a first event that is on time; negative
             when it is already late.
-        time_left_s: Time until the caller leaves.
+        patience_left_s: Time left to a first event before the caller leaves.
+        time_left_s: Time until the caller must have been answered.
         gap_s: Longest pause between events that is on time; 0 when any is.
     """
 
     prompt_tokens: int
     output_tokens: int
     target_left_s: float
+    patience_left_s: float
     time_left_s: float
     gap_s: float
 
@@ -63,6 +62,8 @@
         row: Its load.
         slots: Requests it runs at a time.
         distance_s: Time to reach it, one way.
+        preference: Order among equal engines; differs between gateways, so
+            that they don't choose the same idle engine at a time.
         pace: Factor by which it is slower than nominal; 1 when it is not.
     """
 
@@ -70,6 +71,7 @@
     row: engine_load.EngineRow
     slots: int
     distance_s: float
+    preference: int
     pace: float
 
 
@@ -125,7 +127,7 @@
         pace * outlook.next_pass_s,
         outlook.slack_s / pace,
         int(model.kv_tokens * KV_MARGIN) - row.kv_tokens,
-        candidate.slots - FREE_SLOTS - len(row.runs),
+        candidate.slots - len(row.runs),
     )
 
 
@@ -144,14 +146,8 @@
         now: Monotonic time in seconds.
     """
     rooms = [_room(candidate, model, now) for candidate in candidates]
-    whole_s = engine_costs.read_s(model, ask.prompt_tokens)
-    most = min(
-        MAX_HELPERS,
-        len(rooms) - 1,
-        max(int(whole_s / MIN_PART_S), _least_helpers(ask, model)),
-    )
-    for helpers in range(_least_helpers(ask, model), most + 1):
-        choice = _with_helpers(ask, rooms, model, helpers)
+    for helpers in _helper_counts(ask, len(rooms), model):
+        choice = _with_helpers(ask, rooms, model, helpers, _fullness)
         if choice is not None:
             return choice
     return None
@@ -178,6 +174,7 @@
     rooms: Sequence[_Room],
     model: fleet_config.EngineModel,
     helpers: int,
+    order: Callable[[_Room], tuple[float, float, int]],
 ) -> Choice | None:
     """Returns a choice with exactly so many helpers, or None."""
     part_s = engine_costs.part_s(model, ask.prompt_tokens, helpers + 1)
@@ -203,9 +200,9 @@
     ]
     if not writers:
         return None
-    writer = min(writers, key=_fullness)
+    writer = min(writers, key=order)
     readers = sorted(
-        (room for room in fitting if room is not writer), key=_fullness
+        (room for room in fitting if room is not writer), key=order
     )[:helpers]
     first_s = max(_first_event_s(room, part_s) for room in [writer, *readers])
     return Choice(
@@ -239,10 +236,21 @@
     )
 
 
-def _fullness(room: _Room) -> tuple[float, float, str]:
-    """Orders engines: the least slack first, then the nearest."""
+def _fullness(room: _Room) -> tuple[float, float, int]:
+    """Orders engines: the nearest first, then the least slack.
+
+    Gateways of different data centres then rarely choose the same engine at a
+    time, before they have heard of each other's choice.
+    """
+    candidate = room.candidate
+    return (candidate.distance_s, room.slack_s, candidate.preference)
+
+
+def _soonness(room: _Room) -> tuple[float, float, int]:
+    """Orders engines: the least wait first, then the nearest."""
     candidate = room.candidate
-    return (room.slack_s, candidate.distance_s, candidate.engine)
+    wait_s = room.wait_s + room.next_pass_s
+    return (wait_s, candidate.distance_s, candidate.preference)
 
 
 def least_late(
@@ -251,21 +259,45 @@
     model: fleet_config.EngineModel,
     now: float,
 ) -> Choice | None:
-    """Returns a place for a request that can't be on time any more, or None.
+    """Returns the soonest place for a request that is late anyway, or None.
 
-    The request must not delay writers elsewhere, so it takes the engine with
-    the shortest backlog on which it fits without harm, and as few helpers as
-    let it end within its time.
+    It delays no writer elsewhere, and its first event must come before the
+    caller gives up.
     """
-    late = ask._replace(target_left_s=ask.time_left_s)
-    return choose(late, candidates, model, now)
+    rooms = [_room(candidate, model, now) for candidate in candidates]
+    late = ask._replace(target_left_s=min(ask.patience_left_s, ask.time_left_s))
+    best: Choice | None = None
+    for helpers in _helper_counts(ask, len(rooms), model):
+        choice = _with_helpers(late, rooms, model, helpers, _soonness)
+        if choice is None:
+            continue
+        if best is None or choice.first_event_s < best.first_event_s:
+            best = choice
+    return best._replace(on_time=False) if best is not None else None
+
+
+def _helper_counts(
+    ask: Ask, engines: int, model: fleet_config.EngineModel
+) -> range:
+    """Returns the numbers of helpers that are worth a look."""
+    whole_s = engine_costs.read_s(model, ask.prompt_tokens)
+    least = _least_helpers(ask, model)
+    most = min(MAX_HELPERS, engines - 1, max(int(whole_s / MIN_PART_S), least))
+    return range(least, most + 1)
+
+
+def soonest_read_s(
+    ask: Ask, model: fleet_config.EngineModel, engines: int
+) -> float:
+    """Returns the time to read a prompt on idle engines, all helping."""
+    helpers = _helper_counts(ask, engines, model)
+    count = helpers[-1] if helpers else 0
+    return engine_costs.part_s(model, ask.prompt_tokens, count + 1)
 
 
 def shortest_service_s(
     ask: Ask, model: fleet_config.EngineModel, engines: int
 ) -> float:
     """Returns the time to serve a request on idle engines, all helping."""
-    helpers = min(MAX_HELPERS, max(engines - 1, 0))
-    read = engine_costs.part_s(model, ask.prompt_tokens, helpers + 1)
     write = engine_costs.write_s(model, ask.output_tokens, 1, ask.prompt_tokens)
-    return read + write
+    return soonest_read_s(ask, model, engines) + write
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -85,8 +85,16 @@
         """Notes the first event of a send."""
 
     @abc.abstractmethod
-    def saw_event(self, exchange: "Exchange", sent: Sent) -> None:
-        """Notes that an engine has just ended a pass."""
+    def saw_event(
+        self, exchange: "Exchange", sent: Sent, pause_s: float | None
+    ) -> None:
+        """Notes that an engine has just ended a pass.
+
+        Args:
+            exchange: The exchange.
+            sent: The send whose event came.
+            pause_s: Time since the send's event before, or None.
+        """
 
     @abc.abstractmethod
     def sent_ended(
@@ -193,6 +201,7 @@
             size.prompt_tokens,
             max(output, 1),
             target_left_s,
+            self.waiting_since + self._patience_s() - now,
             self.time_left_s(now),
             route.event_gap_target_s,
         )
@@ -330,6 +339,7 @@
         sent = self._sent
         assert sent is not None
         now = clock.now()
+        gap_s = now - self._last_event_at
         if not self._history.answered:
             self._history = self._history._replace(answered=True)
             self._responder.begin(head.status, head.headers)
@@ -338,12 +348,14 @@
                 str(self.accepted.priority)
             ).observe(now - self.req.arrived_s)
         else:
-            gap_s = now - self._last_event_at
             self._longest_gap_s = max(self._longest_gap_s, gap_s)
         self._last_event_at = now
+        pause_s = None
         if self._events == 0:
             self._host.wrote(self, sent)
-        self._host.saw_event(self, sent)
+        elif len(chunks) == 1:
+            pause_s = gap_s
+        self._host.saw_event(self, sent, pause_s)
         self._events += len(chunks)
         self._responder.write(b"".join(chunks))
         self._arm_stall_timer(0.0)
@@ -509,14 +521,24 @@
                 when it has arrived.
         """
         self._cancel_stall_timer()
-        route = self.accepted.route
-        pause_s = max(ABANDON_LEAST_S, ABANDON_GAPS * route.event_gap_target_s)
         if first_event_s > 0:
-            pause_s = max(pause_s, ABANDON_TARGETS * route.target_s)
+            pause_s = self._patience_s()
+        else:
+            gap_s = self.accepted.route.event_gap_target_s
+            pause_s = max(ABANDON_LEAST_S, ABANDON_GAPS * gap_s)
         self._stall_timer = self._loop.call_later(
             max(STALL_SHARE * pause_s, 2 * first_event_s), self._on_stall
         )
 
+    def _patience_s(self) -> float:
+        """Time without an event after which the caller leaves."""
+        route = self.accepted.route
+        return max(
+            ABANDON_LEAST_S,
+            ABANDON_TARGETS * route.target_s,
+            ABANDON_GAPS * route.event_gap_target_s,
+        )
+
     def _cancel_stall_timer(self) -> None:
         if self._stall_timer is not None:
             self._stall_timer.cancel()
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -10,12 +10,14 @@
 import random
 from typing import Final
 
-from apricottrestle import logs, metrics
+from apricottrestle import hashing, logs, metrics
 from apricottrestle.gateway import (
     accept,
     calls,
     clock,
+    engine_costs,
     engine_load,
+    engine_pace,
     engine_routing,
     exchange,
     fleet_config,
@@ -81,6 +83,7 @@
     Attributes:
         state: Configuration and upstreams.
         load: Runs on engines, of all gateways.
+        paces: How much slower than published engines are.
         listener: Learns of own runs.
         stopping: New requests are refused.
         active: Requests under way.
@@ -96,6 +99,7 @@
         """Starts without knowledge of the fleet."""
         self.state = fleet_state.FleetState(self._on_upstream)
         self.load = engine_load.EngineLoad()
+        self.paces = engine_pace.EnginePaces()
         self.peer_calls: dict[str, collections.Counter[str]] = {}
         self.listener = RunListener()
         self.stopping = False
@@ -112,6 +116,7 @@
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._run_count = 0
+        self._preferences: dict[str, int] = {}
         self._incarnation = incarnation
         self._pump_due = False
 
@@ -212,16 +217,29 @@
 
     def wrote(self, one: exchange.Exchange, sent: exchange.Sent) -> None:
         """See Host.wrote."""
+        self.paces.answered(sent.upstream_id, sent.run_id)
         if self.load.wrote(sent.run_id) is not None:
             self.listener.run_wrote(sent.run_id)
             self._pump_soon()
 
-    def saw_event(self, one: exchange.Exchange, sent: exchange.Sent) -> None:
+    def saw_event(
+        self,
+        one: exchange.Exchange,
+        sent: exchange.Sent,
+        pause_s: float | None,
+    ) -> None:
         """See Host.saw_event."""
         model = one.accepted.service.engine
-        if model is not None:
-            now = clock.now()
-            self.load.row(sent.upstream_id).saw_event(model, now, now)
+        if model is None:
+            return
+        now = clock.now()
+        row = self.load.row(sent.upstream_id)
+        if pause_s is not None and row.runs:
+            pass_s = engine_costs.pass_s(
+                model, len(row.runs), row.context_tokens
+            )
+            self.paces.paused(sent.upstream_id, pause_s, pass_s, now)
+        row.saw_event(model, now, now)
 
     def sent_ended(
         self,
@@ -233,6 +251,7 @@
         """See Host.sent_ended."""
         now = clock.now()
         self._account_health(one, sent, result, fault_address, now)
+        self.paces.answered(sent.upstream_id, sent.run_id)
         if self.load.run(sent.run_id) is not None:
             self.load.end(sent.run_id)
             self.listener.run_ended(sent.run_id)
@@ -363,6 +382,15 @@
     def _distance_s(self, entry: upstream_list.UpstreamEntry) -> float:
         return 0.0 if entry.data_centre == self._cfg.data_centre else FAR_S
 
+    def _preference(self, upstream_id: str) -> int:
+        """Returns this gateway's order of otherwise equal upstreams."""
+        score = self._preferences.get(upstream_id)
+        if score is None:
+            score = self._preferences[upstream_id] = hashing.rendezvous_score(
+                self._cfg.instance_id, upstream_id
+            )
+        return score
+
     def _new_run_id(self) -> str:
         self._run_count += 1
         return f"{self._incarnation}-{self._run_count}"
@@ -402,8 +430,9 @@
             if ask.time_left_s < REFUSE_FACTOR * least_s:
                 self._refuse_waiting(one, "too_late")
                 return
-            read_s = least_s
+            read_s = engine_routing.soonest_read_s(ask, model, len(candidates))
             if ask.target_left_s > read_s:
+                # An engine may become free in time.
                 return
             choice = engine_routing.least_late(ask, candidates, model, now)
         if choice is not None:
@@ -427,7 +456,8 @@
                 self.load.row(entry.upstream_id),
                 min(entry.slots, model.slots),
                 self._distance_s(entry),
-                1.0,
+                self._preference(entry.upstream_id),
+                self.paces.pace(entry.upstream_id, now),
             )
             for entry in self._usable(service.name, one, now)
         ]
@@ -504,6 +534,7 @@
         sent = exchange.Sent(
             run.engine, entry.address, run.run_id, now, choice.first_event_s
         )
+        self.paces.sent(run.engine, run.run_id, choice.first_event_s, now)
         one.send(
             sent,
             priority=min(one.accepted.priority, 9),
@@ -551,6 +582,8 @@
     def _on_upstream(self, change: upstream_list.Change) -> None:
         if change.after == "gone" or change.restarted:
             self._health.forget(change.upstream_id)
+            self.paces.forget(change.upstream_id)
+            self._preferences.pop(change.upstream_id, None)
         self._pump_soon()
 
     def close(self) -> None:
--- a/src/apricottrestle/gateway/peer_messages.py
+++ b/src/apricottrestle/gateway/peer_messages.py
@@ -48,6 +48,7 @@
         wrote: Ids of runs whose first event has arrived.
         ended: Ids of runs that ended.
         calls: Calls under way to each plain upstream that changed.
+        paces: Engines that are slower than published, by the sender's events.
     """
 
     sender: Sender
@@ -55,6 +56,7 @@
     wrote: list[str] = []
     ended: list[str] = []
     calls: dict[str, int] = {}
+    paces: dict[str, float] = {}
 
 
 class Hello(msgspec.Struct, array_like=True, tag="hello", frozen=True):
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -28,9 +28,6 @@
 TICK_S: Final = 0.1
 """Interval at which silence of peers is noticed: a quarter of a beat."""
 
-FLUSH_S: Final = 0.005
-"""Time for which changes of runs are collected into one message."""
-
 HELLO_S: Final = 0.5
 """Interval of hellos to peers that have not been heard."""
 
@@ -145,7 +142,7 @@
     def _flush_soon(self) -> None:
         if not self._flush_due:
             self._flush_due = True
-            asyncio.get_running_loop().call_later(FLUSH_S, self._beat)
+            asyncio.get_running_loop().call_soon(self._beat)
 
     def _beat(self) -> None:
         self._flush_due = False
@@ -163,6 +160,7 @@
                 self._wrote,
                 self._ended,
                 self._calls,
+                self._core.paces.seen(now),
             )
         )
         self._started, self._wrote, self._ended = [], [], []
@@ -259,6 +257,8 @@
         for run_id in beat.ended:
             runs.discard(run_id)
             self._core.load.end(run_id)
+        for engine, pace in beat.paces.items():
+            self._core.paces.learn(engine, pace, now)
         if beat.calls:
             counts = self._core.peer_calls.setdefault(
                 beat.sender.incarnation, collections.Counter()
--- a/src/apricottrestle_standins/platform/engine_passes.py
+++ b/src/apricottrestle_standins/platform/engine_passes.py
@@ -154,8 +154,8 @@
         """Takes a part of a prompt; False when it helps too many."""
         if self.helping >= self.figures.slots:
             return False
-        # Parts of other engines' prompts are read first.
-        self._parts.insert(0, self._part(job))
+        # Parts of other engines' prompts come before own reads.
+        self._parts.insert(self.helping, self._part(job))
         self._kick(now_ms)
         return True
 
--- a/tests/test_gateway_engine_load.py
+++ b/tests/test_gateway_engine_load.py
@@ -6,21 +6,26 @@
 import pytest
 from hypothesis import strategies
 
-from apricottrestle.gateway import engine_costs, engine_load, engine_routing
+from apricottrestle.gateway import (
+    engine_costs,
+    engine_load,
+    engine_pace,
+    engine_routing,
+)
 from tests import gateway_parts
 
 MODEL = gateway_parts.ENGINE
-SHORT = engine_routing.Ask(5_000, 1_600, 0.25, 10.0, 0.25)
-MIDDLE = engine_routing.Ask(45_000, 1_000, 1.5, 10.0, 0.6)
-LONG = engine_routing.Ask(154_000, 800, 6.0, 15.0, 1.0)
-HUGE = engine_routing.Ask(700_000, 800, 6.0, 15.0, 1.0)
+SHORT = engine_routing.Ask(5_000, 1_600, 0.25, 2.0, 10.0, 0.25)
+MIDDLE = engine_routing.Ask(45_000, 1_000, 1.5, 6.0, 10.0, 0.6)
+LONG = engine_routing.Ask(154_000, 800, 6.0, 24.0, 15.0, 1.0)
+HUGE = engine_routing.Ask(700_000, 800, 6.0, 24.0, 15.0, 1.0)
 
 
 def _candidates(
     load: engine_load.EngineLoad, count: int
 ) -> list[engine_routing.Candidate]:
     return [
-        engine_routing.Candidate(f"e{n}", load.row(f"e{n}"), 8, 0.0, 1.0)
+        engine_routing.Candidate(f"e{n}", load.row(f"e{n}"), 8, 0.0, n, 1.0)
         for n in range(count)
     ]
 
@@ -115,19 +120,7 @@
     """Guards against refusal or harm when each engine writes short answers."""
     load = engine_load.EngineLoad()
     for number in range(6):
-        run = engine_load.Run(
-            f"r{number}",
-            f"e{number}",
-            (),
-            5_000,
-            1_600,
-            0.03,
-            0,
-            0.25,
-            0.2,
-            True,
-        )
-        load.start(run, 0.0)
+        load.start(_writing(f"r{number}", f"e{number}"), 0.0)
     choice = engine_routing.choose(MIDDLE, _candidates(load, 6), MODEL, 0.1)
     assert choice is not None
     assert choice.helpers
@@ -153,15 +146,11 @@
 def test_no_place_is_better_than_a_harmful_one() -> None:
     """Guards answers under way when all engines are full."""
     load = engine_load.EngineLoad()
-    for number in range(7):
-        run = engine_load.Run(
-            f"r{number}", "e0", (), 5_000, 1_600, 0.03, 0, 0.25, 0.2, True
-        )
-        load.start(run, 0.0)
-    assert (
-        engine_routing.choose(SHORT, _candidates(load, 1), MODEL, 0.1) is None
-    )
-    assert engine_routing.choose(LONG, _candidates(load, 1), MODEL, 0.1) is None
+    for number in range(MODEL.slots):
+        load.start(_writing(f"r{number}", "e0"), 0.0)
+    for ask in (SHORT, LONG):
+        engines = _candidates(load, 1)
+        assert engine_routing.choose(ask, engines, MODEL, 0.1) is None
 
 
 def test_slow_engine_is_given_less() -> None:
@@ -232,3 +221,70 @@
         later = row.outlook(MODEL, now + 60.0, 0.05, 0.04)
         assert later.wait_s == later.next_pass_s == 0
         assert later.slack_s == math.inf
+
+
+def test_engines_of_the_own_data_centre_come_first() -> None:
+    """Guards against gateways that choose the same engine at a time."""
+    load = engine_load.EngineLoad()
+    far, near = _candidates(load, 2)
+    load.start(_writing("r0", far.engine), 0.0)
+    choice = engine_routing.choose(
+        SHORT, [far._replace(distance_s=0.001), near], MODEL, 0.1
+    )
+    assert choice is not None
+    assert choice.engine == near.engine
+
+
+def test_late_request_takes_the_soonest_place() -> None:
+    """Guards late callers against the engine that reads longest.
+
+    Seen in virtual time, zimska-trgatev, burst of short, seed 1: a late short
+    request waited 4.7 s behind a long read while its caller left after 2 s.
+    """
+    load = engine_load.EngineLoad()
+    long_read = engine_load.Run(
+        "r0", "e0", (), 200_000, 800, 4.7, 0, 1.0, 6.0, False
+    )
+    load.start(long_read, 0.0)
+    for number in range(MODEL.slots - 1):
+        load.start(_writing(f"r1{number}", "e1"), 0.0)
+    late = SHORT._replace(target_left_s=-0.1)
+    choice = engine_routing.least_late(late, _candidates(load, 2), MODEL, 0.1)
+    assert choice is not None
+    assert choice.engine == "e1"
+    assert not choice.on_time
+    only_long = _candidates(load, 1)
+    assert engine_routing.least_late(late, only_long, MODEL, 0.1) is None
+
+
+def test_slow_engines_are_found_and_tried_again() -> None:
+    """Guards against work for a slow engine, and against losing it for good."""
+    paces = engine_pace.EnginePaces()
+    for number in range(6):
+        paces.paused("e0", 0.25, 0.05, number * 0.25)
+        paces.paused("e1", 0.05 if number % 2 else 0.4, 0.05, number * 0.25)
+    assert paces.pace("e0", 1.3) > 4
+    assert paces.pace("e1", 1.3) == 1.0
+    assert paces.seen(1.3) == {"e0": 5.0}
+    assert paces.pace("e0", 20.0) == 1.0
+    for number in range(engine_pace.PAUSES):
+        paces.paused("e0", 0.05, 0.05, 1.4 + number * 0.05)
+    assert paces.pace("e0", 1.6) == 1.0
+
+
+def test_overdue_first_event_shows_a_slow_engine_before_it_answers() -> None:
+    """Guards a burst against an engine that has just become slow."""
+    paces = engine_pace.EnginePaces()
+    paces.sent("e0", "r0", 0.1, 0.0)
+    assert paces.pace("e0", 0.15) == 1.0
+    assert paces.pace("e0", 0.4) > engine_pace.NOISE
+    paces.answered("e0", "r0")
+    assert paces.pace("e0", 0.5) == 1.0
+
+
+def test_paces_told_by_peers_do_not_keep_each_other_alive() -> None:
+    """Guards against two gateways that repeat each other's old evidence."""
+    paces = engine_pace.EnginePaces()
+    paces.learn("e0", 5.0, 0.0)
+    assert paces.pace("e0", 0.1) > 4
+    assert paces.seen(0.1) == {}
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -96,7 +96,12 @@
     def wrote(self, one: exchange.Exchange, sent: exchange.Sent) -> None:
         pass
 
-    def saw_event(self, one: exchange.Exchange, sent: exchange.Sent) -> None:
+    def saw_event(
+        self,
+        one: exchange.Exchange,
+        sent: exchange.Sent,
+        pause_s: float | None,
+    ) -> None:
         pass
 
     def sent_ended(
