Take over changed settings without a restart

Cause: the platform changes the settings file with SIGHUP or without; the gateway logged the signal and kept the old values. Change: SettingsSource compares the file each second and on SIGHUP; budgets, grace period, hold times, seeds and the store's address change at once, addresses that are bound at the next start; bad settings change nothing and are logged.

--- a/src/apricottrestle/gateway/assembly.py
+++ b/src/apricottrestle/gateway/assembly.py
@@ -24,6 +24,7 @@
     """A gateway's core, its peers and its store. A context manager.
 
     Attributes:
+        cfg: Settings in force.
         core: Serves requests.
         peers: Exchanges state with other gateways.
         sync: Follows the store.
@@ -46,7 +47,7 @@
             rng: Source of random choices.
             incarnation: Id of this process, unique in the fleet.
         """
-        self._cfg = cfg
+        self.cfg = cfg
         self._incarnation = incarnation
         self.core = gateway.Gateway(cfg, client, rng, incarnation)
         self.peers = peer_sync.PeerSync(cfg, self.core, incarnation)
@@ -71,7 +72,7 @@
         self.peers.start(link, self.sync)
         self.sync.start(
             store.GatewayRow(
-                self._cfg.instance_id, self._cfg.peers, self._incarnation
+                self.cfg.instance_id, self.cfg.peers, self._incarnation
             ),
             self.peers.connect_rows,
         )
@@ -80,6 +81,16 @@
             clock.Ticker(peer_sync.TICK_S, self.peers.tick)
         )
 
+    def apply(self, cfg: settings.GatewaySettings) -> None:
+        """Takes over new settings, as far as a running process can.
+
+        Budgets, grace period, hold times and seeds change at once; addresses
+        that are bound stay until the next start.
+        """
+        self.cfg = cfg
+        self.core.apply(cfg)
+        self.peers.connect(cfg.seeds)
+
     def __enter__(self) -> Self:
         """Returns itself; `start` starts the parts."""
         return self
--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final, NamedTuple
 
-from apricottrestle import logs, ops_http
+from apricottrestle import errors, logs, ops_http
 from apricottrestle.gateway import (
     assembly,
     calls,
@@ -29,6 +29,10 @@
 
 STOP_CHECK_S: Final = 0.05
 
+SETTINGS_CHECK_S: Final = 1.0
+"""Interval at which the settings are compared: they may change without a
+signal."""
+
 _LOG: Final = logging.getLogger(__name__)
 
 
@@ -40,12 +44,15 @@
         client: Makes the client for upstreams; runs on the event loop.
         callers: Makes the server for callers.
         ready: Makes the server of the readiness check.
+        settings: Returns the settings when they have changed, else None;
+            raises SettingsError when they can't be read.
     """
 
     store: store.FleetStore
     client: Callable[[], calls.UpstreamClient]
     callers: Callable[[str, calls.RequestHandler], Any]
     ready: Callable[[str, Callable[[], bool]], Any]
+    settings: Callable[[], settings.GatewaySettings | None]
 
 
 def run(cfg: settings.GatewaySettings, ports: Ports) -> None:
@@ -56,7 +63,7 @@
 async def _run(cfg: settings.GatewaySettings, ports: Ports) -> None:
     incarnation = secrets.token_hex(4)
     rng = random.Random(secrets.randbits(128))
-    notice = _stop_notice(cfg)
+    notice = _stop_notice()
     parts = assembly.Assembly(
         cfg, ports.store, ports.client(), rng, incarnation
     )
@@ -79,10 +86,16 @@
         server,
         ports.ready(cfg.ready, lambda: parts.ready),
         _ops(cfg, parts),
+        clock.Ticker(
+            SETTINGS_CHECK_S, lambda: _reload(parts, ports, "changed")
+        ),
     ):
         parts.start(link)
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGHUP, lambda: _reload(parts, ports, "signal")
+        )
         await notice.wait()
-        await _drain(cfg, parts, server)
+        await _drain(parts, server)
     logs.decision(_LOG, "stop", instance=cfg.instance_id)
 
 
@@ -102,31 +115,45 @@
         yield
 
 
-def _stop_notice(cfg: settings.GatewaySettings) -> asyncio.Event:
+def _stop_notice() -> asyncio.Event:
     """Returns an event that a signal to stop sets."""
-    loop = asyncio.get_running_loop()
     notice = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, notice.set)
-    loop.add_signal_handler(
-        signal.SIGHUP,
-        lambda: logs.decision(_LOG, "reload", instance=cfg.instance_id),
-    )
+        asyncio.get_running_loop().add_signal_handler(number, notice.set)
     return notice
 
 
-async def _drain(
-    cfg: settings.GatewaySettings, parts: assembly.Assembly, server: Any
-) -> None:
+def _reload(parts: assembly.Assembly, ports: Ports, reason: str) -> None:
+    """Takes over changed settings; bad ones change nothing."""
+    try:
+        cfg = ports.settings()
+    except errors.SettingsError as exc:
+        logs.decision(
+            _LOG, "reload", reason=reason, outcome="kept", problem=str(exc)
+        )
+        return
+    if cfg is not None:
+        parts.apply(cfg)
+    if cfg is not None or reason == "signal":
+        logs.decision(
+            _LOG,
+            "reload",
+            reason=reason,
+            outcome="unchanged" if cfg is None else "applied",
+        )
+
+
+async def _drain(parts: assembly.Assembly, server: Any) -> None:
     """Ends what is under way within the grace period.
 
     Requests are served until the load balancer has noticed, then refused as
     not run; connections end with their next answer.
     """
     core = parts.core
+    grace_s = parts.cfg.grace_s
     started = clock.now()
     logs.decision(
-        _LOG, "stop requested", requests=len(core.active), grace_s=cfg.grace_s
+        _LOG, "stop requested", requests=len(core.active), grace_s=grace_s
     )
     parts.peers.stopping = True
     server.stopping = True
@@ -134,7 +161,7 @@
     core.stopping = True
     server.stop_listening()
     server.close_idle()
-    last = started + cfg.grace_s - LAST_WRITES_S
+    last = started + grace_s - LAST_WRITES_S
     while core.active and clock.now() < last:
         await asyncio.sleep(STOP_CHECK_S)
         server.close_idle()
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -120,6 +120,15 @@
         self._incarnation = incarnation
         self._pump_due = False
 
+    def apply(self, cfg: settings.GatewaySettings) -> None:
+        """Takes over new settings for requests to come."""
+        self._cfg = cfg
+        for budget in self._budgets.values():
+            budget.configure(
+                cfg.retry_share, cfg.retry_window_s, cfg.retry_slack
+            )
+        self._holds.configure(cfg.memory_free_s, cfg.reservation_max_s)
+
     # Requests.
 
     def handle(
--- a/src/apricottrestle/gateway/memory_holds.py
+++ b/src/apricottrestle/gateway/memory_holds.py
@@ -51,12 +51,16 @@
             hold_max_s: Longest hold that an engine accepts.
         """
         self._client = client
-        self.hold_s = min(HOLD_SHARE * free_s, hold_max_s)
+        self.configure(free_s, hold_max_s)
         self._runs: dict[str, list[calls.Reservation]] = {}
         self._renewals: dict[str, asyncio.Task[None]] = {}
         self._unanswered: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def configure(self, free_s: float, hold_max_s: float) -> None:
+        """Changes the times of holds to come; see __init__."""
+        self.hold_s = min(HOLD_SHARE * free_s, hold_max_s)
+
     async def acquire(
         self, run_id: str, wanted: Sequence[calls.Reservation]
     ) -> bool:
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import logging
+from collections.abc import Iterable
 from typing import Final
 
 from apricottrestle import logs, metrics
@@ -70,14 +71,18 @@
         """Connects to the seeds and begins to beat."""
         self._link = link
         self._store_sync = sync
-        for seed in self._cfg.seeds:
-            self._connect(seed)
+        self.connect(self._cfg.seeds)
 
     def stop(self) -> None:
         """Ends the beats."""
         for task in self._greetings:
             task.cancel()
 
+    def connect(self, addresses: Iterable[str]) -> None:
+        """Connects to gateways by their addresses."""
+        for address in addresses:
+            self._connect(address)
+
     def connect_rows(self, rows: list[store.GatewayRow]) -> None:
         """Connects to gateways that the store knows."""
         for row in rows:
--- a/src/apricottrestle/gateway/retry_budget.py
+++ b/src/apricottrestle/gateway/retry_budget.py
@@ -21,11 +21,15 @@
 
     def __init__(self, share: float, window_s: float, slack: float) -> None:
         """Starts empty; see GatewaySettings for the arguments."""
+        self.configure(share, window_s, slack)
+        self._requests: collections.deque[float] = collections.deque()
+        self._retries: collections.deque[float] = collections.deque()
+
+    def configure(self, share: float, window_s: float, slack: float) -> None:
+        """Changes the budget; what was counted stays."""
         self._share = share
         self._window_s = window_s
         self._slack = slack
-        self._requests: collections.deque[float] = collections.deque()
-        self._retries: collections.deque[float] = collections.deque()
 
     def count_request(self, now: float) -> None:
         """Counts a request of a caller."""
--- a/src/apricottrestle/platform/__main__.py
+++ b/src/apricottrestle/platform/__main__.py
@@ -19,16 +19,20 @@
 
 def main() -> int:
     """Reads the settings and runs the gateway."""
+    store = store_client.StoreClient("")
+    source = settings_file.SettingsSource(store.move)
     try:
-        cfg, store_address = settings_file.load()
+        cfg = source.read()
     except errors.SettingsError as exc:
         sys.stderr.write(f"{exc}\n")
         return EXIT_BAD_SETTINGS
+    assert cfg is not None
     ports = daemon.Ports(
-        store_client.StoreClient(store_address),
+        store,
         upstream_client.HttpUpstreamClient,
         caller_server.CallerServer,
         caller_server.ReadyServer,
+        source.read,
     )
     with logs.BoundedLog(sys.stdout):
         daemon.run(cfg, ports)
--- a/src/apricottrestle/platform/settings_file.py
+++ b/src/apricottrestle/platform/settings_file.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import tomllib
+from collections.abc import Callable
 from typing import Any, Final
 
 import msgspec
@@ -70,6 +71,46 @@
     return _translate(got), got.platform.address
 
 
+class SettingsSource:
+    """The settings file, read again when it changes."""
+
+    def __init__(
+        self,
+        on_store_address: Callable[[str], None],
+        path: str | None = None,
+    ) -> None:
+        """Reads nothing yet.
+
+        Args:
+            on_store_address: Called with the store's address when it changes.
+            path: The file; by default the one the environment names.
+        """
+        self._path = path or os.environ.get(names.SETTINGS_VARIABLE, "")
+        self._on_store_address = on_store_address
+        self._address = ""
+        self._content: bytes | None = None
+
+    def read(self) -> settings.GatewaySettings | None:
+        """Returns the settings if they have changed since the last call.
+
+        Raises:
+            SettingsError: The file is missing, unreadable or incomplete; the
+                next call tries again.
+        """
+        try:
+            content = pathlib.Path(self._path).read_bytes()
+        except OSError as exc:
+            raise errors.SettingsError([f"{self._path}: {exc}"]) from exc
+        if content == self._content:
+            return None
+        cfg, address = load(self._path)
+        self._content = content
+        if address != self._address:
+            self._address = address
+            self._on_store_address(address)
+        return cfg
+
+
 def _translate(got: _Settings) -> settings.GatewaySettings:
     port = got.internal_port_range[0]
     seeds = tuple(
--- a/src/apricottrestle/platform/store_client.py
+++ b/src/apricottrestle/platform/store_client.py
@@ -93,6 +93,13 @@
             f"http://{address}", _PEER, CALL_TIMEOUT_S
         )
 
+    def move(self, address: str) -> None:
+        """Uses another address from the next call on."""
+        self._http.close()
+        self._http = platform_http.PlatformHttp(
+            f"http://{address}", _PEER, CALL_TIMEOUT_S
+        )
+
     async def read_config(self) -> store.ConfigRead:
         """See FleetStore.read_config."""
         records, end = await self._newest(names.CONFIG_TOPIC)
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -271,3 +271,29 @@
     monkeypatch.delenv(names.SETTINGS_VARIABLE, raising=False)
     with pytest.raises(errors.SettingsError, match=names.SETTINGS_VARIABLE):
         settings_file.load()
+
+
+def test_changed_settings_are_read_once(tmp_path: pathlib.Path) -> None:
+    """Guards a reload: changes are seen without a signal, bad ones kept out."""
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    addresses: list[str] = []
+    source = settings_file.SettingsSource(addresses.append, str(path))
+    assert source.read() is not None
+    assert source.read() is None
+    path.write_text(SETTINGS.replace("10.200.1.7", "10.200.1.8"))
+    cfg = source.read()
+    assert cfg is not None
+    path.write_text("node = ")
+    for _ in range(2):
+        with pytest.raises(errors.SettingsError):
+            source.read()
+    path.write_text(SETTINGS.replace("grace_s = 8", "grace_s = 9"))
+    cfg = source.read()
+    assert cfg is not None
+    assert cfg.grace_s == 9
+    assert addresses == [
+        "10.200.1.7:8223",
+        "10.200.1.8:8223",
+        "10.200.1.7:8223",
+    ]
