--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 STAMP := $(VENV)/.installed-dev
 BENCH_STAMP := $(VENV)/.installed-bench
 
-.PHONY: demo serve test lint types unit fuzz bench bench-capacity matrix mutations clean
+.PHONY: demo serve test lint types unit fuzz chaos soak bench bench-fleet \
+	bench-capacity matrix mutations clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -44,6 +45,20 @@
 	$(BIN)/python -m bench.capacity
 	$(BIN)/python -m bench.daemons
 
+bench-fleet: $(STAMP)
+	$(BIN)/python -m bench.fleet_days
+
+# SEEDS and FIRST choose the days, e.g. `make chaos SEEDS=500 FIRST=1000`.
+SEEDS ?= 50
+FIRST ?= 0
+
+chaos: $(STAMP)
+	$(BIN)/python -m bench.fleet_days --chaos --seeds $(SEEDS) --first $(FIRST)
+
+soak: $(STAMP)
+	$(BIN)/python -m apricottrestle_standins.platform.soak \
+		--seeds $(SEEDS) --first $(FIRST)
+
 mutations: $(STAMP)
 	$(BIN)/python -m tests.mutations
 
--- /dev/null
+++ b/src/apricottrestle_standins/platform/upstream_http.py
@@ -0,0 +1,189 @@
+"""Upstreams over HTTP: engines that stream events, and plain services.
+
+Each writes what it runs into a ledger. The engine's pace is fixed: this
+stand-in is for the promises, `engine_passes` is for the times.
+"""
+
+import asyncio
+import contextlib
+import random
+import socket
+import struct
+from types import TracebackType
+from typing import Final, NamedTuple, Self
+
+from apricottrestle_standins.platform import ledger
+
+EVENT_S: Final = 0.03
+FIRST_EVENT_S: Final = 0.02
+WORK_S: Final = 0.02
+
+
+class Received(NamedTuple):
+    """A request as it arrived.
+
+    Attributes:
+        target: Path and query.
+        headers: Headers by lower-case name.
+        body: Body.
+    """
+
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+async def read_request(reader: asyncio.StreamReader) -> Received:
+    """Reads a request with a length.
+
+    Raises:
+        IncompleteReadError: The connection ended.
+    """
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    line, *rows = head.strip().split("\r\n")
+    headers = {}
+    for row in rows:
+        name, _, value = row.partition(":")
+        headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Received(line.split(" ")[1], headers, body)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection with a reset."""
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    writer.transport.abort()
+
+
+class Upstream:
+    """An upstream that listens while its context is open.
+
+    Attributes:
+        upstream_id: Its id in the list.
+        address: Its "ip:port".
+        born_ms: Start of its process; grows with each.
+        streams: Whether it is an engine.
+        lost_share: Share of the plain requests whose answer is lost.
+    """
+
+    def __init__(
+        self,
+        upstream_id: str,
+        book: ledger.Ledger,
+        rng: random.Random,
+        *,
+        streams: bool,
+    ) -> None:
+        """Prepares the upstream on a free port."""
+        self.upstream_id = upstream_id
+        self.address = ""
+        self.born_ms = 1
+        self.lost_share = 0.0
+        self._book = book
+        self._rng = rng
+        self.streams = streams
+        self._port = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def __aenter__(self) -> Self:
+        """Starts to listen."""
+        await self.start()
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops."""
+        self.crash()
+
+    async def start(self) -> None:
+        """Listens, at the same address after a crash."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self._port
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self._port}"
+
+    def crash(self) -> None:
+        """Refuses connections and resets the open ones."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in list(self._writers):
+            reset(writer)
+        self._writers.clear()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            while not writer.is_closing():
+                received = await read_request(reader)
+                if not await self._answer(received, reader, writer):
+                    return
+        except (
+            asyncio.IncompleteReadError,
+            ConnectionError,
+            # At the end of a day; asyncio would report the cancelled task.
+            asyncio.CancelledError,
+        ):
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self,
+        received: Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answers one request; False ends the connection."""
+        headers = received.headers
+        request_id = headers.get("apricottrestle-attempt-id", "")
+        expected = headers.get("apricottrestle-expect-instance")
+        if expected not in (None, self.upstream_id):
+            writer.write(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+            return True
+        after = int(headers.get("last-event-id", "0"))
+        self._book.runs.append(
+            ledger.RunRecord(
+                request_id,
+                self.upstream_id,
+                asyncio.get_running_loop().time(),
+                after + 1,
+            )
+        )
+        head = (
+            "HTTP/1.1 200 OK\r\n"
+            f"Apricottrestle-Attempt-Id: {request_id}\r\n"
+            "Apricottrestle-Server-Signature: s\r\n"
+        )
+        if not self.streams:
+            await asyncio.sleep(WORK_S)
+            if self._rng.random() < self.lost_share:
+                reset(writer)
+                return False
+            writer.write(f"{head}Content-Length: 2\r\n\r\nok".encode())
+            return True
+        events = int(received.target.rpartition("/")[2])
+        writer.write(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+        await asyncio.sleep(FIRST_EVENT_S)
+        for number in range(after + 1, events + 1):
+            event = f"id: {number}\ndata: x\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            if reader.at_eof():
+                return False
+            await asyncio.sleep(EVENT_S)
+        writer.write(b"0\r\n\r\n")
+        return True
