Split the exchange's host from the exchange, remove what nothing uses

Cause: last read of the diff: one module held the exchange and what it needs of its host; three functions and one field had no user. Change: module exchange_host; no change of behaviour.

--- a/src/apricottrestle/gateway/calls.py
+++ b/src/apricottrestle/gateway/calls.py
@@ -234,7 +234,3 @@
         Raises:
             UpstreamError: No answer; the memory may still be set aside.
         """
-
-    @abc.abstractmethod
-    def drop_idle_connections(self) -> None:
-        """Closes connections that no call uses."""
--- a/src/apricottrestle/gateway/engine_load.py
+++ b/src/apricottrestle/gateway/engine_load.py
@@ -317,9 +317,3 @@
         """Removes runs."""
         for run_id in list(run_ids):
             self.end(run_id)
-
-    def forget_engine(self, engine: str) -> None:
-        """Drops the row of an engine that is gone, if nothing runs there."""
-        row = self._rows.get(engine)
-        if row is not None and row.idle:
-            del self._rows[engine]
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -8,10 +8,9 @@
 upstream outlives the exchange.
 """
 
-import abc
 import asyncio
 import logging
-from typing import Final, Literal, NamedTuple
+from typing import Final, Literal
 
 from apricottrestle import logs, metrics
 from apricottrestle.gateway import (
@@ -20,6 +19,7 @@
     clock,
     engine_routing,
     event_stream,
+    exchange_host,
     retry_policy,
 )
 
@@ -38,90 +38,6 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
-Outcome = Literal[
-    "served",
-    "passed_on",
-    "refused",
-    "failed",
-    "aborted",
-    "timeout",
-    "caller_left",
-]
-
-
-class Sent(NamedTuple):
-    """A send under way.
-
-    Attributes:
-        upstream_id: Upstream that got it.
-        address: Its "ip:port".
-        run_id: Id in the load tables.
-        started_at: Monotonic time.
-        first_event_s: Expected time to the first event; 0 for plain calls.
-    """
-
-    upstream_id: str
-    address: str
-    run_id: str
-    started_at: float
-    first_event_s: float
-
-
-class Host(abc.ABC):
-    """What an exchange needs of the gateway."""
-
-    @abc.abstractmethod
-    def send(
-        self, exchange: "Exchange", call: calls.UpstreamCall
-    ) -> calls.Transfer:
-        """Starts a call whose answer goes to the exchange."""
-
-    @abc.abstractmethod
-    def place(self, exchange: "Exchange") -> None:
-        """Finds an upstream, now or later, and has the exchange send."""
-
-    @abc.abstractmethod
-    def wrote(self, exchange: "Exchange", sent: Sent) -> None:
-        """Notes the first event of a send."""
-
-    @abc.abstractmethod
-    def saw_event(
-        self, exchange: "Exchange", sent: Sent, pause_s: float | None
-    ) -> None:
-        """Notes that an engine has just ended a pass.
-
-        Args:
-            exchange: The exchange.
-            sent: The send whose event came.
-            pause_s: Time since the send's event before, or None.
-        """
-
-    @abc.abstractmethod
-    def sent_ended(
-        self,
-        exchange: "Exchange",
-        sent: Sent,
-        result: retry_policy.SendResult | None,
-        fault_address: str | None,
-    ) -> None:
-        """Notes the end of a send.
-
-        `result` is None when it went well or was ended by the gateway or the
-        caller.
-        """
-
-    @abc.abstractmethod
-    def take_retry(self, exchange: "Exchange") -> bool:
-        """Uses one retry of the budget, if there is one."""
-
-    @abc.abstractmethod
-    def retry_after_s(self, exchange: "Exchange") -> float:
-        """Returns when a refused caller should come back."""
-
-    @abc.abstractmethod
-    def ended(self, exchange: "Exchange", outcome: Outcome) -> None:
-        """Notes the end of an exchange."""
-
 
 class Exchange(calls.AnswerSink):
     """A request under way.
@@ -136,7 +52,7 @@
 
     def __init__(
         self,
-        host: Host,
+        host: exchange_host.Host,
         req: calls.CallerRequest,
         accepted: accept.Accepted,
         responder: calls.Responder,
@@ -150,7 +66,7 @@
         self._host = host
         self._responder = responder
         self._history = retry_policy.History(0, 0, False, False)
-        self._sent: Sent | None = None
+        self._sent: exchange_host.Sent | None = None
         self._transfer: calls.Transfer | None = None
         self._head: calls.AnswerHead | None = None
         self._error: tuple[calls.AnswerHead, bytes] | None = None
@@ -219,7 +135,7 @@
 
     def send(
         self,
-        sent: Sent,
+        sent: exchange_host.Sent,
         *,
         priority: int,
         helpers: tuple[str, ...],
@@ -556,7 +472,7 @@
             return
         transfer.cancel()
 
-    def _finish(self, outcome: Outcome, detail: str) -> None:
+    def _finish(self, outcome: exchange_host.Outcome, detail: str) -> None:
         self._done = True
         self._cancel_stall_timer()
         if self._end_timer is not None:
--- a/src/apricottrestle/gateway/fleet_state.py
+++ b/src/apricottrestle/gateway/fleet_state.py
@@ -12,7 +12,7 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
-OnGone = Callable[[upstream_list.Change], None]
+OnUpstream = Callable[[upstream_list.Change], None]
 
 OnConfig = Callable[[fleet_config.FleetConfig, int, str], None]
 """Receives a configuration, the version before it, and its source."""
@@ -30,7 +30,7 @@
         list_known: Whether an upstream list has been read or learned.
     """
 
-    def __init__(self, on_change: OnGone) -> None:
+    def __init__(self, on_change: OnUpstream) -> None:
         """Starts without any knowledge.
 
         Args:
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -20,6 +20,7 @@
     engine_pace,
     engine_routing,
     exchange,
+    exchange_host,
     fleet_config,
     fleet_state,
     memory_holds,
@@ -77,7 +78,7 @@
         return 1
 
 
-class Gateway(calls.RequestHandler, exchange.Host):
+class Gateway(calls.RequestHandler, exchange_host.Host):
     """Serves callers' requests.
 
     Attributes:
@@ -217,14 +218,16 @@
         """See Host.retry_after_s."""
         return FULL_RETRY_AFTER_S
 
-    def ended(self, one: exchange.Exchange, outcome: exchange.Outcome) -> None:
+    def ended(
+        self, one: exchange.Exchange, outcome: exchange_host.Outcome
+    ) -> None:
         """See Host.ended."""
         self.active.discard(one)
         metrics.REQUESTS.labels(str(one.accepted.priority), outcome).inc()
         if one in self._waiting:
             self._waiting.remove(one)
 
-    def wrote(self, one: exchange.Exchange, sent: exchange.Sent) -> None:
+    def wrote(self, one: exchange.Exchange, sent: exchange_host.Sent) -> None:
         """See Host.wrote."""
         self.paces.answered(sent.upstream_id, sent.run_id)
         if self.load.wrote(sent.run_id) is not None:
@@ -234,7 +237,7 @@
     def saw_event(
         self,
         one: exchange.Exchange,
-        sent: exchange.Sent,
+        sent: exchange_host.Sent,
         pause_s: float | None,
     ) -> None:
         """See Host.saw_event."""
@@ -253,7 +256,7 @@
     def sent_ended(
         self,
         one: exchange.Exchange,
-        sent: exchange.Sent,
+        sent: exchange_host.Sent,
         result: retry_policy.SendResult | None,
         fault_address: str | None,
     ) -> None:
@@ -275,7 +278,7 @@
     def _account_health(
         self,
         one: exchange.Exchange,
-        sent: exchange.Sent,
+        sent: exchange_host.Sent,
         result: retry_policy.SendResult | None,
         fault_address: str | None,
         now: float,
@@ -325,7 +328,6 @@
                 entry.slots,
                 self._distance_s(entry),
                 self._health.failure_rate(entry.upstream_id, now),
-                False,
             )
             for entry in entries
         ]
@@ -360,7 +362,7 @@
         self.listener.calls_changed(
             entry.upstream_id, self._calls[entry.upstream_id]
         )
-        sent = exchange.Sent(
+        sent = exchange_host.Sent(
             entry.upstream_id, entry.address, self._new_run_id(), now, 0.0
         )
         one.send(sent, priority=min(one.accepted.priority, 9), helpers=())
@@ -540,7 +542,7 @@
                 f"{address}/{ticket}"
                 for address, ticket in zip(addresses, reservations, strict=True)
             ]
-        sent = exchange.Sent(
+        sent = exchange_host.Sent(
             run.engine, entry.address, run.run_id, now, choice.first_event_s
         )
         self.paces.sent(run.engine, run.run_id, choice.first_event_s, now)
--- a/src/apricottrestle/gateway/service_routing.py
+++ b/src/apricottrestle/gateway/service_routing.py
@@ -24,7 +24,6 @@
         slots: Calls it runs at a time.
         distance_s: Time to reach it, one way.
         failure_rate: Estimated share of calls that fail, 0 to 1.
-        cold: Whether it is still slow after its start.
     """
 
     upstream_id: str
@@ -32,7 +31,6 @@
     slots: int
     distance_s: float
     failure_rate: float
-    cold: bool
 
 
 def expected_s(candidate: Candidate) -> float:
@@ -41,12 +39,10 @@
     wait_s = WORK_S * queued / candidate.slots
     # A part of each slot in use: upstreams slow down when nearly full.
     busy_s = WORK_S * 0.5 * candidate.outstanding / candidate.slots
-    cold_s = WORK_S if candidate.cold else 0.0
     return (
         2 * candidate.distance_s
         + wait_s
         + busy_s
-        + cold_s
         + FAILURE_COST_S * candidate.failure_rate
     )
 
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -304,11 +304,6 @@
             {"op": "release", "id": reservation.reservation_id},
         )
 
-    def drop_idle_connections(self) -> None:
-        """See UpstreamClient.drop_idle_connections."""
-        self._client._multi.setopt(pycurl.M_MAXCONNECTS, 1)
-        self._client._multi.setopt(pycurl.M_MAXCONNECTS, 0)
-
     async def _order(
         self, reservation: calls.Reservation, body: dict[str, Any]
     ) -> int:
--- a/src/apricottrestle_standins/platform/virtual_upstreams.py
+++ b/src/apricottrestle_standins/platform/virtual_upstreams.py
@@ -467,6 +467,3 @@
                 "no answer", step="reserve", peer=reservation.upstream_id
             )
         return upstream
-
-    def drop_idle_connections(self) -> None:
-        """See UpstreamClient.drop_idle_connections."""
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -231,14 +231,13 @@
         ({"outstanding": 12}, "a shorter queue"),
         ({"failure_rate": 0.5}, "fewer failures"),
         ({"distance_s": 0.05}, "the nearer one"),
-        ({"cold": True}, "the warm one"),
     ],
 )
 def test_plain_calls_avoid_the_worse_upstream(
     changes: dict[str, object], reason: str
 ) -> None:
-    """Guards against calls to a busy, failing, far or cold upstream."""
-    good = service_routing.Candidate("good", 1, 6, 0.0, 0.0, False)
+    """Guards against calls to a busy, failing or far upstream."""
+    good = service_routing.Candidate("good", 1, 6, 0.0, 0.0)
     worse = good._replace(upstream_id="worse", **changes)  # type: ignore[arg-type]
     best = service_routing.choose([worse, good], random.Random(1))
     assert best is not None
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -10,6 +10,7 @@
     accept,
     calls,
     exchange,
+    exchange_host,
     fleet_config,
     retry_policy,
 )
@@ -68,7 +69,7 @@
             )
 
 
-class _Host(exchange.Host):
+class _Host(exchange_host.Host):
     """Sends to upstreams up-1, up-2 and so on."""
 
     def __init__(self, *, has_budget: bool = True) -> None:
@@ -88,18 +89,20 @@
     def place(self, one: exchange.Exchange) -> None:
         number = len(self.sends) + 1
         one.send(
-            exchange.Sent(f"up-{number}", f"127.0.0.1:{number}", "r", 0.0, 0.1),
+            exchange_host.Sent(
+                f"up-{number}", f"127.0.0.1:{number}", "r", 0.0, 0.1
+            ),
             priority=0,
             helpers=(),
         )
 
-    def wrote(self, one: exchange.Exchange, sent: exchange.Sent) -> None:
+    def wrote(self, one: exchange.Exchange, sent: exchange_host.Sent) -> None:
         pass
 
     def saw_event(
         self,
         one: exchange.Exchange,
-        sent: exchange.Sent,
+        sent: exchange_host.Sent,
         pause_s: float | None,
     ) -> None:
         pass
@@ -107,7 +110,7 @@
     def sent_ended(
         self,
         one: exchange.Exchange,
-        sent: exchange.Sent,
+        sent: exchange_host.Sent,
         result: retry_policy.SendResult | None,
         fault_address: str | None,
     ) -> None:
@@ -119,7 +122,9 @@
     def retry_after_s(self, one: exchange.Exchange) -> float:
         return 0.2
 
-    def ended(self, one: exchange.Exchange, outcome: exchange.Outcome) -> None:
+    def ended(
+        self, one: exchange.Exchange, outcome: exchange_host.Outcome
+    ) -> None:
         self.outcomes.append(outcome)
 
 
--- a/tests/test_gateway_memory_holds.py
+++ b/tests/test_gateway_memory_holds.py
@@ -35,9 +35,6 @@
         self.orders.append(("release", reservation.upstream_id))
         await asyncio.sleep(0)
 
-    def drop_idle_connections(self) -> None:
-        raise NotImplementedError
-
     def count(self, order: str, upstream_id: str) -> int:
         return self.orders.count((order, upstream_id))
 
