--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -120,10 +120,7 @@
         attempt.complete
         and attempt.status == 200
         and kind.route_kind == "stream"
-        and (
-            not attempt.event_ids
-            or attempt.event_ids[-1] != attempt.arrival.events
-        )
+        and _last_event(attempt) != attempt.arrival.events
     ):
         lines.append(f"ORDER {name}: complete before its last event")
     return lines
--- a/src/apricottrestle_standins/platform/soak.py
+++ b/src/apricottrestle_standins/platform/soak.py
@@ -84,13 +84,22 @@
     )
 
 
+def _ip(number: int) -> str:
+    """Returns a gateway's loopback address, unlike those of other soaks.
+
+    Two soaks at a time would otherwise share the port of the metrics.
+    """
+    pid = os.getpid()
+    return f"127.{1 + (pid >> 8) % 250}.{pid % 256}.{number + 1}"
+
+
 class _Process:
     """A gateway process with its settings and its way to the store."""
 
     def __init__(
         self, number: int, ports: list[int], folder: pathlib.Path
     ) -> None:
-        self.ip = f"127.0.1.{number + 1}"
+        self.ip = _ip(number)
         self.number = number
         self.ports = ports
         self.settings = folder / f"gateway-{number}.toml"
@@ -110,7 +119,7 @@
 
     def write_settings(self) -> None:
         assert self.proxy is not None
-        seeds = [f"127.0.1.{n + 1}:{self.ports[2]}" for n in range(GATEWAYS)]
+        seeds = [f"{_ip(n)}:{self.ports[2]}" for n in range(GATEWAYS)]
         text = f"""
 node = "gateway-{self.number}"
 ip = "{self.ip}"
@@ -476,7 +485,7 @@
         ports: list[int] = []
         while len(ports) < count:
             first = stack.enter_context(socket.socket())
-            first.bind(("127.0.1.1", 0))
+            first.bind((_ip(0), 0))
             ports.append(first.getsockname()[1])
         return ports
 
