Keep engines free for kinds of request that starve

A long read fits only on engines without writers that it would delay, and short prompts took each place as soon as it was free. Some long prompts began so late that the caller's time cut them off while they wrote.

Change: a late request starts only where it can also end in time. A waiting request of a kind that gets less than 0.65 of the share of all kinds claims the engines that run empty first; gateways tell each other. Claims take a third of the engines at most, end by themselves, and yield to requests whose first event is due within 0.15 s.

--- a/src/apricottrestle/gateway/engine_routing.py
+++ b/src/apricottrestle/gateway/engine_routing.py
@@ -153,17 +153,17 @@
     return None
 
 
-def _least_helpers(ask: Ask, model: fleet_config.EngineModel) -> int:
-    """Returns the helpers that the prompt's memory needs."""
+def least_engines(ask: Ask, model: fleet_config.EngineModel) -> int:
+    """Returns the engines that the prompt's memory needs."""
     total = ask.prompt_tokens + ask.output_tokens
-    return math.ceil(total / (model.kv_tokens * KV_MARGIN)) - 1
+    return math.ceil(total / (model.kv_tokens * KV_MARGIN))
 
 
 def _held_tokens(
     ask: Ask, model: fleet_config.EngineModel, helpers: int
 ) -> int:
     """Returns the memory to set aside on each helper, 0 for none."""
-    if _least_helpers(ask, model) <= 0:
+    if least_engines(ask, model) <= 1:
         return 0
     total = ask.prompt_tokens + ask.output_tokens
     return math.ceil(total / (helpers + 1))
@@ -261,11 +261,17 @@
 ) -> Choice | None:
     """Returns the soonest place for a request that is late anyway, or None.
 
-    It delays no writer elsewhere, and its first event must come before the
-    caller gives up.
+    It delays no writer elsewhere, its first event must come before the caller
+    gives up, and its last one before the caller's time ends: an answer cut off
+    earns nothing, and its engines are missed by others.
     """
     rooms = [_room(candidate, model, now) for candidate in candidates]
-    late = ask._replace(target_left_s=min(ask.patience_left_s, ask.time_left_s))
+    write_s = engine_costs.write_s(
+        model, ask.output_tokens, 1, ask.prompt_tokens
+    )
+    late = ask._replace(
+        target_left_s=min(ask.patience_left_s, ask.time_left_s - write_s)
+    )
     best: Choice | None = None
     for helpers in _helper_counts(ask, len(rooms), model):
         choice = _with_helpers(late, rooms, model, helpers, _soonness)
@@ -281,7 +287,7 @@
 ) -> range:
     """Returns the numbers of helpers that are worth a look."""
     whole_s = engine_costs.read_s(model, ask.prompt_tokens)
-    least = _least_helpers(ask, model)
+    least = least_engines(ask, model) - 1
     most = min(MAX_HELPERS, engines - 1, max(int(whole_s / MIN_PART_S), least))
     return range(least, most + 1)
 
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -15,6 +15,7 @@
     accept,
     calls,
     clock,
+    engine_claims,
     engine_costs,
     engine_load,
     engine_pace,
@@ -23,6 +24,7 @@
     exchange_host,
     fleet_config,
     fleet_state,
+    kind_shares,
     memory_holds,
     retry_budget,
     retry_policy,
@@ -73,6 +75,12 @@
     def calls_changed(self, upstream_id: str, count: int) -> None:
         """The number of calls to a plain upstream has changed."""
 
+    def claimed(self, claim: engine_claims.Claim) -> None:
+        """A waiting request claims engines."""
+
+    def released(self, claim_id: str) -> None:
+        """A claim has ended."""
+
     def gateways(self) -> int:
         """Returns the gateways alive, this one included."""
         return 1
@@ -101,6 +109,9 @@
         self.state = fleet_state.FleetState(self._on_upstream)
         self.load = engine_load.EngineLoad()
         self.paces = engine_pace.EnginePaces()
+        self.claims = engine_claims.EngineClaims()
+        self._shares = kind_shares.KindShares()
+        self._own_claims: dict[exchange.Exchange, str] = {}
         self.peer_calls: dict[str, collections.Counter[str]] = {}
         self.listener = RunListener()
         self.stopping = False
@@ -225,7 +236,8 @@
         self.active.discard(one)
         metrics.REQUESTS.labels(str(one.accepted.priority), outcome).inc()
         if one in self._waiting:
-            self._waiting.remove(one)
+            self._stop_waiting(one)
+            self._count(one, on_time=False)
 
     def wrote(self, one: exchange.Exchange, sent: exchange_host.Sent) -> None:
         """See Host.wrote."""
@@ -429,28 +441,89 @@
         model = service.engine
         assert model is not None
         ask = one.ask(now)
-        candidates = self._engines(service, model, one, now)
-        if not candidates:
+        usable = self._engines(service, model, one, now)
+        if not usable:
             self._refuse_waiting(one, "no_upstream")
             return
+        own = self._own_claims.get(one)
+        candidates = [
+            each
+            for each in usable
+            if self.claims.holder(each.engine, now) in (None, own)
+        ]
         choice = engine_routing.choose(ask, candidates, model, now)
+        if (
+            choice is None
+            and len(candidates) < len(usable)
+            and ask.target_left_s <= engine_claims.PRESSING_S
+        ):
+            choice = engine_routing.choose(ask, usable, model, now)
         if choice is None:
-            least_s = engine_routing.shortest_service_s(
-                ask, model, len(candidates)
-            )
+            least_s = engine_routing.shortest_service_s(ask, model, len(usable))
             if ask.time_left_s < REFUSE_FACTOR * least_s:
                 self._refuse_waiting(one, "too_late")
                 return
-            read_s = engine_routing.soonest_read_s(ask, model, len(candidates))
-            if ask.target_left_s > read_s:
-                # An engine may become free in time.
-                return
-            choice = engine_routing.least_late(ask, candidates, model, now)
+            read_s = engine_routing.soonest_read_s(ask, model, len(usable))
+            if ask.target_left_s <= read_s:
+                choice = engine_routing.least_late(ask, candidates, model, now)
         if choice is not None:
             self._start(one, choice, ask, len(candidates), now)
+        elif own is None and self._shares.starves(one.accepted.route.name):
+            self._claim(one, ask, usable, model, now)
 
-    def _refuse_waiting(self, one: exchange.Exchange, reason: str) -> None:
+    def _claim(
+        self,
+        one: exchange.Exchange,
+        ask: engine_routing.Ask,
+        usable: list[engine_routing.Candidate],
+        model: fleet_config.EngineModel,
+        now: float,
+    ) -> None:
+        """Keeps engines free for a request that found no place."""
+        engines = engine_claims.choose(
+            ask,
+            usable,
+            lambda engine: self.claims.holder(engine, now) is not None,
+            model,
+        )
+        if not engines:
+            return
+        left_s = min(ask.patience_left_s, ask.time_left_s)
+        claim = engine_claims.Claim(self._new_run_id(), engines, left_s)
+        self._own_claims[one] = claim.claim_id
+        self.claims.add(claim, now)
+        self.listener.claimed(claim)
+        logs.decision(
+            _LOG,
+            "engines claimed",
+            request_id=one.req.request_id,
+            claim=claim.claim_id,
+            upstreams=engines,
+            candidates=len(usable),
+            list_version=self.state.members.version,
+            target_left_s=round(ask.target_left_s, 4),
+        )
+
+    def _count(self, one: exchange.Exchange, *, on_time: bool) -> None:
+        """Counts a request's first placement, or its end without one."""
+        if not one.tried and one.req.size is not None:
+            self._shares.note(
+                one.accepted.route.name,
+                one.req.size.prompt_tokens,
+                clock.now(),
+                on_time=on_time,
+            )
+
+    def _stop_waiting(self, one: exchange.Exchange) -> None:
         self._waiting.remove(one)
+        claim_id = self._own_claims.pop(one, None)
+        if claim_id is not None:
+            self.claims.remove(claim_id)
+            self.listener.released(claim_id)
+
+    def _refuse_waiting(self, one: exchange.Exchange, reason: str) -> None:
+        self._stop_waiting(one)
+        self._count(one, on_time=False)
         metrics.REFUSALS.labels(reason).inc()
         one.refuse(accept.UNAVAILABLE, reason, FULL_RETRY_AFTER_S)
 
@@ -481,7 +554,8 @@
         candidates: int,
         now: float,
     ) -> None:
-        self._waiting.remove(one)
+        self._stop_waiting(one)
+        self._count(one, on_time=choice.on_time)
         run = engine_load.Run(
             self._new_run_id(),
             choice.engine,
--- a/src/apricottrestle/gateway/peer_messages.py
+++ b/src/apricottrestle/gateway/peer_messages.py
@@ -9,7 +9,12 @@
 import msgspec
 
 from apricottrestle import errors
-from apricottrestle.gateway import engine_load, fleet_config, upstream_list
+from apricottrestle.gateway import (
+    engine_claims,
+    engine_load,
+    fleet_config,
+    upstream_list,
+)
 
 
 class Sender(msgspec.Struct, array_like=True, frozen=True):
@@ -49,6 +54,8 @@
         ended: Ids of runs that ended.
         calls: Calls under way to each plain upstream that changed.
         paces: Engines that are slower than published, by the sender's events.
+        claimed: Claims of waiting requests.
+        released: Ids of claims that ended.
     """
 
     sender: Sender
@@ -57,6 +64,8 @@
     ended: list[str] = []
     calls: dict[str, int] = {}
     paces: dict[str, float] = {}
+    claimed: list[engine_claims.Claim] = []
+    released: list[str] = []
 
 
 class Hello(msgspec.Struct, array_like=True, tag="hello", frozen=True):
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -14,6 +14,7 @@
 from apricottrestle import logs, metrics
 from apricottrestle.gateway import (
     clock,
+    engine_claims,
     engine_load,
     fleet_config,
     fleet_state,
@@ -68,6 +69,8 @@
         self._wrote: list[str] = []
         self._ended: list[str] = []
         self._calls: dict[str, int] = {}
+        self._claimed: list[engine_claims.Claim] = []
+        self._released: list[str] = []
         self._flush_due = False
         self._last_beat = 0.0
         self._link: peer_link.Link | None = None
@@ -150,6 +153,16 @@
             self._ended.append(run_id)
             self._flush_soon()
 
+    def claimed(self, claim: engine_claims.Claim) -> None:
+        """See RunListener.claimed."""
+        self._claimed.append(claim)
+        self._flush_soon()
+
+    def released(self, claim_id: str) -> None:
+        """See RunListener.released."""
+        self._released.append(claim_id)
+        self._flush_soon()
+
     def calls_changed(self, upstream_id: str, count: int) -> None:
         """See RunListener.calls_changed."""
         self._calls[upstream_id] = count
@@ -176,8 +189,11 @@
                 self._ended,
                 self._calls,
                 self._core.paces.seen(now),
+                self._claimed,
+                self._released,
             )
         )
+        self._claimed, self._released = [], []
         self._started, self._wrote, self._ended = [], [], []
         self._calls = {}
 
@@ -275,6 +291,10 @@
         for run_id in beat.ended:
             runs.discard(run_id)
             self._core.load.end(run_id)
+        for claim in beat.claimed:
+            self._core.claims.add(claim, now)
+        for claim_id in beat.released:
+            self._core.claims.remove(claim_id)
         for engine, pace in beat.paces.items():
             self._core.paces.learn(engine, pace, now)
         if beat.calls:
@@ -284,7 +304,7 @@
             counts.update(
                 {key: beat.calls[key] - counts[key] for key in beat.calls}
             )
-        if beat.ended or beat.wrote:
+        if beat.ended or beat.wrote or beat.released:
             self._core.pump()
 
     def _on_welcome(self, welcome: peer_messages.Welcome, now: float) -> None:
