Prove the fault matrix at the gateway

Cause: docs/fault-matrix.md named the gateway's mutations only; its cells were those of the entry and the agent, and two columns of faults had no cell.

"Cache events with gaps" is impossible here: the platform's engines publish none. The world can delay, copy, reorder or lose frames between gateways.

Ruled out: a freeze of one gateway has no meaning on one virtual clock; the soak stops processes by signal instead.

--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -36,6 +36,11 @@
 ABANDON_S: Final = 2.0
 
 
+def usual_delays_s() -> tuple[float, ...]:
+    """Returns the delays of a frame between gateways: one copy, in order."""
+    return (FAR_S,)
+
+
 class VirtualLink(peer_link.Link):
     """A gateway's connections to the others."""
 
@@ -157,6 +162,8 @@
         log: The store's records.
         gateways: Gateways alive, by address.
         cut: Pairs of gateways that have lost each other.
+        frame_delays_s: Returns after how many seconds each copy of a frame
+            between gateways arrives; an empty tuple loses the frame.
         bytes_carried: Bytes between gateways.
         engines: Model engines.
         plain: Upstreams of the plain service.
@@ -170,6 +177,7 @@
         self.log = virtual_store.SharedLog()
         self.gateways: dict[str, Gateway] = {}
         self.cut: set[frozenset[str]] = set()
+        self.frame_delays_s = usual_delays_s
         self.bytes_carried = 0
         self._arrivals: dict[str, workload.Arrival] = {}
         self._starts = 0
@@ -331,9 +339,9 @@
         self.bytes_carried += len(frame)
         if frozenset((source, target)) in self.cut:
             return True
-        asyncio.get_running_loop().call_later(
-            FAR_S, self._receive, target, frame
-        )
+        loop = asyncio.get_running_loop()
+        for delay_s in self.frame_delays_s():
+            loop.call_later(delay_s, self._receive, target, frame)
         return True
 
     def _receive(self, target: str, frame: bytes) -> None:
@@ -348,6 +356,8 @@
         day: list[workload.Arrival],
         faults: Awaitable[None] | None = None,
         tail_s: float = 20.0,
+        *,
+        stops: bool = True,
     ) -> ledger.Ledger:
         """Plays a day and returns its records.
 
@@ -355,6 +365,8 @@
             day: Requests in order of arrival.
             faults: Injects faults; starts with the traffic.
             tail_s: Time after the last request.
+            stops: Whether the gateways are killed at the end; else what they
+                hold can be looked at.
         """
         loop = asyncio.get_running_loop()
         await asyncio.sleep(START_S)
@@ -370,8 +382,9 @@
             await fault_task
         for task in self._tasks:
             task.cancel()
-        for address in list(self.gateways):
-            self.kill_gateway(address)
+        if stops:
+            for address in list(self.gateways):
+                self.kill_gateway(address)
         return self.book
 
     async def _call(self, arrival: workload.Arrival) -> None:
