Leave slots to requests on time, and bound the look at a long queue

Late requests took each slot that became free, although a request on time waited for it at another gateway. Each event also looked at every waiting request, so that the gateways' time grew with the square of the queue.

Change: a late request leaves two slots of an engine while a request of its kind that is on time found no place within 0.25 s. A look at the queue ends after three requests of a kind in vain.

--- a/bench/fleet_days.py
+++ b/bench/fleet_days.py
@@ -17,7 +17,12 @@
 from typing import Final, NamedTuple
 from unittest import mock
 
-from apricottrestle.gateway import engine_routing, gateway, peer_sync
+from apricottrestle.gateway import (
+    engine_claims,
+    engine_routing,
+    gateway,
+    peer_sync,
+)
 from apricottrestle_standins.platform import (
     chaos,
     ledger,
@@ -29,6 +34,8 @@
 LENGTH_S: Final = 20.0
 SEEDS: Final = 4
 MAX_FAULTS: Final = 8
+HOT: Final = 7
+"""A team that sends little on other days."""
 
 
 class Pattern(NamedTuple):
@@ -38,11 +45,15 @@
         load: Factor on all rates of the site.
         bursts: Times with more requests of a kind.
         slow_engines: Engines that are five times slower than published.
+        repeats: Times that a caller repeats a refused or failed request.
+        is_patient: Whether callers wait as long as a refusal tells them.
     """
 
     load: float = 1.0
     bursts: tuple[workload.Burst, ...] = ()
     slow_engines: int = 0
+    repeats: int = world.CALLER_RETRIES
+    is_patient: bool = True
 
 
 PATTERNS: Final = {
@@ -56,6 +67,8 @@
     ),
     "burst of long": Pattern(bursts=(workload.Burst("long", 4.0, 8.0, 2.6),)),
     "slow engines": Pattern(slow_engines=2),
+    "hot team": Pattern(bursts=(workload.Burst("short", 4.0, 10.0, 6.0, HOT),)),
+    "callers repeat at once": Pattern(2.5, repeats=6, is_patient=False),
 }
 
 
@@ -91,6 +104,16 @@
     )
 
 
+def _late_first_come() -> contextlib.AbstractContextManager[object]:
+    """Late requests leave no slots to those that are on time."""
+    return mock.patch.object(gateway, "LATE_SLOTS", 0)
+
+
+def _no_claims() -> contextlib.AbstractContextManager[object]:
+    """No kind has a floor."""
+    return mock.patch.object(engine_claims, "MAX_SHARE", 0.0)
+
+
 VARIANTS: Final[
     dict[str, Callable[[], contextlib.AbstractContextManager[object]]]
 ] = {
@@ -99,28 +122,36 @@
     "no helpers": _no_helpers,
     "order of arrival": _no_order,
     "emptiest engine": _least_loaded,
+    "late ones take all slots": _late_first_come,
+    "no claims": _no_claims,
 }
 
 
 def play(
-    site_name: str, pattern: Pattern, seed: int, faults: int = 0
+    site_name: str,
+    pattern: Pattern,
+    seed: int,
+    faults: int = 0,
+    length_s: float = LENGTH_S,
 ) -> ledger.Ledger:
     """Plays one day and returns its records."""
 
     async def main() -> ledger.Ledger:
         site = workload.SITES[site_name]
         fleet = world.World(site, seed)
+        fleet.repeats = pattern.repeats
+        fleet.is_patient = pattern.is_patient
         for engine in fleet.engines[: pattern.slow_engines]:
             engine.passes.pace = 5.0
         day = workload.draw(
             site,
-            LENGTH_S,
+            length_s,
             random.Random(seed),
             load=pattern.load,
             bursts=pattern.bursts,
         )
         rng = random.Random(seed + 1)
-        drawn = chaos.draw(rng, LENGTH_S, faults)
+        drawn = chaos.draw(rng, length_s, faults)
         return await fleet.play(day, chaos.inject(fleet, drawn, rng))
 
     return virtual_time.run(main())
--- a/src/apricottrestle/gateway/engine_routing.py
+++ b/src/apricottrestle/gateway/engine_routing.py
@@ -258,14 +258,25 @@
     candidates: Sequence[Candidate],
     model: fleet_config.EngineModel,
     now: float,
+    spare_slots: int = 0,
 ) -> Choice | None:
     """Returns the soonest place for a request that is late anyway, or None.
 
     It delays no writer elsewhere, its first event must come before the caller
     gives up, and its last one before the caller's time ends: an answer cut off
     earns nothing, and its engines are missed by others.
+
+    Args:
+        ask: The request.
+        candidates: Engines that may be used.
+        model: Their cost model.
+        now: Monotonic time in seconds.
+        spare_slots: Slots of each engine that it leaves free.
     """
-    rooms = [_room(candidate, model, now) for candidate in candidates]
+    rooms = [
+        room._replace(slots_free=room.slots_free - spare_slots)
+        for room in (_room(candidate, model, now) for candidate in candidates)
+    ]
     write_s = engine_costs.write_s(
         model, ask.output_tokens, 1, ask.prompt_tokens
     )
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -57,6 +57,19 @@
 """Part of the estimated least service time that must be left for a request to
 be tried; estimates may be pessimistic."""
 
+MAX_MISSES: Final = 3
+"""Waiting requests of a kind that find no place before the others of the kind
+are left for the next look. Each look costs about 0.1 ms, and a long queue
+under overload would take all of the gateway's time."""
+
+LATE_SLOTS: Final = 2
+"""Slots of an engine that late requests leave to those of their kind which are
+still on time, while these find no place: a quarter of an engine, by trials at
+six times the short requests."""
+
+CONTEST_S: Final = 0.25
+"""Time for which a place that was missed counts: the shortest target."""
+
 _LOG: Final = logging.getLogger(__name__)
 
 
@@ -111,6 +124,7 @@
         self.paces = engine_pace.EnginePaces()
         self.claims = engine_claims.EngineClaims()
         self._shares = kind_shares.KindShares()
+        self._contested: dict[str, float] = {}
         self._own_claims: dict[exchange.Exchange, str] = {}
         self.peer_calls: dict[str, collections.Counter[str]] = {}
         self.listener = RunListener()
@@ -430,10 +444,16 @@
         self._pump_due = False
         now = clock.now()
         waiting = sorted(self._waiting, key=lambda one: _urgency(one, now))
+        misses: collections.Counter[tuple[str, bool]] = collections.Counter()
         for one in waiting:
             if one.done or one not in self._waiting:
                 continue
+            alike = (one.accepted.route.name, one.ask(now).target_left_s <= 0)
+            if misses[alike] >= MAX_MISSES and one not in self._own_claims:
+                continue
             self._place_run(one, now)
+            if one in self._waiting:
+                misses[alike] += 1
         metrics.WAITING.set(len(self._waiting))
 
     def _place_run(self, one: exchange.Exchange, now: float) -> None:
@@ -465,12 +485,21 @@
                 return
             read_s = engine_routing.soonest_read_s(ask, model, len(usable))
             if ask.target_left_s <= read_s:
-                choice = engine_routing.least_late(ask, candidates, model, now)
+                choice = engine_routing.least_late(
+                    ask, candidates, model, now, self._spare_slots(one, now)
+                )
+            else:
+                self._contested[one.accepted.route.name] = now + CONTEST_S
         if choice is not None:
             self._start(one, choice, ask, len(candidates), now)
         elif own is None and self._shares.starves(one.accepted.route.name):
             self._claim(one, ask, usable, model, now)
 
+    def _spare_slots(self, one: exchange.Exchange, now: float) -> int:
+        """Returns the slots that a late request leaves to others."""
+        until = self._contested.get(one.accepted.route.name, now)
+        return LATE_SLOTS if now < until else 0
+
     def _claim(
         self,
         one: exchange.Exchange,
--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+from collections.abc import Callable
 from typing import NamedTuple
 
 from apricottrestle_standins.platform import workload
@@ -171,17 +172,29 @@
 
 def scores(ledger: Ledger) -> dict[str, Score]:
     """Returns the score of each kind, and of all under "all"."""
+    return _scores_by(ledger, lambda arrival: arrival.kind.name)
+
+
+def team_scores(ledger: Ledger) -> dict[str, Score]:
+    """Returns the score of each team, and of all under "all"."""
+    return _scores_by(ledger, lambda arrival: f"team-{arrival.team}")
+
+
+def _scores_by(
+    ledger: Ledger, group: Callable[[workload.Arrival], str]
+) -> dict[str, Score]:
     rows: dict[str, list[tuple[str, float, float]]] = {}
     for attempts in ledger.requests:
-        kind = attempts[0].arrival.kind
+        arrival = attempts[0].arrival
+        kind = arrival.kind
         outcome = _outcome(attempts)
         weight = 1.0
         if kind.tokens:
-            size = attempts[0].arrival.tokens / kind.tokens
+            size = arrival.tokens / kind.tokens
             weight = min(0.3 + 0.7 * size, 4.0)
         earned = {"on_time": kind.worth, "late": kind.late_worth}
         row = (outcome, weight * earned.get(outcome, 0.0), weight * kind.worth)
-        rows.setdefault(kind.name, []).append(row)
+        rows.setdefault(group(arrival), []).append(row)
         rows.setdefault("all", []).append(row)
     return {name: _score(row) for name, row in rows.items()}
 
--- a/src/apricottrestle_standins/platform/workload.py
+++ b/src/apricottrestle_standins/platform/workload.py
@@ -153,12 +153,21 @@
 
 
 class Burst(NamedTuple):
-    """More requests of one kind for a time."""
+    """More requests of one kind for a time.
+
+    Attributes:
+        kind: Name of the kind.
+        at_s: Start, from the start of the day.
+        for_s: How long.
+        factor: Factor on the kind's rate.
+        team: Team that sends the additional requests; None for all teams.
+    """
 
     kind: str
     at_s: float
     for_s: float
     factor: float
+    team: int | None = None
 
 
 TEAMS: Final = 10
@@ -201,12 +210,17 @@
             at += rng.expovariate(kind.per_s * factor)
             if at >= length_s:
                 break
+            data_centre = rng.randrange(site.data_centres)
+            team = rng.choices(range(TEAMS), weights)[0]
+            hot = _hot_team(bursts, kind, at)
+            if hot is not None and rng.random() < 1 - load / factor:
+                team = hot
             day.append(
                 Arrival(
                     at,
                     kind,
-                    rng.randrange(site.data_centres),
-                    rng.choices(range(TEAMS), weights)[0],
+                    data_centre,
+                    team,
                     _length(kind.tokens, kind.spread, kind.max_tokens, rng),
                     _length(kind.events, 0.6, 2.5 * kind.events, rng),
                     _length_s(rng),
@@ -216,6 +230,15 @@
     return sorted(day, key=lambda each: each.at_s)
 
 
+def _hot_team(bursts: tuple[Burst, ...], kind: Kind, at: float) -> int | None:
+    """Returns the team whose burst is under way, or None."""
+    for burst in bursts:
+        is_on = burst.at_s <= at < burst.at_s + burst.for_s
+        if is_on and burst.kind == kind.name and burst.team is not None:
+            return burst.team
+    return None
+
+
 def _length(mean: float, spread: float, most: float, rng: random.Random) -> int:
     """Draws from a log-normal distribution with the given mean."""
     if mean <= 0:
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -165,6 +165,8 @@
         frame_delays_s: Returns after how many seconds each copy of a frame
             between gateways arrives; an empty tuple loses the frame.
         bytes_carried: Bytes between gateways.
+        repeats: Times that a caller repeats a refused or failed request.
+        is_patient: Whether callers wait as long as a refusal tells them.
         engines: Model engines.
         plain: Upstreams of the plain service.
     """
@@ -179,6 +181,8 @@
         self.cut: set[frozenset[str]] = set()
         self.frame_delays_s = usual_delays_s
         self.bytes_carried = 0
+        self.repeats = CALLER_RETRIES
+        self.is_patient = True
         self._arrivals: dict[str, workload.Arrival] = {}
         self._starts = 0
         self._attempts = 0
@@ -394,7 +398,7 @@
         attempts: list[ledger.Attempt] = []
         self.book.requests.append(attempts)
         resume_after = 0
-        for number in range(1 + CALLER_RETRIES):
+        for number in range(1 + self.repeats):
             attempt = self._new_attempt(arrival)
             attempt.resume_after = resume_after
             attempts.append(attempt)
@@ -404,6 +408,8 @@
             if not _retries(attempt) or loop.time() >= ends:
                 return
             pause_s = attempt.retry_after_s or 0.0
+            if not self.is_patient:
+                pause_s = 0.0
             if pause_s > (ends - loop.time()) / 3:
                 return
             await asyncio.sleep(pause_s)
--- a/tests/test_gateway_engine_load.py
+++ b/tests/test_gateway_engine_load.py
@@ -257,6 +257,28 @@
     assert engine_routing.least_late(late, only_long, MODEL, 0.1) is None
 
 
+@pytest.mark.parametrize(
+    ("writers", "spare", "expected"),
+    [(7, 0, "e0"), (7, 1, None), (6, 1, "e0"), (6, 2, None), (5, 2, "e0")],
+)
+def test_late_request_leaves_slots_to_those_on_time(
+    writers: int, spare: int, expected: str | None
+) -> None:
+    """Guards an overload of short requests against work that is late anyway.
+
+    Seen in virtual time with a hot team: late requests took each slot as it
+    became free, and 0.34 of the worth was earned.
+    """
+    load = engine_load.EngineLoad()
+    for number in range(writers):
+        load.start(_writing(f"r{number}", "e0"), 0.0)
+    late = SHORT._replace(target_left_s=-0.1)
+    choice = engine_routing.least_late(
+        late, _candidates(load, 1), MODEL, 0.1, spare
+    )
+    assert (choice.engine if choice else None) == expected
+
+
 def test_slow_engines_are_found_and_tried_again() -> None:
     """Guards against work for a slow engine, and against losing it for good."""
     paces = engine_pace.EnginePaces()
--- a/tests/test_world_loads.py
+++ b/tests/test_world_loads.py
@@ -4,12 +4,23 @@
 the worth on calm days, and no kind of request below half of the whole's share.
 """
 
+from typing import Any
+from unittest import mock
+
 import pytest
 from bench import fleet_days
 
-from apricottrestle_standins.platform import ledger
+from apricottrestle.gateway import gateway
+from apricottrestle_standins.platform import ledger, workload
 
 CALM_WORTH = 0.92
+FLOOD = fleet_days.Pattern(
+    bursts=(workload.Burst("short", 0.5, 3.0, 6.0, fleet_days.HOT),)
+)
+FLOOD_S = 3.5
+MAX_LOOKS = 20
+"""Looks in vain at the queue; a look takes about 0.1 ms, and a pump is due
+every 15 ms."""
 LEAST_SHARE = 0.5
 
 
@@ -62,3 +73,54 @@
     with fleet_days.VARIANTS["runs not shared"]():
         alone = ledger.scores(fleet_days.play("sweetbreeze", pattern, 1))
     assert shared["all"].worth > alone["all"].worth
+
+
+def _flood_worth() -> float:
+    book = fleet_days.play("zimska-trgatev", FLOOD, 0, length_s=FLOOD_S)
+    assert ledger.broken_rules(book) == []
+    return ledger.scores(book)["all"].worth
+
+
+def test_late_requests_do_not_crowd_out_those_on_time() -> None:
+    """Guards a hot team's flood of short requests, beyond what engines do.
+
+    Without slots left free, late requests took each place and nearly all
+    requests of the flood and beside it became late.
+    """
+    shipped = _flood_worth()
+    with fleet_days.VARIANTS["late ones take all slots"]():
+        without = _flood_worth()
+    assert shipped > without
+
+
+def test_look_at_a_long_queue_is_bounded() -> None:
+    """Guards a gateway's time against a queue that grows with the overload.
+
+    With a look at each waiting request, 20 s of the hot team's flood took
+    minutes to play.
+    """
+    looks: list[int] = []
+    pump, place = gateway.Gateway.pump, gateway.Gateway._place_run
+    calls = 0
+
+    def counted_place(self: gateway.Gateway, *args: Any) -> None:
+        nonlocal calls
+        calls += 1
+        before = len(self._waiting)
+        place(self, *args)
+        # A look that finds a place or refuses shortens the queue.
+        calls -= len(self._waiting) < before
+
+    def counted_pump(self: gateway.Gateway) -> None:
+        nonlocal calls
+        calls = 0
+        claims = len(self._own_claims)
+        pump(self)
+        looks.append(calls - claims)
+
+    with (
+        mock.patch.object(gateway.Gateway, "_place_run", counted_place),
+        mock.patch.object(gateway.Gateway, "pump", counted_pump),
+    ):
+        _flood_worth()
+    assert max(looks) <= MAX_LOOKS
