Make the test of bounded looks fail without the bound

Cause: the flood of the first version left queues shorter than its bound, so that the test passed without the limit on looks.

--- a/tests/test_world_loads.py
+++ b/tests/test_world_loads.py
@@ -18,6 +18,9 @@
     bursts=(workload.Burst("short", 0.5, 3.0, 6.0, fleet_days.HOT),)
 )
 FLOOD_S = 3.5
+DEEP_FLOOD = fleet_days.Pattern(
+    bursts=(workload.Burst("short", 0.5, 0.8, 20.0, fleet_days.HOT),)
+)
 MAX_LOOKS = 20
 """Looks in vain at the queue; a look takes about 0.1 ms, and a pump is due
 every 15 ms."""
@@ -75,8 +78,10 @@
     assert shared["all"].worth > alone["all"].worth
 
 
-def _flood_worth() -> float:
-    book = fleet_days.play("zimska-trgatev", FLOOD, 0, length_s=FLOOD_S)
+def _flood_worth(
+    pattern: fleet_days.Pattern = FLOOD, length_s: float = FLOOD_S
+) -> float:
+    book = fleet_days.play("zimska-trgatev", pattern, 0, length_s=length_s)
     assert ledger.broken_rules(book) == []
     return ledger.scores(book)["all"].worth
 
@@ -122,5 +127,5 @@
         mock.patch.object(gateway.Gateway, "_place_run", counted_place),
         mock.patch.object(gateway.Gateway, "pump", counted_pump),
     ):
-        _flood_worth()
+        _flood_worth(DEEP_FLOOD, 1.3)
     assert max(looks) <= MAX_LOOKS
