Leave no process behind when a signal comes while it starts

One stand-in (`service`) ran on without a parent. The handler's exception had come out of Popen, before the process was on the fleet's record.

Ruled out: ports (each run had its own, from a random start); the stand-in's own handling of SIGTERM (it ended at once when asked by hand).

Change: the fleet delays SIGINT and SIGTERM while it starts a process and puts it on record. A test raises the signal inside the start; it fails without the change.

--- a/src/apricottrestle_standins/fleet.py
+++ b/src/apricottrestle_standins/fleet.py
@@ -5,6 +5,7 @@
 and on interrupt too.
 """
 
+import contextlib
 import functools
 import http.client
 import json
@@ -16,9 +17,10 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import urllib.parse
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from types import TracebackType
 from typing import Any, Final, NamedTuple, Self
 
@@ -135,6 +137,31 @@
         time.sleep(_POLL_S)
 
 
+@contextlib.contextmanager
+def signals_deferred() -> Iterator[None]:
+    """Delays the handlers of SIGINT and SIGTERM, which may raise, to the end.
+
+    An exception between the start of a process and its record would leave the
+    process running for good.
+    """
+    if threading.current_thread() is not threading.main_thread():
+        # Handlers run in the main thread only.
+        yield
+        return
+    arrived: list[int] = []
+    before = {
+        signum: signal.signal(signum, lambda number, _: arrived.append(number))
+        for signum in (signal.SIGINT, signal.SIGTERM)
+    }
+    try:
+        yield
+    finally:
+        for signum, handler in before.items():
+            signal.signal(signum, handler or signal.SIG_DFL)
+        for number in arrived:
+            signal.raise_signal(number)
+
+
 class Process:
     """A started process with its output file."""
 
@@ -269,8 +296,9 @@
 
     def spawn(self, name: str, *arguments: str) -> Process:
         """Starts `python -m <arguments>`; its output is kept by name."""
-        process = Process(name, arguments, self.directory)
-        self._processes.append(process)
+        with signals_deferred():
+            process = Process(name, arguments, self.directory)
+            self._processes.append(process)
         return process
 
     def start_platform(self, **log_options: Any) -> None:
--- a/tests/test_demo_run.py
+++ b/tests/test_demo_run.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+from typing import Any
 
 import pytest
 
@@ -53,3 +54,34 @@
         os.kill(demo.pid, signum)
         assert demo.wait(30) != 0
     fleet.wait_for(lambda: _gone(started), "all processes ended")
+
+
+@pytest.mark.parametrize("signum", [signal.SIGINT, signal.SIGTERM])
+def test_interrupt_while_a_process_starts_leaves_none(
+    signum: signal.Signals, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a process that is started but not yet on record.
+
+    Seen on a busy machine: a signal in that moment left a stand-in running.
+    """
+    started: list[int] = []
+    start = subprocess.Popen
+
+    def interrupted(*args: Any, **kwargs: Any) -> subprocess.Popen[bytes]:
+        process = start(*args, **kwargs)
+        started.append(process.pid)
+        signal.raise_signal(signum)
+        return process
+
+    def end(_signum: int, _frame: object) -> None:
+        raise KeyboardInterrupt
+
+    before = signal.signal(signum, end)
+    try:
+        with pytest.raises(KeyboardInterrupt), fleet.Fleet(["dc"]) as processes:
+            monkeypatch.setattr(subprocess, "Popen", interrupted)
+            processes.spawn("sleeper", "timeit", "import time; time.sleep(60)")
+    finally:
+        signal.signal(signum, before)
+    assert len(started) == 1
+    fleet.wait_for(lambda: _gone(set(started)), "the process ended")
