--- a/src/apricottrestle/gateway/assembly.py
+++ b/src/apricottrestle/gateway/assembly.py
@@ -51,7 +51,7 @@
         self.cfg = cfg
         self._incarnation = incarnation
         self.core = gateway.Gateway(cfg, client, rng, incarnation)
-        self.peers = peer_sync.PeerSync(cfg, self.core, incarnation)
+        self.peers = peer_sync.PeerSync(cfg, self.core, incarnation, rng)
         self.core.listener = self.peers
         self.store_sync = store_sync.StoreSync(
             fleet_store, self.core.state, self.peers, rng
@@ -60,13 +60,8 @@
 
     @property
     def ready(self) -> bool:
-        """Whether the gateway can serve requests and isn't stopping."""
-        return (
-            self.core.state.compiled is not None
-            and self.core.state.has_upstream_list
-            and not self.core.stopping
-            and not self.peers.stopping
-        )
+        """Whether the gateway should get new connections."""
+        return self.peers.in_rotation and not self.core.stopping
 
     def start(self, link: peer_link.Link) -> None:
         """Starts all components; must run on the event loop.
@@ -74,6 +69,7 @@
         Args:
             link: Connections to the peers.
         """
+        self.core.start()
         self.peers.start(link, self.store_sync)
         self.store_sync.start(
             store.GatewayEntry(
--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -15,22 +15,12 @@
     calls,
     clock,
     fleet_config,
+    graceful_stop,
     peer_link,
     settings,
     store,
 )
 
-ACCEPT_AFTER_STOP_S: Final = 2.6
-"""Time for which requests are still served after a stop signal. The load
-balancer needs two readiness checks, a second apart, to stop sending new
-connections."""
-
-FINAL_FLUSH_S: Final = 0.4
-"""End of the grace period that is reserved for flushing the last responses."""
-
-DRAIN_CHECK_INTERVAL_S: Final = 0.05
-"""Interval at which a stopping gateway checks for open requests."""
-
 SETTINGS_CHECK_INTERVAL_S: Final = 1.0
 """Interval of the check for changed settings, which may change without a
 SIGHUP."""
@@ -102,7 +92,9 @@
             signal.SIGHUP, lambda: _reload(node, adapter, "signal")
         )
         await stop_event.wait()
-        await _drain(node, server)
+        await graceful_stop.GracefulStop(
+            node.core, node.peers, server, node.cfg.grace_s
+        ).run()
     logs.decision(_LOG, "stop", instance=cfg.instance_id)
 
 
@@ -152,28 +144,3 @@
             reason=reason,
             outcome="unchanged" if cfg is None else "applied",
         )
-
-
-async def _drain(node: assembly.GatewayNode, server: Any) -> None:
-    """Shuts down gracefully within the grace period.
-
-    New requests are served for ACCEPT_AFTER_STOP_S, then refused as not run.
-    A kept-alive connection is closed after its next response.
-    """
-    core = node.core
-    grace_s = node.cfg.grace_s
-    started = clock.now()
-    logs.decision(
-        _LOG, "stop requested", requests=len(core.active), grace_s=grace_s
-    )
-    node.peers.stopping = True
-    server.stopping = True
-    await asyncio.sleep(ACCEPT_AFTER_STOP_S)
-    core.stopping = True
-    server.stop_listening()
-    server.close_idle()
-    drain_ends_at = started + grace_s - FINAL_FLUSH_S
-    while core.active and clock.now() < drain_ends_at:
-        await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-        server.close_idle()
-    await asyncio.sleep(FINAL_FLUSH_S / 2)
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -35,6 +35,14 @@
 """Fraction of the caller's abandon timeout after which a silent stream is
 moved, so that another engine can respond before the caller leaves."""
 
+PROBATION_STALL_RATIO: Final = 0.5
+"""Fraction of the target time to the first event after which a request is moved
+from an engine on probation, so that another engine can still be on time."""
+
+PROBATION_STALL_MIN_S: Final = 0.05
+"""Time by which the first event may exceed twice its estimate on an engine on
+probation: about one scheduling pass."""
+
 MAX_PLAIN_BODY_BYTES: Final = 16 * 1024 * 1024
 """Largest non-stream response; it is buffered until it is complete."""
 
@@ -108,9 +116,6 @@
     def engine_needs(self, now: float) -> engine_routing.RequestNeeds:
         """Returns the request's token counts and time limits for routing."""
         size = self.req.size or calls.PromptSize(0, 0, None)
-        output_tokens = size.max_output_tokens
-        if size.expected_output_tokens is not None:
-            output_tokens = min(size.expected_output_tokens, output_tokens)
         route = self.accepted.route
         if self._history.response_started:
             # A resumed stream has to meet the target gap between events, not
@@ -120,7 +125,7 @@
             target_left_s = self.req.arrived_at + route.target_s - now
         return engine_routing.RequestNeeds(
             size.prompt_tokens,
-            max(output_tokens, 1),
+            max(expected_output_tokens(size), 1),
             target_left_s,
             self.waiting_since + self._abandon_timeout_s() - now,
             self.time_left_s(now),
@@ -175,7 +180,7 @@
             not self.accepted.route.repeatable,
         )
         if self.is_stream:
-            self._arm_stall_timer(attempt.first_event_s)
+            self._arm_first_event_timer(attempt)
         self._transfer = self._host.start_call(self, call)
 
     def refuse(
@@ -294,7 +299,7 @@
         self._host.on_event(self, attempt, gap_to_report_s)
         self._event_count += len(chunks)
         self._responder.write(b"".join(chunks))
-        self._arm_stall_timer(0.0)
+        self._arm_event_timer()
 
     def on_end(self, end: calls.EndKind, detail: str) -> None:
         """See ResponseSink.on_end."""
@@ -453,24 +458,33 @@
             self._responder.refuse(504, "timeout")
         self._finish("timeout", "")
 
-    def _arm_stall_timer(self, first_event_s: float) -> None:
-        """Restarts the timer that detects a silent stream.
+    def _arm_first_event_timer(self, attempt: exchange_host.Attempt) -> None:
+        """Starts the timer that detects an attempt without a first event."""
+        timeout_s = max(
+            STALL_TIMEOUT_RATIO * self._abandon_timeout_s(),
+            2 * attempt.first_event_s,
+        )
+        if attempt.on_probation and not self._history.response_started:
+            timeout_s = min(
+                timeout_s,
+                max(
+                    PROBATION_STALL_RATIO * self.accepted.route.target_s,
+                    2 * attempt.first_event_s + PROBATION_STALL_MIN_S,
+                ),
+            )
+        self._arm_stall_timer(timeout_s)
 
-        Args:
-            first_event_s: Expected time to the attempt's first event, or 0 if
-                that event has arrived.
-        """
-        self._cancel_stall_timer()
-        if first_event_s > 0:
-            timeout_s = self._abandon_timeout_s()
-        else:
-            gap_s = self.accepted.route.event_gap_target_s
-            timeout_s = max(MIN_ABANDON_S, ABANDON_GAP_FACTOR * gap_s)
-        self._stall_timer = self._loop.call_later(
-            max(STALL_TIMEOUT_RATIO * timeout_s, 2 * first_event_s),
-            self._on_stall,
+    def _arm_event_timer(self) -> None:
+        """Restarts the timer that detects a stream that has fallen silent."""
+        gap_s = self.accepted.route.event_gap_target_s
+        self._arm_stall_timer(
+            STALL_TIMEOUT_RATIO * max(MIN_ABANDON_S, ABANDON_GAP_FACTOR * gap_s)
         )
 
+    def _arm_stall_timer(self, timeout_s: float) -> None:
+        self._cancel_stall_timer()
+        self._stall_timer = self._loop.call_later(timeout_s, self._on_stall)
+
     def _abandon_timeout_s(self) -> float:
         """Returns the time without an event after which the caller leaves."""
         route = self.accepted.route
@@ -541,6 +555,13 @@
         )
 
 
+def expected_output_tokens(size: calls.PromptSize) -> int:
+    """Returns the estimated number of tokens that a request generates."""
+    if size.expected_output_tokens is None:
+        return size.max_output_tokens
+    return min(size.expected_output_tokens, size.max_output_tokens)
+
+
 def _elapsed_s(at: float | None, start: float) -> float | None:
     return None if at is None else round(at - start, 4)
 
--- a/src/apricottrestle/gateway/exchange_host.py
+++ b/src/apricottrestle/gateway/exchange_host.py
@@ -28,6 +28,7 @@
         run_id: Id of the attempt in the load tables.
         started_at: Monotonic time at which the attempt started.
         first_event_s: Expected time to the first event; 0 for plain calls.
+        on_probation: Whether the upstream may be busy with unknown runs.
     """
 
     upstream_id: str
@@ -35,6 +36,7 @@
     run_id: str
     started_at: float
     first_event_s: float
+    on_probation: bool = False
 
 
 class ExchangeHost(abc.ABC):
--- a/src/apricottrestle/gateway/fleet_state.py
+++ b/src/apricottrestle/gateway/fleet_state.py
@@ -43,16 +43,26 @@
         self.has_upstream_list = False
         self._on_change = on_change
         self._on_config: list[OnConfig] = []
+        self._on_ready: list[Callable[[], None]] = []
 
     @property
     def config_version(self) -> int:
         """Version of the current configuration; -1 if there is none."""
         return self.compiled.config.version if self.compiled else -1
 
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be routed."""
+        return self.compiled is not None and self.has_upstream_list
+
     def watch_config(self, callback: OnConfig) -> None:
         """Registers a callback for each new configuration."""
         self._on_config.append(callback)
 
+    def watch_ready(self, callback: Callable[[], None]) -> None:
+        """Registers a callback for the first moment at which it is ready."""
+        self._on_ready.append(callback)
+
     def adopt_config(
         self, config: fleet_config.FleetConfig, source: str
     ) -> bool:
@@ -80,6 +90,8 @@
         metrics.CONFIG_REVISION.set(config.version)
         for callback in self._on_config:
             callback(config, before, source)
+        if before < 0 and self.has_upstream_list:
+            self._notify_ready()
         return True
 
     def apply_upstreams(
@@ -87,20 +99,44 @@
         changes: Iterable[upstream_list.Change],
         source: str,
     ) -> None:
-        """Logs membership changes and passes them to the listener."""
+        """Logs membership changes and passes them to the listener.
+
+        The first list is logged as one line, since a line for each upstream
+        would delay the start.
+        """
+        is_first = not self.has_upstream_list
+        self.has_upstream_list = True
         for change in changes:
+            if not is_first:
+                logs.decision(
+                    _LOG,
+                    "upstream",
+                    upstream=change.upstream_id,
+                    before=change.before,
+                    after=change.after,
+                    restarted=change.restarted,
+                    reason=change.reason,
+                    source=source,
+                    list_version=self.members.version,
+                )
+            self._on_change(change)
+        counts = self.members.counts()
+        for state in ("ready", "draining", "lapsed"):
+            metrics.UPSTREAMS.labels(state).set(counts.get(state, 0))
+        if is_first:
             logs.decision(
                 _LOG,
-                "upstream",
-                upstream=change.upstream_id,
-                before=change.before,
-                after=change.after,
-                restarted=change.restarted,
-                reason=change.reason,
+                "upstream list",
                 source=source,
                 list_version=self.members.version,
+                states=counts,
+                upstreams=sorted(
+                    entry.upstream_id for entry in self.members.entries()
+                ),
             )
-            self._on_change(change)
-        counts = self.members.counts()
-        for state in ("ready", "draining", "lapsed"):
-            metrics.UPSTREAMS.labels(state).set(counts.get(state, 0))
+            if self.compiled is not None:
+                self._notify_ready()
+
+    def _notify_ready(self) -> None:
+        for callback in self._on_ready:
+            callback()
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -11,6 +11,7 @@
 import asyncio
 import collections
 import logging
+import math
 import random
 from typing import Final
 
@@ -23,6 +24,7 @@
     engine_costs,
     engine_load,
     engine_pace,
+    engine_probation,
     engine_routing,
     exchange,
     exchange_host,
@@ -42,9 +44,42 @@
 """Interval between scheduling passes when no event triggers one; small
 compared with the shortest target time to the first event, 250 ms."""
 
-NO_CONFIG_RETRY_AFTER_S: Final = 0.3
-"""Retry-After while no configuration is known; about the time of one store call
-and one connection to a peer."""
+NOT_READY_RETRY_AFTER_S: Final = 0.3
+"""Retry-After while configuration or upstream list are missing; about the time
+of one store call and one connection to a peer."""
+
+START_HOLD_S: Final = 0.25
+"""Time after its start for which a gateway holds requests until it has a
+configuration and an upstream list; several calls to the store. A refused caller
+would come back later, and has one attempt less."""
+
+MAX_HELD_REQUESTS: Final = 200
+"""Requests that are held during the start; further ones are refused."""
+
+STOPPING_RETRY_AFTER_S: Final = 2.5
+"""Retry-After of a stopping gateway while no other gateway is in rotation: the
+time in which another one finishes its requests and starts again."""
+
+LEAVING_RETRY_AFTER_S: Final = 2.0
+"""Retry-After of a stopping gateway while a caller that returned at once would
+probably reach another stopping gateway; the time of two readiness checks, after
+which the load balancer sends no connections to those."""
+
+MAX_LEAVING_SHARE: Final = 0.25
+"""Stopping gateways per gateway in rotation up to which a refused caller may
+return at once."""
+
+MAX_RETRY_AFTER_SHARE: Final = 0.3
+"""Upper bound of Retry-After as a share of the caller's time left; callers
+don't return after a third of it."""
+
+STOPPING_SERVICE_FACTOR: Final = 1.5
+"""Factor on the minimum service time of a request that a stopping gateway must
+be able to serve: other requests in the same engine passes delay its events."""
+
+PLAIN_SERVICE_S: Final = 0.3
+"""Time that a stopping gateway allows for a request to a plain service; several
+times its usual duration."""
 
 OVERLOAD_RETRY_AFTER_S: Final = 0.2
 """Retry-After when a service has no capacity or no upstream, or when a request
@@ -109,6 +144,14 @@
         """Returns the number of live gateways, including this gateway."""
         return 1
 
+    def peers_in_rotation(self) -> int:
+        """Returns the number of other gateways that callers can reach."""
+        return 0
+
+    def peers_leaving(self) -> int:
+        """Returns the number of stopping peers that callers may still reach."""
+        return 0
+
 
 class Gateway(calls.RequestHandler, exchange_host.ExchangeHost):
     """Serves the requests of callers.
@@ -118,10 +161,12 @@
         load: Runs of all gateways on the engines.
         slowdowns: Slowdown of each engine relative to its published cost model.
         claims: Claims of all gateways on engines.
+        probation: Engines whose load isn't known for certain.
         peer_calls: Calls of other gateways to plain upstreams, by the
             gateway's incarnation and the upstream's id.
         listener: Receives changes of this gateway's load.
         stopping: Whether new requests are refused because of a shutdown.
+        serve_until: Monotonic time at which a shutdown ends all requests.
         active: Exchanges under way.
     """
 
@@ -137,13 +182,17 @@
         self.load = engine_load.EngineLoad()
         self.slowdowns = engine_pace.EngineSlowdowns()
         self.claims = engine_claims.EngineClaims()
+        self.probation = engine_probation.EngineProbation()
         self._on_time_shares = on_time_shares.OnTimeShares()
         self._slots_reserved_until: dict[str, float] = {}
         self._own_claims: dict[exchange.Exchange, str] = {}
         self.peer_calls: dict[str, collections.Counter[str]] = {}
         self.listener = RunListener()
         self.stopping = False
+        self.serve_until = math.inf
         self.active: set[exchange.Exchange] = set()
+        self._held: list[tuple[calls.CallerRequest, calls.Responder]] = []
+        self._hold_until = -math.inf
         self._cfg = cfg
         self._client = client
         self._rng = rng
@@ -160,6 +209,14 @@
         self._incarnation = incarnation
         self._scheduling_pass_requested = False
 
+    def start(self) -> None:
+        """Begins to hold requests until they can be routed."""
+        now = clock.now()
+        self._hold_until = now + START_HOLD_S
+        self.probation.add_all(now)
+        self.state.watch_ready(self._release_held)
+        asyncio.get_running_loop().call_later(START_HOLD_S, self._release_held)
+
     def apply_settings(self, cfg: settings.GatewaySettings) -> None:
         """Applies new settings to future requests."""
         self._cfg = cfg
@@ -175,6 +232,15 @@
         self, req: calls.CallerRequest, responder: calls.Responder
     ) -> None:
         """See RequestHandler.handle."""
+        if self._is_starting() and len(self._held) < MAX_HELD_REQUESTS:
+            self._held.append((req, responder))
+            logs.decision(
+                _LOG,
+                "request held",
+                request_id=req.request_id,
+                reason=self._missing_state(),
+            )
+            return
         decision = self._admit(req)
         if isinstance(decision, accept.Refused):
             responder.refuse(
@@ -210,16 +276,84 @@
         self.active.add(request)
         request.start()
 
+    def _is_starting(self) -> bool:
+        return (
+            not self.state.ready
+            and not self.stopping
+            and clock.now() < self._hold_until
+        )
+
+    def _missing_state(self) -> str:
+        if self.state.compiled is None:
+            return "no_configuration"
+        return "no_upstream_list"
+
+    def _release_held(self) -> None:
+        """Handles the held requests, whether or not they can be routed."""
+        self._hold_until = -math.inf
+        held, self._held = self._held, []
+        for req, responder in held:
+            if not responder.closed:
+                self.handle(req, responder)
+
     def _admit(
         self, req: calls.CallerRequest
     ) -> accept.Accepted | accept.Refused:
         if self.stopping:
-            return accept.Refused(accept.UNAVAILABLE, "stopping", 0.0)
-        if self.state.compiled is None or not self.state.has_upstream_list:
+            return self._refuse_stopping(req)
+        compiled = self.state.compiled
+        if compiled is None or not self.state.has_upstream_list:
             return accept.Refused(
-                accept.UNAVAILABLE, "no_configuration", NO_CONFIG_RETRY_AFTER_S
+                accept.UNAVAILABLE,
+                self._missing_state(),
+                NOT_READY_RETRY_AFTER_S,
+            )
+        decision = accept.decide_request(req, compiled, self._rng)
+        if isinstance(decision, accept.Accepted) and not self._fits_shutdown(
+            req, decision
+        ):
+            return self._refuse_stopping(req)
+        return decision
+
+    def _refuse_stopping(self, req: calls.CallerRequest) -> accept.Refused:
+        """Refuses a request; it returns when another gateway can serve it."""
+        peers = self.listener.peers_in_rotation()
+        if peers > 0 and self.listener.peers_leaving() <= (
+            MAX_LEAVING_SHARE * peers
+        ):
+            retry_after_s = 0.0
+        elif peers > 0:
+            retry_after_s = LEAVING_RETRY_AFTER_S
+        else:
+            retry_after_s = STOPPING_RETRY_AFTER_S
+        if req.time_left_s is not None:
+            retry_after_s = min(
+                retry_after_s, MAX_RETRY_AFTER_SHARE * req.time_left_s
             )
-        return accept.decide_request(req, self.state.compiled, self._rng)
+        return accept.Refused(accept.UNAVAILABLE, "stopping", retry_after_s)
+
+    def _fits_shutdown(
+        self, req: calls.CallerRequest, accepted: accept.Accepted
+    ) -> bool:
+        """Returns whether a request can be served before a shutdown ends."""
+        if math.isinf(self.serve_until):
+            return True
+        model = accepted.service.engine
+        service_s = PLAIN_SERVICE_S
+        if model is not None and req.size is not None:
+            service_s = STOPPING_SERVICE_FACTOR * engine_routing.min_service_s(
+                engine_routing.RequestNeeds(
+                    req.size.prompt_tokens,
+                    max(exchange.expected_output_tokens(req.size), 1),
+                    math.inf,
+                    math.inf,
+                    math.inf,
+                    0.0,
+                ),
+                model,
+                len(self.state.members.usable(accepted.service.name)),
+            )
+        return clock.now() + service_s <= self.serve_until
 
     def _retry_budget(self, service: str) -> retry_budget.RetryBudget:
         budget = self._retry_budgets.get(service)
@@ -287,6 +421,7 @@
         if model is None:
             return
         now = clock.now()
+        self.probation.clear(attempt.upstream_id)
         state = self.load.state(attempt.upstream_id)
         if gap_s is not None and state.runs:
             pass_s = engine_costs.decode_pass_s(
@@ -505,9 +640,10 @@
     ) -> None:
         """Places a request on an engine, refuses it or leaves it in the queue.
 
-        Engines claimed by other requests are used only when little time is left
-        until the target. A request that can no longer be on time goes to the
-        engine with the earliest first event.
+        A prompt is split over engines on probation only if the others have no
+        room for it. Engines claimed by other requests are used only when little
+        time is left until the target. A request that can no longer be on time
+        goes to the engine with the earliest first event.
         """
         service = request.accepted.service
         model = service.engine
@@ -525,6 +661,13 @@
             in (None, own_claim)
         ]
         choice = engine_routing.choose(needs, candidates, model, now)
+        if choice is not None and self._depends_on_probation(choice, now):
+            trusted = [
+                candidate
+                for candidate in candidates
+                if not self.probation.contains(candidate.engine, now)
+            ]
+            choice = engine_routing.choose(needs, trusted, model, now) or choice
         if (
             choice is None
             and len(candidates) < len(usable)
@@ -560,6 +703,18 @@
         ):
             self._claim_engines(request, needs, usable, model, now)
 
+    def _depends_on_probation(
+        self, choice: engine_routing.Choice, now: float
+    ) -> bool:
+        """Returns whether a split prompt would wait for an engine on probation.
+
+        A prompt is complete when the slowest of its engines is.
+        """
+        return bool(choice.helpers) and any(
+            self.probation.contains(engine, now)
+            for engine in (choice.engine, *choice.helpers)
+        )
+
     def _reserved_slots(self, request: exchange.Exchange, now: float) -> int:
         """Returns the slots per engine that a late request must leave free."""
         reserved_until = self._slots_reserved_until.get(
@@ -636,7 +791,9 @@
             engine_routing.Candidate(
                 entry.upstream_id,
                 self.load.state(entry.upstream_id),
-                min(entry.slots, model.slots),
+                engine_probation.SLOTS_ON_PROBATION
+                if self.probation.contains(entry.upstream_id, now)
+                else min(entry.slots, model.slots),
                 self._latency_s(entry),
                 self._preference(entry.upstream_id),
                 self.slowdowns.slowdown(entry.upstream_id, now),
@@ -680,6 +837,7 @@
             first_event_s=round(choice.first_event_s, 4),
             target_left_s=round(needs.target_left_s, 4),
             on_time=choice.on_time,
+            on_probation=self.probation.contains(choice.engine, now),
             waited_s=round(now - request.waiting_since, 4),
         )
         metrics.WAIT_SECONDS.observe(now - request.waiting_since)
@@ -717,7 +875,12 @@
                 )
             ]
         attempt = exchange_host.Attempt(
-            run.engine, entry.address, run.run_id, now, choice.first_event_s
+            run.engine,
+            entry.address,
+            run.run_id,
+            now,
+            choice.first_event_s,
+            self.probation.contains(run.engine, now),
         )
         self.slowdowns.expect_first_event(
             run.engine, run.run_id, choice.first_event_s, now
--- /dev/null
+++ b/src/apricottrestle/gateway/graceful_stop.py
@@ -0,0 +1,122 @@
+"""Graceful shutdown of a gateway within its grace period.
+
+Invariants: a request that has been accepted is not cut before the end of the
+grace period. A stopping gateway accepts only requests that it can serve within
+that period.
+"""
+
+import abc
+import asyncio
+import logging
+from typing import Final
+
+from apricottrestle import logs
+from apricottrestle.gateway import clock, gateway, peer_sync
+
+ACCEPT_AFTER_LEAVING_S: Final = 2.6
+"""Time for which requests are still accepted after a gateway has left the
+rotation. The load balancer needs two readiness checks, a second apart, to stop
+sending new connections."""
+
+FINAL_FLUSH_S: Final = 0.4
+"""End of the grace period that is reserved for flushing the last responses."""
+
+CHECK_INTERVAL_S: Final = 0.05
+"""Interval at which a stopping gateway checks its peers and open requests."""
+
+_LOG: Final = logging.getLogger(__name__)
+
+
+class Listener(abc.ABC):
+    """The server that accepts callers' connections.
+
+    Attributes:
+        stopping: Whether each response closes its connection.
+    """
+
+    stopping: bool = False
+
+    @abc.abstractmethod
+    def stop_listening(self) -> None:
+        """Stops accepting connections; the open ones continue."""
+
+    @abc.abstractmethod
+    def close_idle(self) -> None:
+        """Closes the connections on which no request has started."""
+
+
+class GracefulStop:
+    """One shutdown: leave the rotation, accept no more, finish all requests."""
+
+    def __init__(
+        self,
+        core: gateway.Gateway,
+        peers: peer_sync.PeerSync,
+        listener: Listener,
+        grace_s: float,
+    ) -> None:
+        """Prepares the shutdown of a gateway.
+
+        Args:
+            core: Serves the requests.
+            peers: Tells the other gateways of the stop.
+            listener: Accepts the callers' connections.
+            grace_s: Time until the process is killed.
+        """
+        self._core = core
+        self._peers = peers
+        self._listener = listener
+        self._grace_s = grace_s
+
+    async def run(self) -> None:
+        """Returns when all requests have ended, or the grace period has."""
+        started_at = clock.now()
+        ends_at = started_at + self._grace_s - FINAL_FLUSH_S
+        self._core.serve_until = ends_at
+        self._listener.stopping = True
+        self._peers.begin_stop(ends_at - ACCEPT_AFTER_LEAVING_S)
+        logs.decision(
+            _LOG,
+            "stop requested",
+            requests=len(self._core.active),
+            grace_s=self._grace_s,
+            stop_order=self._peers.stop_order,
+            peers=self._peers.gateway_count() - 1,
+            stays_in_rotation=self._peers.in_rotation,
+        )
+        await self._leave_rotation(ends_at)
+        self._core.stopping = True
+        self._peers.end_accepting()
+        self._listener.stop_listening()
+        self._listener.close_idle()
+        while self._core.active and clock.now() < ends_at:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self._listener.close_idle()
+        await asyncio.sleep(FINAL_FLUSH_S / 2)
+
+    async def _leave_rotation(self, ends_at: float) -> None:
+        """Waits until the load balancer sends no more connections.
+
+        While too few other gateways are in rotation, this one stays; see
+        `rotation`.
+        """
+        was_in_rotation = False
+        left_at = clock.now()
+        while True:
+            now = clock.now()
+            in_rotation = self._peers.in_rotation
+            if in_rotation != was_in_rotation:
+                logs.decision(
+                    _LOG,
+                    "rotation",
+                    outcome="stays" if in_rotation else "leaves",
+                    peers_in_rotation=self._peers.peers_in_rotation(),
+                    stop_order=self._peers.stop_order,
+                    grace_left_s=round(ends_at - now, 3),
+                )
+            if in_rotation:
+                left_at = now
+            elif now >= left_at + ACCEPT_AFTER_LEAVING_S or now >= ends_at:
+                return
+            was_in_rotation = in_rotation
+            await asyncio.sleep(CHECK_INTERVAL_S)
--- a/src/apricottrestle/gateway/peer_link.py
+++ b/src/apricottrestle/gateway/peer_link.py
@@ -55,6 +55,10 @@
     def disconnect(self, address: str) -> None:
         """Closes the connection to a peer."""
 
+    @abc.abstractmethod
+    def reconnect(self, address: str) -> None:
+        """Connects again at once to a peer that has just become reachable."""
+
     @abc.abstractmethod
     def send(self, address: str, message: peer_messages.Message) -> bool:
         """Sends to one peer; returns False if the message was dropped."""
@@ -131,6 +135,21 @@
         if sock is not None:
             sock.close(0)
 
+    def reconnect(self, address: str) -> None:
+        """See Link.reconnect.
+
+        Without this, ZeroMQ would wait for its next connection attempt, while
+        the peer doesn't hear of this gateway's runs.
+        """
+        sock = self._peers.get(address)
+        if sock is None:
+            return
+        events = sock.getsockopt(zmq.EVENTS)
+        assert isinstance(events, int)
+        if not events & zmq.POLLOUT:
+            self.disconnect(address)
+            self.connect(address)
+
     def send(self, address: str, message: peer_messages.Message) -> bool:
         """See Link.send."""
         return self._send(address, peer_messages.encode(message))
--- a/src/apricottrestle/gateway/peer_messages.py
+++ b/src/apricottrestle/gateway/peer_messages.py
@@ -28,6 +28,10 @@
             if there is none.
         stopping: Whether the sender is shutting down.
         reaches_store: Whether the sender's last call to the store was answered.
+        ready: Whether the sender has a configuration and an upstream list and,
+            if it is stopping, time left to accept requests.
+        stop_order: Position in the sequence of stops; 0 if the sender isn't
+            stopping.
     """
 
     instance_id: str
@@ -36,6 +40,8 @@
     config_version: int
     stopping: bool = False
     reaches_store: bool = False
+    ready: bool = False
+    stop_order: int = 0
 
 
 class StartedRun(msgspec.Struct, array_like=True, frozen=True):
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -9,7 +9,9 @@
 import asyncio
 import collections
 import logging
-from collections.abc import Iterable
+import math
+import random
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from apricottrestle import logs, metrics
@@ -23,6 +25,7 @@
     peer_link,
     peer_messages,
     peers,
+    rotation,
     settings,
     store,
     store_duty,
@@ -33,9 +36,9 @@
 """Interval of the check for peers that timed out and for a due heartbeat: a
 quarter of the heartbeat interval."""
 
-HELLO_RETRY_S: Final = 0.05
-"""Interval of attempts to send the first hello while a connection to a peer is
-being established."""
+SEND_RETRY_S: Final = 0.02
+"""Interval of attempts to send a hello or its answer while a connection to a
+peer is being established; a few round trips."""
 
 CATCH_UP_INTERVAL_S: Final = 0.3
 """Least time between two hellos that request newer state. It is shorter than
@@ -53,7 +56,8 @@
     """Exchanges heartbeats, configuration and upstream list with the peers.
 
     Attributes:
-        stopping: Whether this gateway is shutting down.
+        stop_order: Position of this gateway in the sequence of stops; 0 if it
+            isn't shutting down.
     """
 
     def __init__(
@@ -61,6 +65,7 @@
         cfg: settings.GatewaySettings,
         core: gateway.Gateway,
         incarnation: str,
+        rng: random.Random,
     ) -> None:
         """Creates the exchange without connections.
 
@@ -68,11 +73,16 @@
             cfg: Settings.
             core: Gateway whose runs are reported and whose tables are updated.
             incarnation: Id of this process, unique in the fleet.
+            rng: Chooses the peer that is asked for missing state.
         """
-        self.stopping = False
+        self.stop_order = 0
+        self._accept_until = math.inf
+        self._fleet_size_at_stop = 1
+        self._stop_began_at = math.inf
         self._cfg = cfg
         self._core = core
         self._incarnation = incarnation
+        self._rng = rng
         self._peers = peers.PeerTable()
         self._peer_runs: dict[str, set[str]] = {}
         self._own_runs: dict[str, tuple[engine_load.Run, float]] = {}
@@ -88,8 +98,9 @@
         self._store_sync: store_sync.StoreSync | None = None
         self._list_requests = 0
         self._last_catch_up_at = 0.0
-        self._hello_tasks: set[asyncio.Task[None]] = set()
+        self._send_tasks: set[asyncio.Task[None]] = set()
         core.state.watch_config(self._on_config)
+        core.state.watch_ready(self._schedule_heartbeat)
 
     def start(self, link: peer_link.Link, sync: store_sync.StoreSync) -> None:
         """Connects to the seed gateways and enables sending."""
@@ -98,8 +109,8 @@
         self.connect(self._cfg.seeds)
 
     def stop(self) -> None:
-        """Cancels the hellos that are still being retried."""
-        for task in self._hello_tasks:
+        """Cancels the messages that are still being retried."""
+        for task in self._send_tasks:
             task.cancel()
 
     def connect(self, addresses: Iterable[str]) -> None:
@@ -116,6 +127,71 @@
         """See RunListener.gateway_count."""
         return self._peers.count()
 
+    # Planned stops.
+
+    def begin_stop(self, accept_until: float) -> None:
+        """Tells the peers that this gateway is shutting down.
+
+        Args:
+            accept_until: Monotonic time until which it can stay in rotation.
+        """
+        self._fleet_size_at_stop = self._peers.count()
+        self._accept_until = accept_until
+        self._stop_began_at = clock.now()
+        self.stop_order = rotation.next_stop_order(self._rotation_members())
+        self._schedule_heartbeat()
+
+    def end_accepting(self) -> None:
+        """Tells the peers that this gateway can't return to the rotation."""
+        self._accept_until = -math.inf
+        self._schedule_heartbeat()
+
+    @property
+    def in_rotation(self) -> bool:
+        """Whether this gateway should get new connections."""
+        own = rotation.Member(self._incarnation, self.stop_order, self._ready())
+        if not self.stop_order:
+            return own.available
+        return rotation.stays(
+            own, self._rotation_members(), self._fleet_size_at_stop
+        )
+
+    def peers_in_rotation(self) -> int:
+        """See RunListener.peers_in_rotation."""
+        return sum(
+            member.available and not member.stop_order
+            for member in self._rotation_members()
+        )
+
+    def peers_leaving(self) -> int:
+        """See RunListener.peers_leaving."""
+        return sum(peer.stop_order > 0 for peer in self._peers.alive())
+
+    def _ready(self) -> bool:
+        return self._core.state.ready and clock.now() < self._accept_until
+
+    def _rotation_members(self) -> list[rotation.Member]:
+        now = clock.now()
+        members = [
+            rotation.Member(
+                peer.incarnation,
+                peer.stop_order,
+                peer.ready_since is not None
+                and (
+                    peer.stop_order > 0
+                    or now >= peer.ready_since + rotation.JOIN_S
+                ),
+            )
+            for peer in self._peers.alive()
+        ]
+        if now >= self._stop_began_at + rotation.UNHEARD_S:
+            members += [
+                rotation.Member(peer.incarnation, 0, True)
+                for peer in self._peers.lost()
+                if peer.stop_order == 0
+            ]
+        return members
+
     # Sharing of the calls to the store.
 
     def rank(self, *, reaches_store: bool) -> int:
@@ -222,8 +298,10 @@
             self._cfg.peers,
             self._incarnation,
             self._core.state.config_version,
-            self.stopping,
+            self.stop_order > 0,
             self._store_sync is not None and self._store_sync.reaches_store,
+            self._ready(),
+            self.stop_order,
         )
 
     def tick(self) -> None:
@@ -238,17 +316,30 @@
                 address=peer.address,
                 silent_s=round(now - peer.last_heard_at, 3),
             )
+            self._core.probation.add(self._engines_of(peer.incarnation), now)
             self._drop_runs(peer.incarnation)
-        alive = self._peers.alive()
-        metrics.PEERS.set(len(alive))
-        if alive and not self._core.state.has_upstream_list:
-            self._catch_up_from(alive[0].address, now)
+        metrics.PEERS.set(len(self._peers.alive()))
+        self._request_missing_state(now)
         for address in forgotten:
             if self._link is not None:
                 self._link.disconnect(address)
         if now - self._last_heartbeat_at >= peers.HEARTBEAT_INTERVAL_S:
             self._send_heartbeat()
 
+    def _request_missing_state(self, now: float) -> None:
+        """Asks a ready peer for what this gateway could not yet read itself.
+
+        The peer is chosen at random: if many gateways start together, one peer
+        that all of them ask would take long to answer.
+        """
+        if self._core.state.ready:
+            return
+        ready_peers = [
+            peer for peer in self._peers.alive() if peer.ready_since is not None
+        ]
+        if ready_peers:
+            self._catch_up_from(self._rng.choice(ready_peers).address, now)
+
     # Messages from peers.
 
     def receive(self, message: peer_messages.Message) -> None:
@@ -262,7 +353,7 @@
             case peer_messages.Heartbeat():
                 self._on_heartbeat(message, now)
             case peer_messages.Hello():
-                self._send_welcome(sender, wants_lists=message.wants_lists)
+                self._answer_hello(sender, wants_lists=message.wants_lists)
             case peer_messages.Welcome():
                 self._on_welcome(message, now)
             case peer_messages.ConfigUpdate():
@@ -279,6 +370,8 @@
             sender.incarnation,
             now,
             reaches_store=sender.reaches_store and not sender.stopping,
+            stop_order=sender.stop_order,
+            ready=sender.ready,
         )
         if ended_incarnation is not None:
             self._drop_runs(ended_incarnation)
@@ -292,8 +385,9 @@
                 config_version=sender.config_version,
             )
             if not self._connect(sender.address):
-                self._send_welcome(sender, wants_lists=False)
-        if sender.config_version > self._core.state.config_version:
+                self._answer_hello(sender, wants_lists=False)
+        state = self._core.state
+        if state.ready and sender.config_version > state.config_version:
             self._catch_up_from(sender.address, now)
 
     def _on_upstreams(self, update: peer_messages.UpstreamUpdate) -> None:
@@ -310,7 +404,9 @@
         self._add_runs(heartbeat.sender.incarnation, heartbeat.started, now)
         runs = self._peer_runs.setdefault(heartbeat.sender.incarnation, set())
         for run_id in heartbeat.first_events:
-            self._core.load.mark_decoding(run_id)
+            run = self._core.load.mark_decoding(run_id)
+            if run is not None:
+                self._core.probation.clear(run.engine)
         for run_id in heartbeat.ended:
             runs.discard(run_id)
             self._core.load.remove_run(run_id)
@@ -338,7 +434,6 @@
         if welcome.config is not None:
             self._core.state.adopt_config(welcome.config, source)
         if not self._core.state.has_upstream_list and welcome.upstreams:
-            self._core.state.has_upstream_list = True
             self._core.state.apply_upstreams(
                 self._core.state.members.merge_peer_entries(welcome.upstreams),
                 source,
@@ -361,6 +456,15 @@
                 started_run.run, now, age_s=started_run.age_s
             )
 
+    def _engines_of(self, incarnation: str) -> set[str]:
+        """Returns the engines that run requests of a peer."""
+        engines: set[str] = set()
+        for run_id in self._peer_runs.get(incarnation, ()):
+            run = self._core.load.get_run(run_id)
+            if run is not None:
+                engines.update((run.engine, *run.helpers))
+        return engines
+
     def _drop_runs(self, incarnation: str) -> None:
         runs = self._peer_runs.pop(incarnation, set())
         self._core.load.remove_runs(runs)
@@ -372,34 +476,43 @@
         """Connects and sends a hello; returns False if already connected."""
         if self._link is None or not self._link.connect(address):
             return False
-        task = asyncio.ensure_future(self._retry_hello(address))
-        self._hello_tasks.add(task)
-        task.add_done_callback(self._hello_tasks.discard)
+        self._retry(lambda: self._send_hello(address))
         return True
 
-    async def _retry_hello(self, address: str) -> None:
-        """Sends a hello, and retries while the connection refuses it.
-
-        Gives up after FORGET_AFTER_S.
-        """
-        attempts = int(peers.FORGET_AFTER_S / HELLO_RETRY_S)
-        for _ in range(attempts):
-            if self._link is None:
-                return
-            if self._send_hello(address):
+    def _answer_hello(
+        self, sender: peer_messages.Sender, *, wants_lists: bool
+    ) -> None:
+        """Sends this gateway's runs to a peer, as soon as it can be reached."""
+        if self._link is None or self._send_welcome(
+            sender, wants_lists=wants_lists
+        ):
+            return
+        self._link.reconnect(sender.address)
+        self._retry(lambda: self._send_welcome(sender, wants_lists=wants_lists))
+
+    def _retry(self, send: Callable[[], bool]) -> None:
+        """Sends a message, and retries while the connection refuses it."""
+        task = asyncio.ensure_future(self._send_until_taken(send))
+        self._send_tasks.add(task)
+        task.add_done_callback(self._send_tasks.discard)
+
+    async def _send_until_taken(self, send: Callable[[], bool]) -> None:
+        """Retries for at most FORGET_AFTER_S."""
+        for _ in range(int(peers.FORGET_AFTER_S / SEND_RETRY_S)):
+            if self._link is None or send():
                 return
-            await asyncio.sleep(HELLO_RETRY_S)
+            await asyncio.sleep(SEND_RETRY_S)
 
     def _send_hello(self, address: str) -> bool:
         """Sends a hello; returns False if the connection can't take it.
 
-        While this gateway has no upstream list, up to MAX_LIST_REQUESTS hellos
+        While this gateway isn't ready, up to MAX_LIST_REQUESTS hellos
         request the lists.
         """
         if self._link is None:
             return False
         wants_lists = (
-            not self._core.state.has_upstream_list
+            not self._core.state.ready
             and self._list_requests < MAX_LIST_REQUESTS
         )
         sent = self._link.send(
@@ -417,22 +530,24 @@
 
     def _send_welcome(
         self, sender: peer_messages.Sender, *, wants_lists: bool
-    ) -> None:
+    ) -> bool:
         """Sends this gateway's runs and the state that the peer lacks.
 
+        Returns False if the message was dropped.
+
         The upstream list and the known gateways are sent only on request: if
         all gateways start at once and each sends them to every peer, the
         traffic grows with the square of the number of gateways.
         """
         if self._link is None:
-            return
+            return False
         now = clock.now()
         state = self._core.state
         may_send_config = wants_lists or sender.config_version >= 0
         sends_config = may_send_config and sender.config_version < (
             state.config_version
         )
-        self._link.send(
+        return self._link.send(
             sender.address,
             peer_messages.Welcome(
                 self._sender(),
--- a/src/apricottrestle/gateway/peers.py
+++ b/src/apricottrestle/gateway/peers.py
@@ -30,6 +30,9 @@
         alive: Whether it counts as alive; see PEER_TIMEOUT_S.
         reaches_store: Whether its last call to the store was answered, as it
             reported.
+        stop_order: Position in the sequence of stops; 0 if it isn't stopping.
+        ready_since: Monotonic time since which it has reported that it can
+            serve requests, or None if it can't.
     """
 
     address: str
@@ -38,6 +41,8 @@
     last_heard_at: float
     alive: bool
     reaches_store: bool
+    stop_order: int = 0
+    ready_since: float | None = None
 
 
 class PeerTable:
@@ -55,6 +60,8 @@
         now: float,
         *,
         reaches_store: bool = True,
+        stop_order: int = 0,
+        ready: bool = False,
     ) -> tuple[bool, str | None]:
         """Records the arrival of a message from a peer.
 
@@ -63,8 +70,24 @@
             the process that had its address before, if that was another one.
         """
         previous = self._peers.get(address)
+        ready_since = now if ready else None
+        if (
+            ready
+            and previous is not None
+            and previous.alive
+            and previous.incarnation == incarnation
+            and previous.ready_since is not None
+        ):
+            ready_since = previous.ready_since
         self._peers[address] = Peer(
-            address, instance_id, incarnation, now, True, reaches_store
+            address,
+            instance_id,
+            incarnation,
+            now,
+            True,
+            reaches_store,
+            stop_order,
+            ready_since,
         )
         if previous is None:
             return True, None
@@ -72,14 +95,6 @@
             return True, previous.incarnation
         return not previous.alive, None
 
-    def mark_left(self, address: str) -> Peer | None:
-        """Marks a peer as not alive; returns it, or None if it wasn't alive."""
-        peer = self._peers.get(address)
-        if peer is None or not peer.alive:
-            return None
-        self._peers[address] = peer._replace(alive=False)
-        return peer
-
     def expire(self, now: float) -> tuple[list[Peer], list[str]]:
         """Removes peers without recent messages.
 
@@ -103,6 +118,10 @@
         """Returns the peers that count as alive."""
         return [peer for peer in self._peers.values() if peer.alive]
 
+    def lost(self) -> list[Peer]:
+        """Returns the peers that are silent but not yet forgotten."""
+        return [peer for peer in self._peers.values() if not peer.alive]
+
     def count(self) -> int:
         """Returns the number of gateways alive, including this one."""
         return 1 + sum(peer.alive for peer in self._peers.values())
--- a/src/apricottrestle/gateway/store_sync.py
+++ b/src/apricottrestle/gateway/store_sync.py
@@ -280,7 +280,6 @@
             changes = members.apply(records, now)
         self._list_position = max(position, self._list_position or 0)
         self._list_updated_at = now
-        self._state.has_upstream_list = True
         self._state.apply_upstreams(changes, source)
 
     def _expire_upstreams(self) -> None:
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -13,7 +13,7 @@
 from tornado import http1connection, httpserver, httputil, web
 
 from apricottrestle import http_server
-from apricottrestle.gateway import calls, clock
+from apricottrestle.gateway import calls, clock, graceful_stop
 from apricottrestle.platform import names
 
 MAX_HEADER_BYTES: Final = 64 * 1024
@@ -256,7 +256,9 @@
 
 
 class CallerServer(
-    http_server.ListeningServer, httputil.HTTPServerConnectionDelegate
+    http_server.ListeningServer,
+    httputil.HTTPServerConnectionDelegate,
+    graceful_stop.Listener,
 ):
     """HTTP server for callers; a context manager that listens while open.
 
@@ -303,11 +305,11 @@
         self._http.conn_params.header_timeout = idle_s
 
     def stop_listening(self) -> None:
-        """Stops accepting connections; the open ones continue."""
+        """See Listener.stop_listening."""
         self._http.stop()
 
     def close_idle(self) -> None:
-        """Closes the connections on which no request has started."""
+        """See Listener.close_idle."""
         for reader in list(self.readers):
             if reader.is_idle:
                 reader.close()
--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -45,6 +45,7 @@
         ended_s: Time at which the response ended or the caller disconnected.
         disconnected: Whether the caller disconnected before the end of the
             response.
+        gateway: Address of the gateway that received it, or empty.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         self.broken = False
         self.ended_s: float | None = None
         self.disconnected = False
+        self.gateway = ""
 
 
 class Ledger:
@@ -75,6 +77,7 @@
             reservation id.
         late_dispatches: Requests sent to an upstream after its drain notice
             was in force: upstream id and time.
+        overdue_stops: Gateways that exceeded their grace period.
     """
 
     def __init__(self) -> None:
@@ -83,6 +86,7 @@
         self.requests: list[list[Attempt]] = []
         self.leaks: list[tuple[str, str]] = []
         self.late_dispatches: list[tuple[str, float]] = []
+        self.overdue_stops: list[str] = []
 
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -95,6 +99,7 @@
 
     - LEAK: A reservation was not released in time.
     - DRAIN: A draining upstream was sent a new request.
+    - GRACE: A gateway did not end within its grace period.
     - UNASKED: An upstream ran a request that no caller sent.
     - TWICE: A non-repeatable request ran more than once.
     - REFUSED: A request ran, although its response said that it didn't.
@@ -109,6 +114,7 @@
     lines += [
         f"DRAIN {name} at {at:.2f} s" for name, at in ledger.late_dispatches
     ]
+    lines += [f"GRACE {address}" for address in ledger.overdue_stops]
     known = set()
     for attempts in ledger.requests:
         for attempt in attempts:
--- a/src/apricottrestle_standins/platform/virtual_upstreams.py
+++ b/src/apricottrestle_standins/platform/virtual_upstreams.py
@@ -32,7 +32,15 @@
 
 
 class VirtualTransfer(calls.Transfer):
-    """A call in progress; delivers its response after the network delay."""
+    """A call in progress; delivers its response after the network delay.
+
+    Attributes:
+        request_id: Id of the request.
+        ended: Whether the response or the call has ended.
+        unreachable: Whether the gateway's machine has lost power, which the
+            upstream notices when it writes to the connection.
+        on_cancel: Called when the upstream notices that the call has ended.
+    """
 
     def __init__(
         self, sink: calls.ResponseSink, delay_s: float, request_id: str
@@ -42,6 +50,7 @@
         self._delay_s = delay_s
         self.request_id = request_id
         self.ended = False
+        self.unreachable = False
         self.on_cancel: Callable[[], None] | None = None
         self._in_flight: collections.deque[Callable[[], None]] = (
             collections.deque()
@@ -326,6 +335,9 @@
             return
         job, incoming = row
         transfer = incoming.transfer
+        if transfer.unreachable:
+            self._cancel_job(job)
+            return
         if emitted.event_id == int(incoming.call.resume_after or 0) + 1:
             self.run_ledger.runs.append(
                 ledger.RunRecord(
@@ -493,6 +505,14 @@
                 if transfer.on_cancel is not None:
                     transfer.on_cancel()
 
+    def power_off(self) -> None:
+        """Leaves all connections of the gateway open, without an endpoint."""
+        self.closed = True
+        for transfer in list(self._open):
+            if not transfer.ended:
+                transfer.ended = True
+                transfer.unreachable = True
+
     async def reserve(self, reservation: calls.Reservation) -> bool:
         """See UpstreamClient.reserve."""
         engine = await self._await_engine(reservation)
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -13,6 +13,7 @@
     assembly,
     calls,
     fleet_config,
+    graceful_stop,
     peer_link,
     peer_messages,
     settings,
@@ -21,6 +22,7 @@
 from apricottrestle_standins.platform import (
     engine_passes,
     ledger,
+    load_balancer,
     virtual_store,
     virtual_upstreams,
     workload,
@@ -35,6 +37,12 @@
 DEFAULT_MAX_RETRIES: Final = 1
 MIN_IDLE_TIMEOUT_S: Final = 2.0
 
+GRACE_S: Final = 8.0
+"""Time between the signal that stops a gateway and the end of its process."""
+
+START_TIME_S: Final = 0.6
+"""Time after the end of a gateway's process in which a new one starts."""
+
 
 def default_frame_delays_s() -> tuple[float, ...]:
     """Returns the delay of a frame between gateways, delivered once."""
@@ -61,6 +69,9 @@
         """See Link.disconnect."""
         self._peers.pop(address, None)
 
+    def reconnect(self, address: str) -> None:
+        """See Link.reconnect; a simulated connection is never waiting."""
+
     def send(self, address: str, message: peer_messages.Message) -> bool:
         """See Link.send."""
         if address not in self._peers:
@@ -76,6 +87,25 @@
             self._world.send_frame(self._address, address, frame)
 
 
+class VirtualListener(graceful_stop.Listener):
+    """Accepts the connections of a gateway's callers.
+
+    Attributes:
+        listening: Whether new connections are accepted.
+    """
+
+    def __init__(self) -> None:
+        """Creates a listener that accepts connections."""
+        self.listening = True
+
+    def stop_listening(self) -> None:
+        """See Listener.stop_listening."""
+        self.listening = False
+
+    def close_idle(self) -> None:
+        """See Listener.close_idle."""
+
+
 class Gateway(NamedTuple):
     """A simulated gateway process."""
 
@@ -85,6 +115,7 @@
     store: virtual_store.VirtualStore
     upstreams: virtual_upstreams.VirtualUpstreams
     responders: dict["CallerConnection", None]
+    listener: VirtualListener
 
 
 class CallerConnection(calls.Responder):
@@ -174,6 +205,8 @@
         plain: Upstreams of the plain service.
         by_address: All upstreams by address.
         config: The newest configuration.
+        balancer: Load balancer that chooses the gateways of new connections;
+            None if each ready gateway gets connections at once.
     """
 
     def __init__(self, site: workload.Site, seed: int) -> None:
@@ -188,6 +221,7 @@
         self.bytes_carried = 0
         self.max_retries = DEFAULT_MAX_RETRIES
         self.honours_retry_after = True
+        self.balancer: load_balancer.LoadBalancer | None = None
         self._arrivals: dict[str, workload.Arrival] = {}
         self._start_count = 0
         self._attempt_count = 0
@@ -324,7 +358,7 @@
             "",
             address,
             tuple(f"gateway-{n}" for n in range(min(3, self.site.gateways))),
-            8.0,
+            GRACE_S,
             0.2,
             10.0,
             102.0,
@@ -338,19 +372,61 @@
             random.Random(self.rng.random()),
             f"{self._start_count:04d}",
         )
-        row = Gateway(address, number, node, view, client, {})
+        row = Gateway(
+            address, number, node, view, client, {}, VirtualListener()
+        )
         self.gateways[address] = row
         node.start(VirtualLink(self, address))
         return row
 
     def kill_gateway(self, address: str) -> None:
         """Kills a gateway, which closes the connections of its callers."""
+        self.gateways[address].upstreams.kill()
+        self._end_gateway(address)
+
+    def power_off_gateway(self, address: str) -> None:
+        """Ends a gateway; the engines don't notice and go on with its runs."""
+        self.gateways[address].upstreams.power_off()
+        self._end_gateway(address)
+
+    def _end_gateway(self, address: str) -> None:
         row = self.gateways.pop(address)
-        row.upstreams.kill()
         row.node.__exit__(None, None, None)
         for responder in list(row.responders):
             responder.abort()
 
+    async def stop_gateway(self, address: str) -> None:
+        """Stops a gateway gracefully, and starts it again at its address.
+
+        A gateway that was killed in the meantime is not started again.
+        """
+        row = self.gateways[address]
+        stop = graceful_stop.GracefulStop(
+            row.node.core, row.node.peers, row.listener, GRACE_S
+        )
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await stop.run()
+        except TimeoutError:
+            self.run_ledger.overdue_stops.append(address)
+        if self.gateways.get(address) is row:
+            self.kill_gateway(address)
+            await asyncio.sleep(START_TIME_S)
+            self.start_gateway(row.data_centre)
+
+    def start_balancer(self) -> load_balancer.LoadBalancer:
+        """Lets a load balancer with readiness checks choose the gateways."""
+        addresses = list(self.gateways)
+        self.balancer = load_balancer.LoadBalancer(
+            lambda: {
+                address: address in self.gateways
+                and self.gateways[address].node.ready
+                for address in addresses
+            }
+        )
+        self._tasks.append(asyncio.ensure_future(self.balancer.run()))
+        return self.balancer
+
     def send_frame(self, source: str, target: str, frame: bytes) -> bool:
         """Sends a frame between gateways; False if the target isn't running."""
         if target not in self.gateways:
@@ -411,11 +487,12 @@
         attempts: list[ledger.Attempt] = []
         self.run_ledger.requests.append(attempts)
         resume_after = 0
-        for number in range(1 + self.max_retries):
+        for _ in range(1 + self.max_retries):
             attempt = self._new_attempt(arrival)
             attempt.resume_after = resume_after
+            avoids = attempts[-1].gateway if attempts else ""
             attempts.append(attempt)
-            await self._send_attempt(attempt, deadline, number)
+            await self._send_attempt(attempt, deadline, avoids)
             if attempt.event_ids:
                 resume_after = attempt.event_ids[-1]
             if not _should_retry(attempt) or loop.time() >= deadline:
@@ -436,15 +513,16 @@
         )
 
     async def _send_attempt(
-        self, attempt: ledger.Attempt, deadline: float, number: int
+        self, attempt: ledger.Attempt, deadline: float, avoids: str
     ) -> None:
         arrival = attempt.arrival
         await asyncio.sleep(CALLER_DELAY_S)
-        row = self._pick_gateway(arrival, number)
-        if row is None:
+        row = self._pick_gateway(arrival, avoids)
+        if row is None or not row.listener.listening:
             attempt.broken = True
             await asyncio.sleep(0.2)
             return
+        attempt.gateway = row.address
         connection = CallerConnection(attempt)
         row.responders[connection] = None
         loop = asyncio.get_running_loop()
@@ -499,13 +577,22 @@
                 continue
 
     def _pick_gateway(
-        self, arrival: workload.Arrival, number: int
+        self, arrival: workload.Arrival, avoids: str
     ) -> Gateway | None:
-        """Picks a ready gateway as the load balancer does, preferably local."""
+        """Picks a ready gateway as the load balancer does, preferably local.
+
+        With a balancer, a retry avoids the gateway of the attempt before.
+        """
+        balancer = self.balancer
         rows = [
             row
             for row in self.gateways.values()
-            if row.node.ready or len(self.gateways) == 1
+            if len(self.gateways) == 1
+            or (
+                balancer.is_in_rotation(row.address)
+                if balancer is not None
+                else row.node.ready
+            )
         ] or list(self.gateways.values())
         local = [
             row
@@ -513,6 +600,10 @@
             if row.data_centre % self.site.data_centres == arrival.data_centre
         ]
         choices = local or rows
+        if balancer is not None:
+            others = [row for row in choices if row.address != avoids]
+            others = others or [row for row in rows if row.address != avoids]
+            choices = others or choices
         if not choices:
             return None
         return choices[self.rng.randrange(len(choices))]
--- /dev/null
+++ b/tests/test_world_stops.py
@@ -0,0 +1,246 @@
+"""Tests planned stops of gateways that overlap, in a simulation.
+
+The pattern: gateways are stopped one after the other or together, so that for
+a while each of them is stopping or starting.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from apricottrestle.gateway import rotation
+from apricottrestle_standins.platform import (
+    ledger,
+    virtual_time,
+    workload,
+    world,
+)
+
+SITE = workload.SITES["zimska-trgatev"]._replace(gateways=3)
+TRAFFIC_S = 22.0
+READY_CHECK_AFTER_S = 4.0
+"""Time after a stop signal at which the platform counts the stopping gateways
+that are ready."""
+
+SAMPLE_INTERVAL_S = 0.05
+
+MAX_EVENTS_IN_A_STOP = 58
+"""Longest answer, in events, that is served while all gateways are stopping:
+2.6 s, with half as much again for other requests, in the four seconds that
+remain when the first of them may have started again."""
+
+
+class Observed(NamedTuple):
+    """What was observed on a simulated day with stops.
+
+    Attributes:
+        records: The records of callers and upstreams.
+        unavailable_s: Time during which callers could reach no gateway.
+        late_ready: For each stop, the stopping gateways that were ready
+            READY_CHECK_AFTER_S later.
+    """
+
+    records: ledger.Ledger
+    unavailable_s: float
+    late_ready: list[int]
+
+
+def _simulate(
+    site: workload.Site,
+    stops: Sequence[tuple[float, int]],
+    kills: Sequence[tuple[float, int]] = (),
+    cuts: Sequence[tuple[int, int]] = (),
+) -> Observed:
+    """Simulates a day on which gateways are stopped.
+
+    Args:
+        site: The deployment.
+        stops: Time and number of each gateway that is asked to stop.
+        kills: Time and number of each gateway that is killed and starts again.
+        cuts: Numbers of gateways that don't hear each other.
+    """
+
+    async def main() -> Observed:
+        fleet = world.World(site, 3)
+        balancer = fleet.start_balancer()
+        stopping: set[str] = set()
+        late_ready: list[int] = []
+        unreachable = 0
+
+        async def stop(at_s: float, number: int) -> None:
+            await asyncio.sleep(at_s)
+            address = f"gateway-{number}"
+            stopping.add(address)
+            row = fleet.gateways[address]
+            asyncio.get_running_loop().call_later(
+                READY_CHECK_AFTER_S,
+                lambda: late_ready.append(
+                    sum(
+                        fleet.gateways[each].node.ready
+                        for each in stopping
+                        if each in fleet.gateways
+                    )
+                ),
+            )
+            await fleet.stop_gateway(address)
+            stopping.discard(address)
+            assert fleet.gateways.get(address) is not row
+
+        async def kill(at_s: float, number: int) -> None:
+            await asyncio.sleep(at_s)
+            fleet.kill_gateway(f"gateway-{number}")
+            await asyncio.sleep(world.START_TIME_S)
+            fleet.start_gateway(number)
+
+        async def watch() -> None:
+            nonlocal unreachable
+            while True:
+                reachable = any(
+                    row.listener.listening
+                    and balancer.is_in_rotation(address)
+                    and row.node.core.state.ready
+                    for address, row in fleet.gateways.items()
+                )
+                unreachable += not reachable
+                await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+        async def faults() -> None:
+            fleet.partitioned.update(
+                frozenset((f"gateway-{first}", f"gateway-{second}"))
+                for first, second in cuts
+            )
+            watcher = asyncio.ensure_future(watch())
+            await asyncio.gather(
+                *(stop(*each) for each in stops),
+                *(kill(*each) for each in kills),
+            )
+            watcher.cancel()
+
+        arrivals = workload.generate_arrivals(site, TRAFFIC_S, random.Random(3))
+        records = await fleet.run_workload(arrivals, faults())
+        return Observed(records, unreachable * SAMPLE_INTERVAL_S, late_ready)
+
+    return virtual_time.run(main())
+
+
+def _unserved(records: ledger.Ledger) -> list[str]:
+    """Returns the requests that planned stops must not fail.
+
+    Requests of the plain service that fail by themselves are left out, and
+    answers that are too long to begin while all gateways are stopping. Those
+    must have been refused as not run.
+    """
+    return [
+        f"{attempts[-1].arrival.kind.name} {attempts[-1].request_id}: "
+        f"{attempts[-1].status}"
+        for attempts in records.requests
+        if not attempts[-1].complete
+        and attempts[-1].status != 500
+        and not (
+            attempts[-1].status == 503
+            and attempts[-1].arrival.events > MAX_EVENTS_IN_A_STOP
+        )
+    ]
+
+
+STOPS = {
+    "one": [(1.0, 0)],
+    "series": [(1.0, 0), (3.0, 1), (5.0, 2)],
+    "close series": [(1.0, 0), (1.5, 1), (2.0, 2)],
+    "two": [(1.0, 0), (1.0, 1)],
+    "all at once": [(1.0, 0), (1.0, 1), (1.0, 2)],
+    "within a message delay": [(1.0, 0), (1.0004, 1), (1.0008, 2)],
+    "twice": [(1.0, 0), (1.0, 1), (1.2, 2), (11.0, 2), (11.1, 1), (11.2, 0)],
+}
+
+
+@pytest.mark.parametrize("stops", STOPS.values(), ids=STOPS)
+def test_overlapping_stops_leave_a_gateway_in_rotation(
+    stops: list[tuple[float, int]],
+) -> None:
+    """Guards against callers that reach no gateway during planned stops."""
+    observed = _simulate(SITE, stops)
+    assert ledger.find_violations(observed.records) == []
+    assert observed.unavailable_s == 0
+    assert max(observed.late_ready) <= 1
+    assert _unserved(observed.records) == []
+
+
+@pytest.mark.parametrize("count", [9, 12])
+def test_stops_of_a_large_fleet_keep_a_quarter_in_rotation(count: int) -> None:
+    """Guards against one gateway that carries the load of a whole fleet.
+
+    The platform allows at most a quarter of the stopping gateways to be ready
+    after four seconds.
+    """
+    site = workload.SITES["zimska-trgatev-grown"]._replace(gateways=count)
+    observed = _simulate(site, [(1.0, number) for number in range(count)])
+    assert ledger.find_violations(observed.records) == []
+    assert observed.unavailable_s == 0
+    assert set(observed.late_ready) == {count // 4}
+    assert _unserved(observed.records) == []
+
+
+def test_gateway_returns_when_the_last_one_in_rotation_is_killed() -> None:
+    """Guards against stopping gateways that rely on one that has failed."""
+    observed = _simulate(SITE, STOPS["close series"], kills=[(2.5, 2)])
+    assert ledger.find_violations(observed.records) == []
+    # The load balancer takes the killed gateway to be in rotation.
+    assert observed.unavailable_s <= world.START_TIME_S + 2 * SAMPLE_INTERVAL_S
+
+
+@pytest.mark.parametrize(
+    "cuts", [[(0, 2)], [(0, 1), (0, 2), (1, 2)]], ids=["two", "all"]
+)
+def test_gateways_that_are_cut_off_leave_in_time(
+    cuts: list[tuple[int, int]],
+) -> None:
+    """Guards against gateways that all stay, as each takes itself for the last.
+
+    The platform allows a quarter of the stopping gateways to be ready, or one.
+    """
+    observed = _simulate(SITE, STOPS["all at once"], cuts=cuts)
+    assert ledger.find_violations(observed.records) == []
+    assert max(observed.late_ready) <= 1
+
+
+_MEMBERS = strategies.lists(
+    strategies.builds(
+        rotation.Member,
+        incarnation=strategies.text("abcd", min_size=4, max_size=4),
+        stop_order=strategies.integers(0, 3),
+        available=strategies.booleans(),
+    ),
+    unique_by=lambda member: member.incarnation,
+    min_size=1,
+    max_size=20,
+)
+
+
+@hypothesis.given(_MEMBERS)
+def test_just_enough_gateways_stay(members: list[rotation.Member]) -> None:
+    """Guards against too few gateways in rotation, or too many ready ones."""
+    needed = rotation.min_in_rotation(len(members))
+    staying = [
+        own
+        for own in members
+        if own.stop_order
+        and rotation.stays(
+            own, [other for other in members if other != own], len(members)
+        )
+    ]
+    serving = [
+        member
+        for member in members
+        if member.available and not member.stop_order
+    ]
+    available = sum(member.available for member in members)
+    assert len(staying) + len(serving) >= min(needed, available)
+    assert len(staying) == max(
+        min(needed - len(serving), available - len(serving)), 0
+    )
