Place long prompts one gateway at a time, and claim only what drains in time

Change: long prompts that have waited are placed in an order of the gateways that differs by engine; claims look at the time in which the runs of an engine end, expire when the prefill would start too late, and aren't made where they have no effect; a missed target counts at once.

--- a/src/apricottrestle/gateway/engine_claims.py
+++ b/src/apricottrestle/gateway/engine_claims.py
@@ -4,16 +4,15 @@
 much. Under load, short prompts of more urgent request kinds take each slot as
 soon as it becomes free, so that no engine ever becomes idle and long prompts
 starve. A queued request that no engine can serve on time therefore claims the
-engines with the fewest requests that its prefill would delay too much, because
-these engines become free first; new requests are routed to other engines.
+engines on which the requests that its prefill would delay too much end soonest;
+new requests are routed to other engines.
 
 Invariants: a claim excludes new requests but never interrupts running ones; a
 claim expires without a message from its holder; all claims together leave most
 engines of a service to other requests.
 """
 
-import math
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
 from apricottrestle.gateway import (
@@ -27,10 +26,6 @@
 """Maximum share of a service's engines that may be claimed; the rest is left to
 the request kinds that need no claim."""
 
-DECODE_DRAIN_S: Final = 1.5
-"""Time until the decoding requests of an engine are complete: about one answer
-of 33 events, each a pass of 50 ms, as in the users' request tables."""
-
 MIN_PREFILL_S: Final = 0.2
 """Minimum prefill time per engine for a claim. A shorter prefill fits between
 the events of other requests."""
@@ -80,6 +75,13 @@
             if claimed.claim_id == claim_id:
                 del self._by_engine[engine]
 
+    def is_current(self, claim_id: str, now: float) -> bool:
+        """Whether a claim still keeps an engine free."""
+        return any(
+            claimed.claim_id == claim_id and now < claimed.expires_at
+            for claimed in self._by_engine.values()
+        )
+
     def claim_id_on(self, engine: str, now: float) -> str | None:
         """Returns the id of the claim on an engine, or None."""
         claimed = self._by_engine.get(engine)
@@ -91,13 +93,26 @@
         return claimed.claim_id
 
 
+class ClaimChoice(NamedTuple):
+    """The engines that a queued request should claim.
+
+    Attributes:
+        engines: Upstream ids of the engines.
+        ttl_s: Time in seconds after which a prefill on these engines would
+            start too late.
+    """
+
+    engines: tuple[str, ...]
+    ttl_s: float
+
+
 def choose_engines(
     needs: engine_routing.RequestNeeds,
     candidates: Sequence[engine_routing.Candidate],
     is_claimed: Callable[[str], bool],
     model: fleet_config.EngineCostModel,
-) -> tuple[str, ...]:
-    """Returns the engines that a queued request claims, or an empty tuple.
+) -> ClaimChoice | None:
+    """Returns the engines that a queued request claims, or None.
 
     Args:
         needs: What the request needs.
@@ -113,51 +128,68 @@
     max_engines = int(len(candidates) * MAX_CLAIMED_SHARE) - (
         len(candidates) - len(unclaimed)
     )
-    engine_count = _engines_needed(needs, model, max_engines)
-    if not engine_count:
-        return ()
-    prefill_part_s = engine_costs.prefill_part_s(
-        model, needs.prompt_tokens, engine_count
-    )
-    if prefill_part_s < MIN_PREFILL_S:
-        return ()
-    unclaimed.sort(
-        key=lambda candidate: (
-            len(_delayed_runs(candidate.state, prefill_part_s)),
-            candidate.preference,
+    left_s = _prefill_left_s(needs, model)
+    prefill_s = engine_costs.prefill_s(model, needs.prompt_tokens)
+    for engine_count in range(
+        engine_routing.min_engines(needs, model), max_engines + 1
+    ):
+        prefill_part_s = prefill_s / engine_count
+        if prefill_part_s < MIN_PREFILL_S:
+            return None
+        latest_start_s = left_s - prefill_part_s
+        drains = sorted(
+            (
+                _drain_s(candidate.state, prefill_part_s, model),
+                candidate.preference,
+                candidate.engine,
+            )
+            for candidate in unclaimed
         )
-    )
-    return tuple(candidate.engine for candidate in unclaimed[:engine_count])
+        chosen = drains[:engine_count]
+        if len(chosen) < engine_count:
+            return None
+        longest_drain_s = chosen[-1][0]
+        if longest_drain_s <= 0:
+            # The prefill delays no request, so that a claim has no effect.
+            return None
+        if longest_drain_s <= latest_start_s:
+            return ClaimChoice(
+                tuple(engine for _, _, engine in chosen), latest_start_s
+            )
+    return None
 
 
-def _engines_needed(
-    needs: engine_routing.RequestNeeds,
-    model: fleet_config.EngineCostModel,
-    max_engines: int,
-) -> int:
-    """Returns the number of engines to claim.
-
-    Returns:
-        The fewest engines whose combined prefill is on time and whose KV caches
-        can hold the request, or 0 if that exceeds `max_engines` or is
-        impossible.
+def _prefill_left_s(
+    needs: engine_routing.RequestNeeds, model: fleet_config.EngineCostModel
+) -> float:
+    """Returns the time in which the engines must drain and prefill.
+
+    The first event has to be on time or, if that is no longer possible, early
+    enough for the answer to end in time.
     """
-    left_s = (
-        needs.target_left_s if needs.target_left_s > 0 else needs.abandon_left_s
+    if needs.target_left_s > 0:
+        return needs.target_left_s
+    decode_s = engine_costs.decode_s(
+        model, needs.output_tokens, 1, needs.prompt_tokens
     )
-    prefill_left_s = left_s - DECODE_DRAIN_S
-    if prefill_left_s <= 0:
-        return 0
-    prefill_s = engine_costs.prefill_s(model, needs.prompt_tokens)
-    needed_for_kv = engine_routing.min_engines(needs, model)
-    needed = max(math.ceil(prefill_s / prefill_left_s), needed_for_kv)
-    return needed if needed <= max_engines else 0
+    return min(needs.abandon_left_s, needs.time_left_s - decode_s)
+
 
+def _drain_s(
+    state: engine_load.EngineState,
+    prefill_part_s: float,
+    model: fleet_config.EngineCostModel,
+) -> float:
+    """Returns the time until the runs that a prefill would delay have ended.
 
-def _delayed_runs(
-    state: engine_load.EngineState, prefill_part_s: float
-) -> Collection[engine_load.Run]:
-    """Returns the runs whose `max_gap_s` is shorter than the prefill."""
-    return [
-        run for run in state.runs.values() if 0 < run.max_gap_s < prefill_part_s
+    A run is delayed if its `max_gap_s` is shorter than the prefill. Runs end
+    after the prefills that are queued on the engine.
+    """
+    delayed_decode_s = [
+        engine_costs.decode_s(
+            model, run.output_tokens, len(state.runs), state.context_tokens
+        )
+        for run in state.runs.values()
+        if 0 < run.max_gap_s < prefill_part_s
     ]
+    return state.prefill_left_s + max(delayed_decode_s, default=0.0)
--- a/src/apricottrestle/gateway/engine_load.py
+++ b/src/apricottrestle/gateway/engine_load.py
@@ -136,6 +136,11 @@
         """Context tokens of all runs whose decoding engine this is."""
         return sum(run.step_context_tokens for run in self.runs.values())
 
+    @property
+    def prefill_left_s(self) -> float:
+        """Prefill time that was left at the start of the current pass."""
+        return sum(prefill.left_s for prefill in self._prefills.values())
+
     @property
     def idle(self) -> bool:
         """Whether no run is known on the engine."""
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -109,6 +109,15 @@
 quarter of an engine's slots; without it, under six times the usual number of
 short requests, late requests take the slots of those that are on time."""
 
+LONG_PREFILL_S: Final = 0.2
+"""Prefill time per engine from which two requests that are placed on an engine
+at the same time make each other late."""
+
+STAGGER_STEP_S: Final = 0.004
+"""Delay per gateway that goes first before a long prompt that has waited is
+placed; twice the delay of a message. When an engine becomes free, all gateways
+hear of it at once and would choose it together."""
+
 SLOT_RESERVATION_S: Final = 0.25
 """Time for which slots stay reserved after an on-time request could not be
 placed; the shortest target time to the first event."""
@@ -144,6 +153,10 @@
         """Returns the number of live gateways, including this gateway."""
         return 1
 
+    def placement_rank(self, engine: str) -> int:
+        """Returns how many gateways go first at an engine that becomes free."""
+        return 0
+
     def peers_in_rotation(self) -> int:
         """Returns the number of other gateways that callers can reach."""
         return 0
@@ -200,6 +213,9 @@
         self._plain_calls: collections.Counter[str] = collections.Counter()
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = {}
         self._waiting: list[exchange.Exchange] = []
+        self._unplaced: set[exchange.Exchange] = set()
+        self._recorded: set[exchange.Exchange] = set()
+        self._staggered: dict[exchange.Exchange, asyncio.TimerHandle] = {}
         self._holds = memory_holds.MemoryHolds(
             client, cfg.memory_free_s, cfg.reservation_max_s
         )
@@ -400,6 +416,7 @@
         if request in self._waiting:
             self._remove_waiting(request)
             self._record_placement(request, on_time=False)
+        self._recorded.discard(request)
 
     def on_first_event(
         self, request: exchange.Exchange, attempt: exchange_host.Attempt
@@ -619,7 +636,11 @@
         )
         failures: collections.Counter[tuple[str, bool]] = collections.Counter()
         for request in waiting:
-            if request.done or request not in self._waiting:
+            if (
+                request.done
+                or request in self._staggered
+                or request not in self._waiting
+            ):
                 continue
             group = (
                 request.accepted.route.name,
@@ -631,12 +652,27 @@
             ):
                 continue
             self._place_engine_request(request, now)
-            if request in self._waiting:
+            if request in self._waiting and request not in self._staggered:
                 failures[group] += 1
         metrics.WAITING.set(len(self._waiting))
 
+    def _stagger(self, request: exchange.Exchange, engine: str) -> None:
+        """Places a request after those of the gateways that go first."""
+
+        def place() -> None:
+            del self._staggered[request]
+            self._place_engine_request(request, clock.now(), staggered=True)
+
+        self._staggered[request] = asyncio.get_running_loop().call_later(
+            STAGGER_STEP_S * self.listener.placement_rank(engine), place
+        )
+
     def _place_engine_request(
-        self, request: exchange.Exchange, now: float
+        self,
+        request: exchange.Exchange,
+        now: float,
+        *,
+        staggered: bool = False,
     ) -> None:
         """Places a request on an engine, refuses it or leaves it in the queue.
 
@@ -653,7 +689,7 @@
         if not usable:
             self._refuse_waiting(request, "no_upstream")
             return
-        own_claim = self._own_claims.get(request)
+        own_claim = self._own_claim(request, now)
         candidates = [
             candidate
             for candidate in usable
@@ -685,6 +721,7 @@
                 needs, model, len(usable)
             )
             if needs.target_left_s <= min_prefill_s:
+                self._record_placement(request, on_time=False)
                 choice = engine_routing.choose_earliest(
                     needs,
                     candidates,
@@ -697,8 +734,17 @@
                     now + SLOT_RESERVATION_S
                 )
         if choice is not None:
+            if (
+                request in self._unplaced
+                and not staggered
+                and choice.prefill_part_s >= LONG_PREFILL_S
+            ):
+                self._stagger(request, choice.engine)
+                return
             self._start_run(request, choice, needs, len(candidates), now)
-        elif own_claim is None and self._on_time_shares.is_starved(
+            return
+        self._unplaced.add(request)
+        if own_claim is None and self._on_time_shares.is_starved(
             request.accepted.route.name
         ):
             self._claim_engines(request, needs, usable, model, now)
@@ -731,16 +777,17 @@
         now: float,
     ) -> None:
         """Claims engines for a request that could not be placed."""
-        engines = engine_claims.choose_engines(
+        choice = engine_claims.choose_engines(
             needs,
             usable,
             lambda engine: self.claims.claim_id_on(engine, now) is not None,
             model,
         )
-        if not engines:
+        if choice is None:
             return
-        ttl_s = min(needs.abandon_left_s, needs.time_left_s)
-        claim = engine_claims.Claim(self._new_run_id(), engines, ttl_s)
+        claim = engine_claims.Claim(
+            self._new_run_id(), choice.engines, choice.ttl_s
+        )
         self._own_claims[request] = claim.claim_id
         self.claims.add(claim, now)
         self.listener.claim_added(claim)
@@ -749,26 +796,49 @@
             "engines claimed",
             request_id=request.req.request_id,
             claim=claim.claim_id,
-            upstreams=engines,
+            upstreams=choice.engines,
+            ttl_s=round(choice.ttl_s, 4),
             candidates=len(usable),
             list_version=self.state.members.version,
             target_left_s=round(needs.target_left_s, 4),
         )
 
+    def _own_claim(self, request: exchange.Exchange, now: float) -> str | None:
+        """Returns the id of a request's claim, or None if it has expired."""
+        claim_id = self._own_claims.get(request)
+        if claim_id is not None and not self.claims.is_current(claim_id, now):
+            del self._own_claims[request]
+            return None
+        return claim_id
+
     def _record_placement(
         self, request: exchange.Exchange, *, on_time: bool
     ) -> None:
-        """Records a request's first placement, or its end without one."""
-        if not request.tried_upstreams and request.req.size is not None:
-            self._on_time_shares.record(
-                request.accepted.route.name,
-                request.req.size.prompt_tokens,
-                clock.now(),
-                on_time=on_time,
-            )
+        """Records once whether a request's first placement is on time.
+
+        Called when the request is placed, when it can't be on time any more or
+        when it ends without a placement.
+        """
+        if (
+            request in self._recorded
+            or request.tried_upstreams
+            or request.req.size is None
+        ):
+            return
+        self._recorded.add(request)
+        self._on_time_shares.record(
+            request.accepted.route.name,
+            request.req.size.prompt_tokens,
+            clock.now(),
+            on_time=on_time,
+        )
 
     def _remove_waiting(self, request: exchange.Exchange) -> None:
         self._waiting.remove(request)
+        self._unplaced.discard(request)
+        handle = self._staggered.pop(request, None)
+        if handle is not None:
+            handle.cancel()
         claim_id = self._own_claims.pop(request, None)
         if claim_id is not None:
             self.claims.remove(claim_id)
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from apricottrestle import logs, metrics
+from apricottrestle import hashing, logs, metrics
 from apricottrestle.gateway import (
     clock,
     engine_claims,
@@ -127,6 +127,17 @@
         """See RunListener.gateway_count."""
         return self._peers.count()
 
+    def placement_rank(self, engine: str) -> int:
+        """See RunListener.placement_rank.
+
+        The order differs between engines, so that no gateway is always last.
+        """
+        own = hashing.rendezvous_score(self._incarnation, engine)
+        return sum(
+            hashing.rendezvous_score(peer.incarnation, engine) < own
+            for peer in self._peers.alive()
+        )
+
     # Planned stops.
 
     def begin_stop(self, accept_until: float) -> None:
--- a/tests/test_gateway_claims.py
+++ b/tests/test_gateway_claims.py
@@ -1,6 +1,8 @@
 """Tests of engine claims, which keep long prompts from starvation."""
 
 import asyncio
+import itertools
+from unittest import mock
 
 import hypothesis
 import pytest
@@ -8,6 +10,7 @@
 from hypothesis import strategies
 
 from apricottrestle.gateway import (
+    calls,
     engine_claims,
     engine_load,
     engine_routing,
@@ -16,6 +19,7 @@
 from apricottrestle_standins.platform import (
     ledger,
     virtual_time,
+    virtual_upstreams,
     workload,
     world,
 )
@@ -75,7 +79,7 @@
     chosen = engine_claims.choose_engines(
         ask, engines, claimed.__contains__, MODEL
     )
-    assert chosen == expected
+    assert (chosen.engines if chosen else ()) == expected
 
 
 @hypothesis.given(
@@ -94,7 +98,10 @@
             lambda name: claims.claim_id_on(name, 1.0) is not None,
             MODEL,
         )
-        claims.add(engine_claims.Claim(str(number), chosen, 5.0), 1.0)
+        if chosen is not None:
+            claims.add(
+                engine_claims.Claim(str(number), chosen.engines, 5.0), 1.0
+            )
     held = [each for each in engines if claims.claim_id_on(each.engine, 1.0)]
     assert len(held) <= len(engines) * engine_claims.MAX_CLAIMED_SHARE
 
@@ -176,7 +183,51 @@
     assert holders == ["claim-1"] * 3 + [None] * 3
 
 
-@pytest.mark.parametrize("seed", range(1, 4))
+def test_gateways_do_not_choose_the_same_free_engine_at_once() -> None:
+    """Guards against long prompts that collide on an engine that became free.
+
+    All gateways hear of the end of a run at the same time. Three of them placed
+    a long prompt on the engine within the delay of a message, and two of the
+    three answers did not end in time.
+    """
+
+    async def main() -> list[float]:
+        site = workload.SITES["zimska-trgatev"]
+        fleet = world.World(
+            site._replace(gateways=3, data_centres=3, engines=1), 0
+        )
+        sent_at: list[float] = []
+        send = virtual_upstreams.VirtualUpstreams.send
+
+        def record_send(
+            client: virtual_upstreams.VirtualUpstreams,
+            call: calls.UpstreamCall,
+            sink: calls.ResponseSink,
+        ) -> calls.Transfer:
+            sent_at.append(asyncio.get_running_loop().time())
+            return send(client, call, sink)
+
+        arrivals = [
+            workload.Arrival(
+                at_s, site.kinds[2], number % 3, 0, 150_000, 3, 0.0, 0.0
+            )
+            for number, at_s in enumerate((0.0, 0.5, 0.6, 0.7))
+        ]
+        with mock.patch.object(
+            virtual_upstreams.VirtualUpstreams, "send", record_send
+        ):
+            records = await fleet.run_workload(arrivals)
+        assert ledger.find_violations(records) == []
+        return sent_at
+
+    sent_at = virtual_time.run(main())
+    assert len(sent_at) >= 3
+    assert min(b - a for a, b in itertools.pairwise(sent_at)) > (
+        2 * world.REMOTE_DELAY_S
+    )
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 5, 9])
 def test_long_prompts_are_not_starved_under_overload(seed: int) -> None:
     """Guards against starvation of long prompts at 2.5 times the usual load."""
     pattern = fleet_days.LOAD_PATTERNS["2.5 of the load"]
