End calls whose bytes are no answer, and bound what they can hold

Cause: a head that never ended was passed on as a head; header lines without end were read up to libcurl's limit and slow ones until the deadline; bodies were read up to 64 MB (100 MB from the store) although 16 MB were kept, which some upstreams at once could bring past a machine's memory; an event was searched from its start with each byte.

Ruled out: a limit on the time of a head alone. A slow head of a stream is already moved by the stall timer, and an unsafe request must not be ended while its upstream may still answer.

Change: a head counts once its empty line has arrived, the first line that is no header ends the call, heads have a limit; a body ends its call at its limit, and all buffered bodies share 64 MB; control bytes end a stream's attempt; a repeatable plain request is moved after 0.4 of its time while the retry budget allows, so that it can end elsewhere in time; an unsafe one gets 502 or 504, which promise nothing. The upstream's health learns each as a lost answer.

--- a/src/apricottrestle/gateway/event_stream.py
+++ b/src/apricottrestle/gateway/event_stream.py
@@ -10,7 +10,12 @@
 _EVENT_END: Final = re.compile(rb"\r?\n\r?\n")
 _EVENT_ID: Final = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
 
-MAX_EVENT_BYTES: Final = 1024 * 1024
+_CONTROL_BYTE: Final = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f]")
+"""Bytes that don't occur in the text of an event stream."""
+
+_MAX_SEPARATOR_BYTES: Final = 4
+
+MAX_EVENT_BYTES: Final = 256 * 1024
 """Size limit of an event; larger than any event that an engine sends."""
 
 
@@ -42,12 +47,17 @@
         """Adds bytes and returns the events that they complete.
 
         Raises:
-            ValueError: An incomplete event exceeds MAX_EVENT_BYTES.
+            ValueError: The bytes can't belong to an event stream, or an
+                incomplete event exceeds MAX_EVENT_BYTES.
         """
+        if _CONTROL_BYTE.search(data):
+            raise ValueError("control byte in an event stream")
+        # The end of an event may have begun in the bytes that came before.
+        searched = max(len(self._buffer) - _MAX_SEPARATOR_BYTES, 0)
         self._buffer += data
         events = []
         start = 0
-        for match in _EVENT_END.finditer(self._buffer):
+        for match in _EVENT_END.finditer(self._buffer, searched):
             raw = self._buffer[start : match.end()]
             id_match = _EVENT_ID.search(raw)
             event_id = id_match.group(1).decode("latin-1") if id_match else None
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -35,6 +35,11 @@
 """Fraction of the caller's abandon timeout after which a silent stream is
 moved, so that another engine can respond before the caller leaves."""
 
+PLAIN_STALL_RATIO: Final = 0.4
+"""Fraction of the time left after which a repeatable request to a plain service
+is moved if its response isn't complete; leaves more time for the second attempt
+than the first one had."""
+
 PROBATION_STALL_RATIO: Final = 0.5
 """Fraction of the target time to the first event after which a request is moved
 from an engine on probation, so that another engine can still be on time."""
@@ -85,6 +90,7 @@
         self._event_splitter = event_stream.EventSplitter()
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._buffered_bytes = 0
         self._event_count = 0
         self._response_is_valid = False
         self._first_event_at: float | None = None
@@ -163,8 +169,7 @@
         self._attempt = attempt
         self._response_head = None
         self._event_splitter = event_stream.EventSplitter()
-        self._body = []
-        self._body_bytes = 0
+        self._clear_body()
         self._response_is_valid = False
         self.tried_upstreams.append(attempt.upstream_id)
         team = self.accepted.team
@@ -181,6 +186,8 @@
         )
         if self.is_stream:
             self._arm_first_event_timer(attempt)
+        elif self.accepted.route.repeatable:
+            self._arm_stall_timer(PLAIN_STALL_RATIO * self.time_left_s(now))
         self._transfer = self._host.start_call(self, call)
 
     def refuse(
@@ -249,8 +256,22 @@
             self._on_stream_data(data, head)
             return
         self._body_bytes += len(data)
-        if self._body_bytes <= MAX_PLAIN_BODY_BYTES:
-            self._body.append(data)
+        if (
+            self._body_bytes > MAX_PLAIN_BODY_BYTES
+            or not self._host.buffer_bytes(len(data))
+        ):
+            self._log_dropped_response("body too long", head)
+            self._cancel_invalid_response()
+            return
+        self._buffered_bytes += len(data)
+        self._body.append(data)
+
+    def _clear_body(self) -> None:
+        """Drops the buffered body and frees its memory."""
+        self._host.buffer_bytes(-self._buffered_bytes)
+        self._body = []
+        self._body_bytes = 0
+        self._buffered_bytes = 0
 
     def _on_stream_data(self, data: bytes, head: calls.ResponseHead) -> None:
         try:
@@ -343,8 +364,6 @@
             return retry_policy.AttemptResult.NOT_RUN
         if head.status >= 500 or head.status == 429:
             return retry_policy.AttemptResult.FAILED
-        if self._body_bytes > MAX_PLAIN_BODY_BYTES:
-            return retry_policy.AttemptResult.LOST
         if self.is_stream and self._event_splitter.has_partial_event:
             return retry_policy.AttemptResult.LOST
         return None
@@ -500,7 +519,7 @@
             self._stall_timer = None
 
     def _on_stall(self) -> None:
-        """Cancels a silent attempt if the route allows another one."""
+        """Cancels a stalled attempt if another one is allowed."""
         self._stall_timer = None
         transfer = self._transfer
         route = self.accepted.route
@@ -509,6 +528,8 @@
         )
         if self._done or transfer is None or not may_retry:
             return
+        if not self.is_stream and not self._host.has_retry(self):
+            return
         transfer.cancel()
 
     def _finish(self, outcome: exchange_host.Outcome, detail: str) -> None:
@@ -539,6 +560,7 @@
             longest_gap_s=round(self._longest_gap_s, 4),
             after_s=round(after_s, 4),
         )
+        self._clear_body()
         self._host.on_exchange_ended(self, outcome)
 
     def _log_dropped_response(
--- a/src/apricottrestle/gateway/exchange_host.py
+++ b/src/apricottrestle/gateway/exchange_host.py
@@ -97,6 +97,22 @@
     def consume_retry(self, request: "exchange.Exchange") -> bool:
         """Uses one retry of the retry budget; returns False if none is left."""
 
+    @abc.abstractmethod
+    def has_retry(self, request: "exchange.Exchange") -> bool:
+        """Returns whether the retry budget allows another attempt."""
+
+    @abc.abstractmethod
+    def buffer_bytes(self, count: int) -> bool:
+        """Reserves memory for a part of a response.
+
+        Args:
+            count: Number of bytes; negative to free memory.
+
+        Returns:
+            Whether the memory of all buffered responses is within its limit;
+            if not, nothing was reserved.
+        """
+
     @abc.abstractmethod
     def retry_after_s(self, request: "exchange.Exchange") -> float:
         """Returns the Retry-After value, in seconds, of a refusal."""
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -109,6 +109,10 @@
 quarter of an engine's slots; without it, under six times the usual number of
 short requests, late requests take the slots of those that are on time."""
 
+MAX_BUFFERED_BYTES: Final = 64 * 1024 * 1024
+"""Limit of all responses that are buffered until they are complete, so that
+upstreams that send without end don't exhaust the memory of a machine."""
+
 LONG_PREFILL_S: Final = 0.2
 """Prefill time per engine from which two requests that are placed on an engine
 at the same time make each other late."""
@@ -221,6 +225,7 @@
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._run_count = 0
+        self._buffered_bytes = 0
         self._preferences: dict[str, int] = {}
         self._incarnation = incarnation
         self._scheduling_pass_requested = False
@@ -403,6 +408,19 @@
             self.listener.gateway_count(), clock.now()
         )
 
+    def has_retry(self, request: exchange.Exchange) -> bool:
+        """See ExchangeHost.has_retry."""
+        return self._retry_budget(request.accepted.service.name).has_retry(
+            self.listener.gateway_count(), clock.now()
+        )
+
+    def buffer_bytes(self, count: int) -> bool:
+        """See ExchangeHost.buffer_bytes."""
+        if count > 0 and self._buffered_bytes + count > MAX_BUFFERED_BYTES:
+            return False
+        self._buffered_bytes += count
+        return True
+
     def retry_after_s(self, request: exchange.Exchange) -> float:
         """See ExchangeHost.retry_after_s."""
         return OVERLOAD_RETRY_AFTER_S
--- a/src/apricottrestle/gateway/retry_budget.py
+++ b/src/apricottrestle/gateway/retry_budget.py
@@ -43,14 +43,18 @@
             gateways: Number of gateways that share the slack.
             now: Monotonic time in seconds.
         """
+        if not self.has_retry(gateways, now):
+            return False
+        self._retries.append(now)
+        return True
+
+    def has_retry(self, gateways: int, now: float) -> bool:
+        """Returns whether `consume_retry` would succeed."""
         self._drop_expired(now)
         allowed = BUDGET_SAFETY_FACTOR * (
             self._share * len(self._requests) + self._slack / max(gateways, 1)
         )
-        if len(self._retries) + 1 > allowed:
-            return False
-        self._retries.append(now)
-        return True
+        return len(self._retries) + 1 <= allowed
 
     def _drop_expired(self, now: float) -> None:
         for times in (self._requests, self._retries):
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import re
 import socket
 from typing import Any, Final
 
@@ -52,6 +53,9 @@
 
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 
+MAX_HEAD_BYTES: Final = 32 * 1024
+"""Limit of a response's status line and headers; far above any real head."""
+
 _HTTP_OK: Final = 200
 _HTTP_MISDIRECTED_REQUEST: Final = 421
 _LOG: Final = logging.getLogger(__name__)
@@ -66,6 +70,10 @@
 """curl errors that occur before any byte of the request is sent."""
 
 
+_HEADER_LINE: Final = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+:|[ \t]")
+"""Start of a header line, or of the continuation of one."""
+
+
 class CancellableCurlClient(curl_httpclient.CurlAsyncHTTPClient):
     """Tornado's curl client, extended by cancelling a transfer."""
 
@@ -125,6 +133,8 @@
         self._sink = sink
         self._call = call
         self._header_lines: list[str] = []
+        self._head_bytes = 0
+        self._head_complete = False
         self._head_delivered = False
         self._cancelled = False
         self._http_req = self._make_request()
@@ -169,15 +179,32 @@
         if self._call.at_most_once:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
 
-    def _on_header_line(self, line: bytes) -> None:
-        """Stores a header line; must do no more inside libcurl's callback."""
+    def _on_header_line(self, line: bytes) -> int | None:
+        """Stores a header line; must do no more inside libcurl's callback.
+
+        Returns -1 to make libcurl fail the transfer at the first line that
+        can't belong to a response head.
+        """
         if line.startswith(b"HTTP/"):
             self._header_lines = []
-        self._header_lines.append(line.decode("latin-1"))
+            self._head_bytes = 0
+            self._head_complete = False
+        text = line.decode("latin-1")
+        self._header_lines.append(text)
+        self._head_bytes += len(line)
+        if not text.strip():
+            self._head_complete = True
+            return None
+        is_field = len(self._header_lines) > 1 and not self._head_complete
+        if self._head_bytes > MAX_HEAD_BYTES or (
+            is_field and not _HEADER_LINE.match(text)
+        ):
+            return -1
+        return None
 
     def _deliver_head(self) -> None:
         """Passes the response head to the sink, once, before data or end."""
-        if self._head_delivered or not self._header_lines or self._cancelled:
+        if self._head_delivered or not self._head_complete or self._cancelled:
             return
         try:
             head = parse_response_head(self._header_lines)
--- a/src/apricottrestle/platform_http.py
+++ b/src/apricottrestle/platform_http.py
@@ -15,6 +15,9 @@
 _CONNECT_TIMEOUT_S: Final = 1.0
 _DEFAULT_RETRY_AFTER_S: Final = 1.0
 _MAX_CONCURRENT_CALLS: Final = 4
+_MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+"""Limit of a response's body; several times the largest page of records."""
+
 _HTTP_TOO_MANY_REQUESTS: Final = 429
 _HTTP_SERVICE_UNAVAILABLE: Final = 503
 
@@ -102,7 +105,9 @@
         # Created at first use, because the client needs the running event loop.
         if self._client is None:
             self._client = curl_httpclient.CurlAsyncHTTPClient(
-                force_instance=True, max_clients=_MAX_CONCURRENT_CALLS
+                force_instance=True,
+                max_clients=_MAX_CONCURRENT_CALLS,
+                max_body_size=_MAX_BODY_BYTES,
             )
         return self._client
 
--- a/tests/test_gateway_event_stream.py
+++ b/tests/test_gateway_event_stream.py
@@ -1,5 +1,9 @@
 """Tests of splitting an event stream into events."""
 
+import re
+from collections.abc import Iterator
+from unittest import mock
+
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -61,3 +65,26 @@
     splitter = event_stream.EventSplitter()
     with pytest.raises(ValueError, match="too long"):
         splitter.feed(b"x" * (event_stream.MAX_EVENT_BYTES + 1))
+
+
+def test_event_in_single_bytes_costs_no_repeated_search() -> None:
+    """Guards against time that grows with the square of an event's length."""
+    searched = 0
+
+    class _CountingPattern:
+        def finditer(
+            self, data: bytes, start: int
+        ) -> Iterator[re.Match[bytes]]:
+            nonlocal searched
+            searched += len(data) - start
+            return pattern.finditer(data, start)
+
+    pattern = event_stream._EVENT_END
+    event = b"id: 1\r\ndata: " + b"x" * 2_000 + b"\r\n\r\n"
+    splitter = event_stream.EventSplitter()
+    with mock.patch.object(event_stream, "_EVENT_END", _CountingPattern()):
+        events = [
+            each for byte in event for each in splitter.feed(bytes([byte]))
+        ]
+    assert [each.data for each in events] == [event]
+    assert searched <= 10 * len(event)
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -72,7 +72,11 @@
 class _Host(exchange_host.ExchangeHost):
     """Places attempt n at the upstream up-n."""
 
-    def __init__(self, *, has_budget: bool = True) -> None:
+    def __init__(
+        self, *, has_budget: bool = True, buffer_limit: int = 1 << 30
+    ) -> None:
+        self.buffered_bytes = 0
+        self._buffer_limit = buffer_limit
         self.calls_started: list[calls.UpstreamCall] = []
         self.transfers: list[_Transfer] = []
         self.results: list[retry_policy.AttemptResult | None] = []
@@ -123,6 +127,15 @@
     def consume_retry(self, request: exchange.Exchange) -> bool:
         return self._has_budget
 
+    def has_retry(self, request: exchange.Exchange) -> bool:
+        return self._has_budget
+
+    def buffer_bytes(self, count: int) -> bool:
+        if self.buffered_bytes + count > self._buffer_limit:
+            return False
+        self.buffered_bytes += count
+        return True
+
     def retry_after_s(self, request: exchange.Exchange) -> float:
         return 0.2
 
@@ -402,3 +415,108 @@
         assert not host.transfers[0].cancelled
 
     virtual_time.run(main())
+
+
+@pytest.mark.parametrize(
+    ("route", "limit", "statuses"),
+    [
+        (gateway_parts.SAFE, exchange.MAX_PLAIN_BODY_BYTES, []),
+        (gateway_parts.UNSAFE, exchange.MAX_PLAIN_BODY_BYTES, [502]),
+        # The memory of all responses together is used up.
+        (gateway_parts.SAFE, 1 << 20, []),
+        (gateway_parts.UNSAFE, 1 << 20, [502]),
+    ],
+)
+def test_body_without_end_is_given_up_at_its_limit(
+    route: fleet_config.Route, limit: int, statuses: list[int]
+) -> None:
+    """Guards against reading a body without end until the deadline.
+
+    A repeatable request goes to another upstream; an order gets an answer that
+    doesn't promise that it has not run.
+    """
+
+    async def main() -> None:
+        host = _Host(buffer_limit=limit + (1 << 16))
+        caller = await _run_exchange(route, [], host)
+        sink = host.transfers[0]._sink
+        sink.on_head(HEAD)
+        chunk = b"x" * (1 << 16)
+        for _ in range(limit // len(chunk)):
+            sink.on_data(chunk)
+        assert not host.transfers[0].cancelled
+        for _ in range(3):
+            sink.on_data(chunk)
+        assert host.transfers[0].cancelled
+        await asyncio.sleep(0.001)
+        assert host.buffered_bytes == 0
+        assert [caller.status] * bool(caller.endings) == statuses
+        assert len(host.calls_started) == (1 if statuses else 2)
+        assert host.results == [retry_policy.AttemptResult.LOST]
+
+    virtual_time.run(main())
+
+
+@pytest.mark.parametrize("has_budget", [True, False])
+def test_slow_body_of_a_repeatable_request_is_moved(
+    has_budget: bool,
+) -> None:
+    """Guards against an upstream that sends one byte at a time.
+
+    Without retry budget the first attempt is the only one, so it goes on.
+    """
+
+    async def main() -> None:
+        host = _Host(has_budget=has_budget)
+        await _run_exchange(gateway_parts.SAFE, [], host)
+        sink = host.transfers[0]._sink
+        sink.on_head(HEAD)
+        for _ in range(50):
+            sink.on_data(b"x")
+            await asyncio.sleep(0.01)
+        assert host.transfers[0].cancelled == has_budget
+        assert len(host.calls_started) == 1 + has_budget
+
+    virtual_time.run(main())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"\x00\x01\x02", id="control bytes"),
+        pytest.param(b"data: x" * 60_000, id="long line"),
+    ],
+)
+def test_bytes_that_are_no_event_stream_end_the_attempt(data: bytes) -> None:
+    """Guards against waiting for an event in bytes that can't be one."""
+
+    async def main() -> None:
+        host = _Host()
+        await _run_exchange(gateway_parts.STREAM, [], host)
+        sink = host.transfers[0]._sink
+        sink.on_head(HEAD)
+        sink.on_data(_events(1, 1))
+        sink.on_data(data)
+        assert host.transfers[0].cancelled
+        await asyncio.sleep(0.001)
+        assert host.calls_started[1].resume_after == "1"
+
+    virtual_time.run(main())
+
+
+def test_event_without_end_is_moved_before_the_caller_leaves() -> None:
+    """Guards against an event that arrives one byte at a time, without end."""
+
+    async def main() -> None:
+        host = _Host()
+        await _run_exchange(gateway_parts.STREAM, [], host)
+        sink = host.transfers[0]._sink
+        sink.on_head(HEAD)
+        sink.on_data(_events(1, 1))
+        for _ in range(90):
+            sink.on_data(b"x")
+            await asyncio.sleep(0.01)
+        assert host.transfers[0].cancelled
+        assert host.calls_started[1].resume_after == "1"
+
+    virtual_time.run(main())
