Keep stalled attempts without budget, and bound retried greetings

Change: a stalled attempt is checked again every 0.2 s while there is no budget; an engine that decodes for a live peer is not on probation; retries of hellos double their pause up to 0.3 s, and end with the process's own shutdown.

--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -35,6 +35,10 @@
 """Fraction of the caller's abandon timeout after which a silent stream is
 moved, so that another engine can respond before the caller leaves."""
 
+STALL_RECHECK_S: Final = 0.2
+"""Interval at which a stalled attempt is checked again while the retry budget
+is used up: its answer may still come, while a cancelled one fails."""
+
 PLAIN_STALL_RATIO: Final = 0.4
 """Fraction of the time left after which a repeatable request to a plain service
 is moved if its response isn't complete; leaves more time for the second attempt
@@ -528,9 +532,10 @@
         )
         if self._done or transfer is None or not may_retry:
             return
-        if not self.is_stream and not self._host.has_retry(self):
-            return
-        transfer.cancel()
+        if self._host.has_retry(self):
+            transfer.cancel()
+        else:
+            self._arm_stall_timer(STALL_RECHECK_S)
 
     def _finish(self, outcome: exchange_host.Outcome, detail: str) -> None:
         self._done = True
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -36,9 +36,11 @@
 """Interval of the check for peers that timed out and for a due heartbeat: a
 quarter of the heartbeat interval."""
 
-SEND_RETRY_S: Final = 0.02
-"""Interval of attempts to send a hello or its answer while a connection to a
-peer is being established; a few round trips."""
+SEND_RETRY_MIN_S: Final = 0.02
+SEND_RETRY_MAX_S: Final = 0.3
+"""Pauses between attempts to send a hello or its answer while a connection to a
+peer is being established double from the least, a few round trips, to the
+longest: after all gateways have failed, each has hundreds of peers to reach."""
 
 CATCH_UP_INTERVAL_S: Final = 0.3
 """Least time between two hellos that request newer state. It is shorter than
@@ -123,6 +125,7 @@
 
     def stop(self) -> None:
         """Cancels the messages that are still being retried."""
+        self._link = None
         for task in self._send_tasks:
             task.cancel()
 
@@ -487,6 +490,8 @@
         runs = self._peer_runs.setdefault(incarnation, set())
         for started_run in started:
             runs.add(started_run.run.run_id)
+            if started_run.run.decoding:
+                self._core.probation.clear(started_run.run.engine)
             self._core.load.add_run(
                 started_run.run, now, age_s=started_run.age_s
             )
@@ -532,11 +537,14 @@
         task.add_done_callback(self._send_tasks.discard)
 
     async def _send_until_taken(self, send: Callable[[], bool]) -> None:
-        """Retries for at most FORGET_AFTER_S."""
-        for _ in range(int(peers.FORGET_AFTER_S / SEND_RETRY_S)):
+        """Retries with exponential backoff, for at most FORGET_AFTER_S."""
+        gives_up_at = clock.now() + peers.FORGET_AFTER_S
+        pause_s = SEND_RETRY_MIN_S
+        while clock.now() < gives_up_at:
             if self._link is None or send():
                 return
-            await asyncio.sleep(SEND_RETRY_S)
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, SEND_RETRY_MAX_S)
 
     def _send_hello(self, address: str) -> bool:
         """Sends a hello; returns False if the connection can't take it.
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -520,3 +520,20 @@
         assert host.calls_started[1].resume_after == "1"
 
     virtual_time.run(main())
+
+
+def test_stalled_stream_is_kept_while_the_retry_budget_is_used_up() -> None:
+    """Guards against cancelling a late answer that can't be sent again."""
+
+    async def main() -> None:
+        host = _Host(has_budget=False)
+        caller = await _run_exchange(gateway_parts.STREAM, [], host)
+        await asyncio.sleep(exchange.MIN_ABANDON_S * 0.9)
+        assert not host.transfers[0].cancelled
+        sink = host.transfers[0]._sink
+        sink.on_head(HEAD)
+        sink.on_data(_events(1, 3))
+        sink.on_end("complete", "")
+        assert caller.endings == ["complete"]
+
+    virtual_time.run(main())
--- a/tests/test_world_restarts.py
+++ b/tests/test_world_restarts.py
@@ -342,3 +342,34 @@
         (False, True),
         (False, False),
     ]
+
+
+def test_engine_that_answers_a_peer_is_not_on_probation() -> None:
+    """Guards against a restarted gateway that can't use busy engines.
+
+    The peers' runs already fill the one slot of an engine on probation.
+    """
+
+    async def main() -> list[bool]:
+        fleet = world.World(SITE, 4)
+        await asyncio.sleep(world.WARM_UP_S)
+        first = fleet.gateways["gateway-0"].node
+        run = engine_load.Run(
+            "run-1", "engine-1", (), 9, 9, 0.1, 0, 0.25, 0.2, False
+        )
+        first.core.load.add_run(run, asyncio.get_running_loop().time())
+        first.peers.run_started(run)
+        first.peers.run_first_event("run-1")
+        fleet.kill_gateway("gateway-1")
+        second = fleet.start_gateway(1).node
+        await asyncio.sleep(0.3)
+        now = asyncio.get_running_loop().time()
+        states = [
+            second.core.probation.contains(engine, now)
+            for engine in ("engine-1", "engine-2")
+        ]
+        for address in list(fleet.gateways):
+            fleet.kill_gateway(address)
+        return states
+
+    assert virtual_time.run(main()) == [False, True]
