Stop the demo by SIGINT also where its starter ignores the signal

Cause: a shell without job control starts background commands with SIGINT ignored, and Python then installs no handler. Change: the demo installs its handler; the test has a row with such a starter.

--- a/src/apricottrestle_standins/demo.py
+++ b/src/apricottrestle_standins/demo.py
@@ -346,6 +346,8 @@
 def main() -> int:
     """Runs the demo; SIGTERM and SIGINT stop it and its processes."""
     signal.signal(signal.SIGTERM, _raise_exit)
+    # A shell starts background commands with SIGINT ignored.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     try:
         return run_demo()
     except fleet.FleetError as exc:
--- a/tests/test_demo_run.py
+++ b/tests/test_demo_run.py
@@ -44,10 +44,29 @@
     assert re.search(r"<1000k +urgent +1 ", done.stdout)
 
 
-@pytest.mark.parametrize("signum", [signal.SIGINT, signal.SIGTERM])
-def test_interrupted_demo_ends_its_processes(signum: signal.Signals) -> None:
+_IGNORING_SIGINT = ["sh", "-c", 'trap "" INT; exec "$@"', "sh"]
+
+
+@pytest.mark.parametrize(
+    ("signum", "starter"),
+    [
+        (signal.SIGINT, []),
+        (signal.SIGTERM, []),
+        (signal.SIGINT, _IGNORING_SIGINT),
+    ],
+    ids=["SIGINT", "SIGTERM", "SIGINT ignored by its starter"],
+)
+def test_interrupted_demo_ends_its_processes(
+    signum: signal.Signals, starter: list[str]
+) -> None:
+    """Guards against processes that outlive the demo.
+
+    A shell without job control starts background commands with SIGINT ignored.
+    """
     with subprocess.Popen(
-        _DEMO, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
+        [*starter, *_DEMO],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
     ) as demo:
         fleet.wait_for(lambda: len(_children(demo.pid)) >= 12, "demo starts")
         started = _children(demo.pid)
