--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BENCH_STAMP := $(VENV)/.installed-bench
 
 .PHONY: demo serve test lint types unit fuzz chaos soak bench bench-fleet \
-	bench-capacity matrix mutations clean
+	bench-capacity bench-start matrix mutations clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -48,6 +48,9 @@
 bench-fleet: $(STAMP)
 	$(BIN)/python -m bench.fleet_days
 
+bench-start: $(STAMP)
+	$(BIN)/python -m bench.start_time
+
 # SEEDS and FIRST choose the days, e.g. `make chaos SEEDS=500 FIRST=1000`.
 SEEDS ?= 50
 FIRST ?= 0
