Decode and log the shared parts of prompts and the framing of answers

`request accepted` now has the ids of the parts that other requests may share (all but the last; 8 in the log, 128 kept, longer ids than 32 characters as their hash, for callers choose them). `send ended` says whether the answer had a length or chunks, since one without either ends with its connection, crash or not.

--- a/src/apricottrestle/gateway/calls.py
+++ b/src/apricottrestle/gateway/calls.py
@@ -44,6 +44,8 @@
         resume_after: Id of the last event that the caller has received, or
             None if the stream is not resumed.
         size: Size of a model request, or None for other requests.
+        shared_parts: Ids of the parts of the prompt that other requests may
+            share, in order.
     """
 
     request_id: str
@@ -57,6 +59,7 @@
     arrived_at: float
     resume_after: str | None
     size: PromptSize | None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
@@ -158,6 +161,8 @@
         encoded: Whether the body has a content encoding.
         fault_address: Address of the upstream that caused the failure if it
             is not the one that responded, or None.
+        framed: Whether the body has a length or chunks. If not, it ends with
+            its connection, whether or not it is complete.
     """
 
     status: int
@@ -167,6 +172,7 @@
     not_run: bool
     encoded: bool
     fault_address: str | None
+    framed: bool = True
 
 
 EndKind = Literal["complete", "not_sent", "broken", "timeout", "cancelled"]
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -343,6 +343,7 @@
             end=end,
             detail=detail,
             status=head.status if head else None,
+            framed=head.framed if head else None,
             events=self._event_count,
             after_s=round(clock.now() - attempt.started_at, 4),
             outcome=result.value if result else "served",
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -122,6 +122,9 @@
 placed; twice the delay of a message. When an engine becomes free, all gateways
 hear of it at once and would choose it together."""
 
+MAX_LOGGED_PARTS: Final = 8
+"""Parts of a prompt in the log line of an accepted request."""
+
 SLOT_RESERVATION_S: Final = 0.25
 """Time for which slots stay reserved after an on-time request could not be
 placed; the shortest target time to the first event."""
@@ -289,6 +292,7 @@
             config_version=decision.config_version,
             time_left_s=round(decision.deadline - req.arrived_at, 3),
             tokens=req.size.prompt_tokens if req.size else None,
+            shared_parts=req.shared_parts[:MAX_LOGGED_PARTS],
             resume_after=req.resume_after,
         )
         now = clock.now()
--- a/src/apricottrestle/hashing.py
+++ b/src/apricottrestle/hashing.py
@@ -1,6 +1,7 @@
 """Hash functions whose results are the same in every process.
 
-Rendezvous hashing, hashes of prefix blocks, and digests of token streams.
+Rendezvous hashing, hashes of texts and prefix blocks, and digests of token
+streams.
 """
 
 import struct
@@ -19,6 +20,11 @@
 """
 
 
+def text_digest(text: str) -> str:
+    """Returns the 64-bit hash of a text as 16 hex digits."""
+    return xxhash.xxh3_64_hexdigest(text.encode())
+
+
 def rendezvous_score(key: str, member: str) -> int:
     """Returns the 64-bit rendezvous hash of a key and a member."""
     return xxhash.xxh3_64_intdigest(f"{key}\x00{member}".encode())
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -12,7 +12,7 @@
 
 from tornado import http1connection, httpserver, httputil, web
 
-from apricottrestle import http_server
+from apricottrestle import hashing, http_server
 from apricottrestle.gateway import calls, clock, graceful_stop
 from apricottrestle.platform import names
 
@@ -22,6 +22,13 @@
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 """Limit of a request's body, above any limit in the configuration."""
 
+MAX_SHARED_PARTS: Final = 128
+"""Number of parts of a prompt that are kept, the first ones."""
+
+MAX_PART_ID_CHARS: Final = 32
+"""Longer ids are replaced by their hash: callers choose them, and gateways keep
+and exchange them."""
+
 _LOG: Final = logging.getLogger(__name__)
 _BEARER_PREFIX: Final = "bearer "
 
@@ -66,6 +73,24 @@
     )
 
 
+def _parse_shared_parts(headers: httputil.HTTPHeaders) -> tuple[str, ...]:
+    """Returns the ids of a prompt's parts except the last, its own one."""
+    entries = headers.get(names.PROMPT_PARTS, "").split(",")[:-1]
+    part_ids = [
+        entry.partition(":")[0].strip() for entry in entries[:MAX_SHARED_PARTS]
+    ]
+    # Duplicates are dropped, so that a part counts once for each request.
+    return tuple(
+        dict.fromkeys(
+            part_id
+            if len(part_id) <= MAX_PART_ID_CHARS
+            else hashing.text_digest(part_id)
+            for part_id in part_ids
+            if part_id
+        )
+    )
+
+
 def _parse_api_key(headers: httputil.HTTPHeaders) -> str | None:
     value = headers.get(names.AUTHORIZATION, "")
     if not value.lower().startswith(_BEARER_PREFIX):
@@ -110,6 +135,7 @@
         arrived_at,
         headers.get(names.LAST_EVENT_ID),
         _parse_prompt_size(headers),
+        _parse_shared_parts(headers),
     )
 
 
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -306,6 +306,7 @@
         names.NOT_RUN in headers or start.code == _HTTP_MISDIRECTED_REQUEST,
         "Content-Encoding" in headers,
         headers.get(names.FAILED_ADDRESS),
+        "Content-Length" in headers or "Transfer-Encoding" in headers,
     )
 
 
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -8,13 +8,14 @@
 import pytest
 from tornado import httputil
 
-from apricottrestle import errors
+from apricottrestle import errors, hashing
 from apricottrestle.platform import (
     caller_server,
     codec,
     names,
     settings_file,
     store_client,
+    upstream_client,
 )
 
 CONFIG: dict[str, Any] = {
@@ -303,3 +304,52 @@
         "10.200.1.8:8223",
         "10.200.1.7:8223",
     ]
+
+
+@pytest.mark.parametrize(
+    ("value", "parts"),
+    [
+        (None, ()),
+        ("", ()),
+        ("a1:40", ()),
+        ("a1:40,b2:900,c3:80", ("a1", "b2")),
+        (" a1:40 , b2 ,c3:80", ("a1", "b2")),
+        ("a1:40,a1:40,c3:80", ("a1",)),
+        (":40,,c3:80", ()),
+        ("a1:40,", ("a1",)),
+        (f"{'f' * 33}:1,c3:80", (hashing.text_digest("f" * 33),)),
+        (
+            ",".join(f"{n}:1" for n in range(500)),
+            tuple(str(n) for n in range(caller_server.MAX_SHARED_PARTS)),
+        ),
+    ],
+)
+def test_shared_parts_of_a_prompt_are_decoded(
+    value: str | None, parts: tuple[str, ...]
+) -> None:
+    """Guards against a request's own part, or endless ids, in shared state."""
+    headers = httputil.HTTPHeaders({names.TOKEN_USAGE: "1460,80"})
+    if value is not None:
+        headers[names.PROMPT_PARTS] = value
+    start = httputil.RequestStartLine("POST", "/x", "HTTP/1.1")
+    got = caller_server.decode_request(start, headers, b"", 0.0)
+    assert got.shared_parts == parts
+
+
+@pytest.mark.parametrize(
+    ("header", "framed"),
+    [
+        ("Content-Length: 4\r\n", True),
+        ("Transfer-Encoding: chunked\r\n", True),
+        ("", False),
+    ],
+)
+def test_response_head_says_whether_the_body_is_framed(
+    header: str, framed: bool
+) -> None:
+    """Guards against taking the end of a connection for the end of a body."""
+    head = upstream_client.parse_response_head(
+        ["HTTP/1.1 200 OK\r\n", *([header] if header else []), "\r\n"]
+    )
+    assert head is not None
+    assert head.framed == framed
