--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -27,6 +27,20 @@
     first_event: int
 
 
+class Delivery(NamedTuple):
+    """A request that reached an upstream, whether or not it was run.
+
+    Attributes:
+        request_id: Id of the caller's attempt.
+        upstream_id: Id of the upstream.
+        at_s: Time of the arrival.
+    """
+
+    request_id: str
+    upstream_id: str
+    at_s: float
+
+
 class Attempt:
     """An attempt of a caller at a request.
 
@@ -72,6 +86,11 @@
 
     Attributes:
         runs: Requests that upstreams started to run.
+        deliveries: Requests that reached upstreams.
+        prompt_crashes: Times at which a part of a prompt crashed an engine, by
+            the part.
+        disturbed: Gateways that were started, killed or cut off: address and
+            time.
         requests: The attempts of each request.
         leaks: Reservations that were not released in time: upstream id and
             reservation id.
@@ -83,6 +102,9 @@
     def __init__(self) -> None:
         """Creates an empty ledger."""
         self.runs: list[RunRecord] = []
+        self.deliveries: list[Delivery] = []
+        self.prompt_crashes: dict[str, list[float]] = {}
+        self.disturbed: list[tuple[str, float]] = []
         self.requests: list[list[Attempt]] = []
         self.leaks: list[tuple[str, str]] = []
         self.late_dispatches: list[tuple[str, float]] = []
@@ -91,6 +113,18 @@
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
+TOLERATED_CRASHES = 5
+"""Crashes by one part of a prompt after which the fleet must stop it."""
+
+MAX_LATE_DELIVERIES = 3
+"""Requests with a part that has crashed TOLERATED_CRASHES upstreams which may
+still reach upstreams after the settle time."""
+
+MIN_SOUND_SHARE = 0.5
+MIN_SOUND_REQUESTS = 20
+"""Requests without such a part must begin at least this often, as a share of
+how often they do without a fault, if there are enough to tell."""
+
 
 def find_violations(ledger: Ledger) -> list[str]:
     """Returns a line for each violation of a rule, tagged with the rule.
@@ -129,6 +163,110 @@
     return lines
 
 
+def find_prompt_violations(ledger: Ledger, settle_s: float) -> list[str]:
+    """Returns violations of the rules on parts of prompts that crash engines.
+
+    The tags mean:
+
+    - BUDGET: Requests with such a part reached engines after it had crashed
+      TOLERATED_CRASHES of them and the settle time was over.
+    - LOST: Other requests with the same team or first part began less often.
+
+    Args:
+        ledger: What happened.
+        settle_s: Time after a disturbance of a gateway in which it may still
+            act on what it knew before.
+    """
+    lines = []
+    began = {run.request_id for run in ledger.runs}
+    attempts = {
+        attempt.request_id: attempt
+        for attempts in ledger.requests
+        for attempt in attempts
+    }
+    for part, crashes in ledger.prompt_crashes.items():
+        judged = sorted(crashes)[:TOLERATED_CRASHES][-1]
+        late = [
+            delivery
+            for delivery in ledger.deliveries
+            if delivery.at_s > judged + settle_s
+            and part in attempts[delivery.request_id].arrival.shared_parts
+            and _is_settled(
+                ledger,
+                attempts[delivery.request_id].gateway,
+                delivery.at_s,
+                settle_s,
+            )
+        ]
+        if len(crashes) >= TOLERATED_CRASHES and (
+            len(late) > MAX_LATE_DELIVERIES
+        ):
+            lines.append(
+                f"BUDGET {part}: {len(late)} requests reached engines after "
+                f"{judged + settle_s:.2f} s, {len(crashes)} crashes in all"
+            )
+        lines += _check_sound_requests(
+            ledger, part, began, min(crashes), judged + 2 * settle_s, settle_s
+        )
+    return lines
+
+
+def _is_settled(
+    ledger: Ledger, gateway: str, at_s: float, settle_s: float
+) -> bool:
+    """Returns whether a gateway has been undisturbed for the settle time."""
+    return not any(
+        address == gateway and at_s - settle_s < disturbed_s <= at_s
+        for address, disturbed_s in ledger.disturbed
+    )
+
+
+def _check_sound_requests(
+    ledger: Ledger,
+    part: str,
+    began: set[str],
+    first_crash_s: float,
+    judged_s: float,
+    settle_s: float,
+) -> list[str]:
+    first_attempts = [attempts[0] for attempts in ledger.requests if attempts]
+    bad = [
+        attempt
+        for attempt in first_attempts
+        if part in attempt.arrival.shared_parts
+    ]
+    names = {attempt.arrival.kind.name for attempt in bad}
+    teams = {attempt.arrival.team for attempt in bad}
+    first_parts = {attempt.arrival.shared_parts[0] for attempt in bad}
+    all_bad = set(ledger.prompt_crashes)
+    sound = [
+        attempt
+        for attempt in first_attempts
+        if attempt.arrival.kind.name in names
+        and not all_bad.intersection(attempt.arrival.shared_parts)
+        and (
+            attempt.arrival.team in teams
+            or attempt.arrival.shared_parts[0] in first_parts
+        )
+        and _is_settled(ledger, attempt.gateway, attempt.sent_s, settle_s)
+    ]
+    last_bad_s = max(attempt.sent_s for attempt in bad)
+    before = [attempt for attempt in sound if attempt.sent_s < first_crash_s]
+    after = [
+        attempt for attempt in sound if judged_s < attempt.sent_s < last_bad_s
+    ]
+    if min(len(before), len(after)) < MIN_SOUND_REQUESTS:
+        return []
+    usual = sum(attempt.request_id in began for attempt in before) / len(before)
+    share = sum(attempt.request_id in began for attempt in after) / len(after)
+    if share >= MIN_SOUND_SHARE * usual:
+        return []
+    return [
+        f"LOST {part}: {share:.2f} of {len(after)} sound requests began, "
+        f"{usual:.2f} of {len(before)} before the first crash"
+    ]
+
+
 def _check_attempt(attempt: Attempt, runs: list[RunRecord]) -> list[str]:
     lines = []
     kind = attempt.arrival.kind
--- a/src/apricottrestle_standins/platform/virtual_upstreams.py
+++ b/src/apricottrestle_standins/platform/virtual_upstreams.py
@@ -4,7 +4,7 @@
 import collections
 import random
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import Final, Literal, NamedTuple
 
 from apricottrestle import errors
 from apricottrestle.gateway import calls
@@ -23,6 +23,22 @@
 """Time after the end of a run in which its reservations must be released."""
 
 
+RESTART_S: Final = 3.0
+"""Time after which an engine that a prompt has crashed is back."""
+
+
+class PromptFault(NamedTuple):
+    """Parts of prompts that crash each engine that begins to answer them.
+
+    Attributes:
+        parts: Ids of the parts.
+        progress: What the caller's gateway still gets of the answer.
+    """
+
+    parts: frozenset[str]
+    progress: Literal["nothing", "head", "half_event", "event"] = "head"
+
+
 class IncomingCall(NamedTuple):
     """A call that an upstream receives."""
 
@@ -37,6 +53,8 @@
     Attributes:
         request_id: Id of the request.
         ended: Whether the response or the call has ended.
+        framed: Whether the end of the connection differs from the end of the
+            response.
         unreachable: Whether the gateway's machine has lost power, which the
             upstream notices when it writes to the connection.
         on_cancel: Called when the upstream notices that the call has ended.
@@ -50,6 +68,7 @@
         self._delay_s = delay_s
         self.request_id = request_id
         self.ended = False
+        self.framed = True
         self.unreachable = False
         self.on_cancel: Callable[[], None] | None = None
         self._in_flight: collections.deque[Callable[[], None]] = (
@@ -66,11 +85,21 @@
         if self.on_cancel is not None:
             loop.call_later(self._delay_s, self.on_cancel)
 
-    def head(self, status: int, *, not_run: bool = False) -> None:
+    def head(
+        self, status: int, *, not_run: bool = False, framed: bool = True
+    ) -> None:
         """Delivers the head of the response, with the upstream's signature."""
         head = calls.ResponseHead(
-            status, (), self.request_id, not not_run, not_run, False, None
+            status,
+            (),
+            self.request_id,
+            not not_run,
+            not_run,
+            False,
+            None,
+            framed,
         )
+        self.framed = framed
         self._deliver_later(lambda: self._sink.on_head(head))
 
     def data(self, data: bytes) -> None:
@@ -112,8 +141,12 @@
         draining_since: Time at which its drain notice was stored, or None.
         started_at_ms: Start time of its process, as listed; increases at each
             restart.
+        cut_event: What a crash sends of the next event of each answer without
+            a length; empty if it cuts them between events.
     """
 
+    cut_event = b"id: "
+
     def __init__(
         self,
         upstream_id: str,
@@ -147,8 +180,11 @@
         for transfer in list(self.transfers):
             if dark:
                 loop.call_later(SILENT_CONN_TIMEOUT_S, transfer.end, "broken")
-            else:
+            elif transfer.framed:
                 transfer.end("broken")
+            else:
+                transfer.data(self.cut_event)
+                transfer.end("complete")
         self.transfers.clear()
 
     def restart(self) -> None:
@@ -240,8 +276,15 @@
         jobs: Running and queued jobs by request id, with their calls.
         helpers_of: Helpers of each job.
         reservation_expiries: Expiry time of each reservation.
+        frames_answers: Whether answers have a length or chunks.
+        prompt_fault: Parts of prompts that crash the engine, or None.
+        on_prompt_crash: Called with the part that has crashed the engine.
     """
 
+    frames_answers = True
+    prompt_fault: PromptFault | None = None
+    on_prompt_crash: Callable[["EngineUpstream", str], None]
+
     def __init__(
         self,
         upstream_id: str,
@@ -347,12 +390,32 @@
                     emitted.event_id,
                 )
             )
-            transfer.head(200)
-        transfer.data(f"id: {emitted.event_id}\ndata: x\n\n".encode())
+            if self._crash_by_prompt(incoming, emitted.event_id):
+                return
+            transfer.head(200, framed=self.frames_answers)
+        transfer.data(_event(emitted.event_id))
         if emitted.last:
             transfer.end("complete")
             self._remove_job(job)
 
+    def _crash_by_prompt(self, incoming: IncomingCall, event_id: int) -> bool:
+        """Crashes if the answer that begins is on a part that crashes it."""
+        fault = self.prompt_fault
+        if fault is None:
+            return False
+        bad_parts = fault.parts.intersection(incoming.call.req.shared_parts)
+        if not bad_parts:
+            return False
+        transfer = incoming.transfer
+        if fault.progress != "nothing":
+            transfer.head(200, framed=self.frames_answers)
+        if fault.progress == "half_event":
+            transfer.data(_event(event_id)[:7])
+        elif fault.progress == "event":
+            transfer.data(_event(event_id))
+        self.on_prompt_crash(self, min(bad_parts))
+        return True
+
     def _cancel_job(self, job: engine_passes.Job) -> None:
         self.passes.remove(job)
         for helper in self.helpers_of.get(job.job_id, []):
@@ -415,6 +478,10 @@
         return asyncio.get_running_loop().time() * 1000
 
 
+def _event(event_id: int) -> bytes:
+    return f"id: {event_id}\ndata: x\n\n".encode()
+
+
 class VirtualUpstreams(calls.UpstreamClient):
     """A gateway's client of all upstreams.
 
@@ -470,6 +537,17 @@
             # Connecting to an unreachable machine times out.
             loop.call_later(0.4, transfer.end, "not_sent")
             return
+        upstream.run_ledger.deliveries.append(
+            ledger.Delivery(
+                call.req.request_id,
+                upstream.upstream_id,
+                asyncio.get_running_loop().time(),
+            )
+        )
+        if call.upstream_id != upstream.upstream_id:
+            transfer.head(421, not_run=True)
+            transfer.end("complete")
+            return
         arrival = self.arrivals[call.req.request_id]
         if not isinstance(upstream, EngineUpstream):
             upstream.arrive(incoming, arrival)
--- a/src/apricottrestle_standins/platform/workload.py
+++ b/src/apricottrestle_standins/platform/workload.py
@@ -142,6 +142,7 @@
         events: Number of events of the response; 0 for a plain service.
         work_s: Service time at a plain service.
         error_rate: Share of its runs at a plain service that fail.
+        shared_parts: Ids of the parts of the prompt that others share.
     """
 
     at_s: float
@@ -152,6 +153,7 @@
     events: int
     work_s: float
     error_rate: float
+    shared_parts: tuple[str, ...] = ()
 
 
 class Burst(NamedTuple):
@@ -174,6 +176,8 @@
 
 TEAMS: Final = 10
 TEAM_ZIPF_EXPONENT: Final = 1.2
+SHARED_PARTS: Final = 60
+PART_ZIPF_EXPONENT: Final = 0.5
 SAFE_ERROR_RATE: Final = 0.14
 MEAN_WORK_S: Final = 0.03
 WORK_SPREAD: Final = 0.5
@@ -197,6 +201,11 @@
         bursts: Temporary increases of rates.
     """
     weights = [1 / (rank + 1) ** TEAM_ZIPF_EXPONENT for rank in range(TEAMS)]
+    # A generator of its own keeps the other choices of a seed unchanged.
+    part_rng = random.Random(0)
+    part_weights = [
+        1 / (rank + 1) ** PART_ZIPF_EXPONENT for rank in range(SHARED_PARTS)
+    ]
     arrivals = []
     for kind in site.kinds:
         at = 0.0
@@ -229,11 +238,62 @@
                     _draw_length(kind.events, 0.6, 2.5 * kind.events, rng),
                     _draw_work_s(rng),
                     SAFE_ERROR_RATE if kind.route_kind == "safe" else 0.0,
+                    (_draw_part(kind, part_weights, part_rng),)
+                    if kind.tokens
+                    else (),
                 )
             )
     return sorted(arrivals, key=lambda arrival: arrival.at_s)
 
 
+def generate_prompts(
+    kind: Kind,
+    rng: random.Random,
+    *,
+    per_s: float,
+    start_s: float,
+    end_s: float,
+    team: int,
+    shared_parts: tuple[str, ...],
+    data_centres: int,
+) -> list[Arrival]:
+    """Returns requests of one team whose prompts share some parts.
+
+    Args:
+        kind: Kind of request.
+        rng: Source of random choices.
+        per_s: Requests per second.
+        start_s: Start, in seconds from the start of the traffic.
+        end_s: End, in seconds from the start of the traffic.
+        team: Index of the team.
+        shared_parts: Ids of the shared parts.
+        data_centres: Number of data centres that the callers are in.
+    """
+    arrivals = []
+    at = start_s + rng.expovariate(per_s)
+    while at < end_s:
+        arrivals.append(
+            Arrival(
+                at,
+                kind,
+                rng.randrange(data_centres),
+                team,
+                _draw_length(kind.tokens, kind.spread, kind.max_tokens, rng),
+                _draw_length(kind.events, 0.6, 2.5 * kind.events, rng),
+                0.0,
+                0.0,
+                shared_parts,
+            )
+        )
+        at += rng.expovariate(per_s)
+    return arrivals
+
+
+def _draw_part(kind: Kind, weights: list[float], rng: random.Random) -> str:
+    """Draws the part of a prompt that other requests of its kind share."""
+    return f"{kind.name}-{rng.choices(range(len(weights)), weights)[0]}"
+
+
 def _burst_team(bursts: tuple[Burst, ...], kind: Kind, at: float) -> int | None:
     """Returns the team of the burst that is active at a time, or None."""
     for burst in bursts:
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -41,6 +41,9 @@
 GRACE_S: Final = 8.0
 """Time between the signal that stops a gateway and the end of its process."""
 
+LEASE_S: Final = 3.6
+"""Time without a heartbeat of an upstream after which its entry expires."""
+
 START_TIME_S: Final = 0.6
 """Time after the end of a gateway's process in which a new one starts."""
 
@@ -244,6 +247,7 @@
         ]
         for engine in self.engines:
             engine.peers = self.engines
+            engine.on_prompt_crash = self._on_prompt_crash
         self.plain = [
             virtual_upstreams.PlainUpstream(
                 f"plain-{n}",
@@ -336,6 +340,48 @@
             },
         )
 
+    def set_prompt_fault(
+        self, fault: virtual_upstreams.PromptFault | None
+    ) -> None:
+        """Sets which parts of prompts crash engines."""
+        for engine in self.engines:
+            engine.prompt_fault = fault
+
+    def _on_prompt_crash(
+        self, engine: virtual_upstreams.EngineUpstream, part: str
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        self.run_ledger.prompt_crashes.setdefault(part, []).append(now)
+        self._tasks.append(
+            asyncio.ensure_future(
+                self.crash_and_replace(engine, virtual_upstreams.RESTART_S)
+            )
+        )
+
+    async def crash_and_replace(
+        self, engine: virtual_upstreams.EngineUpstream, down_s: float
+    ) -> None:
+        """Crashes an engine, whose next process has another id.
+
+        Its list entry expires, and the next process has its address.
+        """
+        ended_id = engine.upstream_id
+        engine.crash(dark=False)
+        lease_left_s = LEASE_S * self.rng.uniform(0.67, 1.0)
+        await asyncio.sleep(min(down_s, lease_left_s))
+        if lease_left_s <= down_s:
+            self.log.append_upstream_change(ended_id, None)
+            await asyncio.sleep(down_s - lease_left_s)
+        self._start_count += 1
+        engine.restart()
+        engine.upstream_id = f"{engine.address}-{self._start_count}"
+        self.log.append_upstream_change(
+            engine.upstream_id, self.list_entry(engine)
+        )
+        if lease_left_s > down_s:
+            await asyncio.sleep(lease_left_s - down_s)
+            self.log.append_upstream_change(ended_id, None)
+
     def publish_next(self) -> None:
         """Publishes the same configuration as the next version."""
         self.config = self.config._replace(version=self.config.version + 1)
@@ -345,6 +391,7 @@
         """Starts a gateway at the address of its number, also after a kill."""
         self._start_count += 1
         address = f"gateway-{number}"
+        self.disturb(address)
         view = virtual_store.VirtualStore(self.log)
         client = virtual_upstreams.VirtualUpstreams(
             self.by_address,
@@ -382,6 +429,12 @@
         node.start(VirtualLink(self, address))
         return row
 
+    def disturb(self, address: str) -> None:
+        """Records a disturbance of a gateway, for the checks of the ledger."""
+        self.run_ledger.disturbed.append(
+            (address, asyncio.get_running_loop().time())
+        )
+
     def kill_gateway(self, address: str) -> None:
         """Kills a gateway, which closes the connections of its callers."""
         self.gateways[address].upstreams.kill()
@@ -550,6 +603,7 @@
                 )
                 if kind.tokens
                 else None,
+                arrival.shared_parts,
             ),
             connection,
         )
--- /dev/null
+++ b/tests/test_world_crashing_prompts.py
@@ -0,0 +1,220 @@
+"""Tests prompts with a part that crashes engines, in a simulated fleet.
+
+The pattern: each engine that begins to answer a request with one part in its
+prompt crashes and is back after some seconds. Such requests come at any
+gateway, and others share their team and their other parts.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final, Literal, NamedTuple
+
+import pytest
+
+from apricottrestle_standins.platform import (
+    ledger,
+    virtual_time,
+    virtual_upstreams,
+    workload,
+    world,
+)
+
+SMALL = workload.SITES["zimska-trgatev"]
+GROWN = workload.SITES["zimska-trgatev-grown"]
+SETTLE_S: Final = 3.0
+FIRST_BAD_S: Final = 6.0
+BAD_TEAM: Final = 1
+
+Faults = Callable[[world.World], Awaitable[None]]
+
+
+class Case(NamedTuple):
+    """A day with parts of prompts that crash engines.
+
+    Attributes:
+        site: Deployment.
+        bad_prompts: Shared parts of each kind of prompt that crashes engines.
+        sound_prompts: Shared parts of the other prompts of the same team.
+        bad_parts: The parts that crash engines.
+        bad_per_s: Prompts per second of each kind that crashes engines.
+        length_s: Duration of the traffic.
+        progress: What gateways get of an answer that crashes its engine.
+        framed: Whether answers have a length or chunks.
+        cut_event: What a crash sends of other answers' next event.
+        faults: Injects faults, or None.
+    """
+
+    site: workload.Site = SMALL
+    bad_prompts: tuple[tuple[str, ...], ...] = (("first", "bad"),)
+    sound_prompts: tuple[tuple[str, ...], ...] = (("first",),)
+    bad_parts: frozenset[str] = frozenset(("bad",))
+    bad_per_s: float = 6.0
+    length_s: float = 25.0
+    progress: Literal["nothing", "head", "half_event", "event"] = "head"
+    framed: bool = True
+    cut_event: bytes = b"id: "
+    faults: Faults | None = None
+
+
+async def _kill_one(fleet: world.World) -> None:
+    """Kills each gateway once, one after the other."""
+    await asyncio.sleep(9.0)
+    for number in range(len(fleet.gateways)):
+        fleet.kill_gateway(f"gateway-{number}")
+        await asyncio.sleep(0.5)
+        fleet.start_gateway(number)
+        await asyncio.sleep(1.5)
+
+
+async def _kill_all(fleet: world.World) -> None:
+    """Kills all gateways at once, shortly after the first crashes."""
+    await asyncio.sleep(FIRST_BAD_S + 4.0)
+    rows = list(fleet.gateways.values())
+    for row in rows:
+        fleet.kill_gateway(row.address)
+    await asyncio.sleep(1.0)
+    for row in rows:
+        fleet.start_gateway(row.data_centre)
+
+
+async def _kill_all_without_store(fleet: world.World) -> None:
+    """Kills all gateways after an outage of the store during the crashes."""
+    await asyncio.sleep(FIRST_BAD_S - 1.0)
+    views = [row.store for row in fleet.gateways.values()]
+    for view in views:
+        view.fault = "refuse"
+    await asyncio.sleep(6.0)
+    for view in views:
+        view.fault = ""
+    await asyncio.sleep(3.0)
+    rows = list(fleet.gateways.values())
+    for row in rows:
+        fleet.kill_gateway(row.address)
+    await asyncio.sleep(1.0)
+    for row in rows:
+        fleet.start_gateway(row.data_centre)
+
+
+async def _cut_one_off(fleet: world.World) -> None:
+    """Partitions a gateway from the others during the first crashes."""
+    address, *others = sorted(fleet.gateways)
+    await asyncio.sleep(FIRST_BAD_S - 1.0)
+    pairs = {frozenset((address, other)) for other in others}
+    fleet.partitioned |= pairs
+    for _ in range(8):
+        fleet.disturb(address)
+        await asyncio.sleep(1.0)
+    fleet.partitioned -= pairs
+    fleet.disturb(address)
+
+
+async def _lose_and_repeat_frames(fleet: world.World) -> None:
+    """Loses a third of the frames between gateways and repeats a third."""
+    rng = random.Random(5)
+
+    def delays_s() -> tuple[float, ...]:
+        copies = rng.choice((0, 1, 2))
+        return tuple(rng.uniform(0.001, 0.05) for _ in range(copies))
+
+    fleet.frame_delays_s = delays_s
+
+
+CASES: Final = {
+    "head": Case(),
+    "nothing": Case(progress="nothing"),
+    "half_event": Case(progress="half_event"),
+    "event": Case(progress="event"),
+    "unframed": Case(framed=False),
+    "unframed_at_edge": Case(framed=False, progress="event", cut_event=b""),
+    "unframed_without_event": Case(framed=False, cut_event=b""),
+    "first_part": Case(
+        bad_prompts=(("bad", "second"),),
+        sound_prompts=(("other", "second"), ("second",)),
+    ),
+    "middle_part": Case(
+        bad_prompts=(("first", "bad", "third"),),
+        sound_prompts=(("first", "third"), ("first",)),
+    ),
+    "first_parts_differ": Case(
+        bad_prompts=(("a", "bad"), ("b", "bad"), ("c", "bad"), ("d", "bad")),
+        sound_prompts=(("a",), ("b",), ("c",), ("d",)),
+        bad_per_s=1.5,
+    ),
+    "two_bad_parts": Case(
+        bad_prompts=(("first", "bad"), ("first", "worse")),
+        bad_parts=frozenset(("bad", "worse")),
+        bad_per_s=3.0,
+    ),
+    "rare": Case(bad_per_s=0.5, length_s=50.0),
+    "many": Case(bad_per_s=40.0),
+    "three_gateways": Case(site=SMALL._replace(gateways=3)),
+    "ten_gateways": Case(site=GROWN._replace(gateways=10)),
+    "many_gateways": Case(site=GROWN._replace(gateways=28), bad_per_s=10.0),
+    "gateways_restart": Case(faults=_kill_one, length_s=30.0),
+    "all_gateways_restart": Case(faults=_kill_all, length_s=30.0),
+    "all_restart_after_outage": Case(
+        faults=_kill_all_without_store, length_s=30.0
+    ),
+    "gateway_cut_off": Case(faults=_cut_one_off, length_s=30.0),
+    "frames_lost": Case(faults=_lose_and_repeat_frames),
+}
+
+
+def _arrivals(case: Case, rng: random.Random) -> list[workload.Arrival]:
+    """Returns the usual load, and prompts that share a team and parts."""
+    kind = case.site.kinds[0]
+    arrivals = workload.generate_arrivals(case.site, case.length_s, rng)
+    for parts in case.bad_prompts:
+        arrivals += workload.generate_prompts(
+            kind,
+            rng,
+            per_s=case.bad_per_s,
+            start_s=FIRST_BAD_S,
+            end_s=case.length_s,
+            team=BAD_TEAM,
+            shared_parts=parts,
+            data_centres=case.site.data_centres,
+        )
+    for parts in case.sound_prompts:
+        arrivals += workload.generate_prompts(
+            kind,
+            rng,
+            per_s=5.0 / len(case.sound_prompts),
+            start_s=0.0,
+            end_s=case.length_s,
+            team=BAD_TEAM,
+            shared_parts=parts,
+            data_centres=case.site.data_centres,
+        )
+    return sorted(arrivals, key=lambda arrival: arrival.at_s)
+
+
+def _play(case: Case, seed: int) -> ledger.Ledger:
+    async def main() -> ledger.Ledger:
+        fleet = world.World(case.site, seed)
+        fleet.set_prompt_fault(
+            virtual_upstreams.PromptFault(case.bad_parts, case.progress)
+        )
+        for engine in fleet.engines:
+            engine.frames_answers = case.framed
+            engine.cut_event = case.cut_event
+        return await fleet.run_workload(
+            _arrivals(case, random.Random(seed)),
+            case.faults(fleet) if case.faults else None,
+        )
+
+    return virtual_time.run(main())
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("name", CASES)
+def test_prompts_that_crash_engines_are_stopped(name: str, seed: int) -> None:
+    """Guards against engines that crash one after the other by one part.
+
+    Sound requests of the same team or with the same other parts are served.
+    """
+    run_ledger = _play(CASES[name], seed)
+    assert run_ledger.prompt_crashes
+    assert ledger.find_prompt_violations(run_ledger, SETTLE_S) == []
+    assert ledger.find_violations(run_ledger) == []
