Report a reservation without a response as an upstream error

Cause: tornado raises curl's errors whatever `raise_error` is. The check of `response.error` never ran, so `reserve` and `release` raised CurlError.

--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -364,11 +364,13 @@
             follow_redirects=False,
             decompress_response=False,
         )
-        response = await self._client.fetch(req, raise_error=False)
-        if isinstance(response.error, curl_httpclient.CurlError):
+        try:
+            # Raises if there is no response, whatever `raise_error` is.
+            response = await self._client.fetch(req, raise_error=False)
+        except curl_httpclient.CurlError as exc:
             raise errors.UpstreamError(
-                f"no response to the reservation request: {response.error}",
+                f"no response to the reservation request: {exc}",
                 step="reserve",
                 peer=reservation.upstream_id,
-            )
+            ) from exc
         return response.code
--- a/tests/test_platform_upstream_client.py
+++ b/tests/test_platform_upstream_client.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from apricottrestle import errors
 from apricottrestle.gateway import calls
 from apricottrestle.platform import upstream_client
 from tests import async_helpers, gateway_parts, scripted_upstream
@@ -285,3 +286,19 @@
     assert int(got.headers["apricottrestle-deadline-ms"]) <= 2000
     assert "authorization" not in got.headers
     assert "accept-encoding" not in got.headers
+
+
+@pytest.mark.parametrize("request_kind", ["reserve", "release"])
+@async_helpers.async_test
+async def test_reservation_without_response_is_an_upstream_error(
+    request_kind: str,
+) -> None:
+    """Guards against a long prompt that is stuck until its deadline.
+
+    Its placement task ended with an error that nothing handled, so it was
+    neither sent nor placed again, and its other reservations were kept.
+    """
+    reservation = calls.Reservation("r-1", "127.0.0.1:1", "up-1", 1000, 1.0)
+    client = upstream_client.HttpUpstreamClient()
+    with pytest.raises(errors.UpstreamError):
+        await getattr(client, request_kind)(reservation)
