--- a/src/apricottrestle/gateway/assembly.py
+++ b/src/apricottrestle/gateway/assembly.py
@@ -12,6 +12,7 @@
 from apricottrestle.gateway import (
     calls,
     clock,
+    crash_store,
     gateway,
     peer_link,
     peer_sync,
@@ -29,6 +30,7 @@
         core: Serves requests.
         peers: Exchanges state with other gateways.
         store_sync: Keeps configuration and upstream list up to date.
+        crash_store: Saves the crashes that prove prompts to be bad.
     """
 
     def __init__(
@@ -56,6 +58,14 @@
         self.store_sync = store_sync.StoreSync(
             fleet_store, self.core.state, self.peers, rng
         )
+        self.crash_store = crash_store.CrashStore(
+            fleet_store,
+            self.core.crashes,
+            lambda: (
+                self.store_sync.reaches_store
+                and self.peers.rank(reaches_store=True) == 0
+            ),
+        )
         self._stack = contextlib.ExitStack()
 
     @property
@@ -77,6 +87,7 @@
             ),
             self.peers.connect_gateways,
         )
+        self.crash_store.start()
         self._stack.enter_context(
             clock.Ticker(
                 gateway.SCHEDULING_INTERVAL_S, self.core.run_scheduling_pass
@@ -85,6 +96,9 @@
         self._stack.enter_context(
             clock.Ticker(peer_sync.PEER_CHECK_INTERVAL_S, self.peers.tick)
         )
+        self._stack.enter_context(
+            clock.Ticker(peer_sync.PEER_CHECK_INTERVAL_S, self.crash_store.tick)
+        )
 
     def apply(self, cfg: settings.GatewaySettings) -> None:
         """Applies new settings to the running gateway.
@@ -109,5 +123,6 @@
         """Stops all components and ends all open requests."""
         self._stack.close()
         self.store_sync.stop()
+        self.crash_store.stop()
         self.peers.stop()
         self.core.close()
--- a/src/apricottrestle/gateway/calls.py
+++ b/src/apricottrestle/gateway/calls.py
@@ -225,6 +225,13 @@
     hold_s: float
 
 
+ProbeResult = Literal["running", "ended", "unknown"]
+"""What is known about the process of an upstream.
+
+ended: nothing listens at its address, or another process does.
+"""
+
+
 class UpstreamClient(abc.ABC):
     """Sends requests and memory reservations to upstreams."""
 
@@ -232,6 +239,18 @@
     def send(self, call: UpstreamCall, sink: ResponseSink) -> Transfer:
         """Starts a call whose response goes to `sink`."""
 
+    @abc.abstractmethod
+    async def probe(
+        self, upstream_id: str, address: str, started_at_ms: int
+    ) -> ProbeResult:
+        """Asks an engine whether a process is still running; never raises.
+
+        Args:
+            upstream_id: Id of the engine.
+            address: Its address, as "ip:port".
+            started_at_ms: Start time of the process, as listed.
+        """
+
     @abc.abstractmethod
     async def reserve(self, reservation: Reservation) -> bool:
         """Reserves memory; returns False if the engine has too little free.
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -18,6 +18,7 @@
     accept,
     calls,
     clock,
+    crash_evidence,
     engine_routing,
     event_stream,
     exchange_host,
@@ -52,6 +53,10 @@
 """Time by which the first event may exceed twice its estimate on an engine on
 probation: about one scheduling pass."""
 
+BEGINNING_EVENTS: Final = 3
+"""Events by which an answer has got past its beginning. An engine that a prompt
+crashes ends as it begins to write the answer."""
+
 MAX_PLAIN_BODY_BYTES: Final = 16 * 1024 * 1024
 """Largest non-stream response; it is buffered until it is complete."""
 
@@ -119,6 +124,11 @@
         """Whether part of a response has been forwarded to the caller."""
         return self._history.response_started
 
+    @property
+    def is_beginning(self) -> bool:
+        """Whether the answer under way hasn't got past its beginning."""
+        return self._event_count < BEGINNING_EVENTS
+
     def time_left_s(self, now: float) -> float:
         """Returns the time until the request's deadline."""
         return self.accepted.deadline - now
@@ -209,7 +219,8 @@
             self._responder.abort()
             self._finish("aborted", reason)
             return
-        if status == accept.UNAVAILABLE and self._history.may_have_run:
+        may_have_run = self._history.may_have_run or self._attempt is not None
+        if status == accept.UNAVAILABLE and may_have_run:
             status, retry_after_s = 502, None
         self._responder.refuse(status, reason, retry_after_s)
         self._finish("refused" if status == 503 else "failed", reason)
@@ -322,7 +333,10 @@
         elif len(chunks) == 1:
             gap_to_report_s = gap_s
         self._host.on_event(self, attempt, gap_to_report_s)
+        was_beginning = self._event_count < BEGINNING_EVENTS
         self._event_count += len(chunks)
+        if was_beginning and self._event_count >= BEGINNING_EVENTS:
+            self._host.on_answer_begun(self)
         self._responder.write(b"".join(chunks))
         self._arm_event_timer()
 
@@ -333,6 +347,45 @@
             return
         self._cancel_stall_timer()
         self._transfer = None
+        if self._may_be_cut(end, head):
+            self._host.probe_upstream(
+                attempt, lambda probed: self._on_probed(attempt, probed)
+            )
+            return
+        self._end_attempt(attempt, end, detail)
+
+    def _may_be_cut(
+        self, end: calls.EndKind, head: calls.ResponseHead | None
+    ) -> bool:
+        """Returns whether a stream has ended where a crash may have cut it.
+
+        A stream that ends inside an event is cut for certain, and so is one
+        without an event, unless it was resumed after its last one.
+        """
+        if end != "complete" or head is None or head.framed:
+            return False
+        return (
+            self.is_stream
+            and self._attempt_result(end, head) is None
+            and head.status == 200
+        )
+
+    def _on_probed(
+        self, attempt: exchange_host.Attempt, probed: calls.ProbeResult
+    ) -> None:
+        """Ends an attempt whose engine was asked whether it is running."""
+        if self._done or self._attempt is not attempt:
+            return
+        if probed == "ended":
+            self._end_attempt(attempt, "broken", "upstream ended")
+        else:
+            self._end_attempt(attempt, "complete", f"upstream {probed}")
+
+    def _end_attempt(
+        self, attempt: exchange_host.Attempt, end: calls.EndKind, detail: str
+    ) -> None:
+        """Reports the end of an attempt, and chooses what follows."""
+        head = self._response_head
         self._attempt = None
         result = self._attempt_result(end, head)
         logs.decision(
@@ -349,6 +402,7 @@
             outcome=result.value if result else "served",
         )
         metrics.SENDS.labels(result.value if result else "served").inc()
+        self._report_progress(attempt, end, result, head)
         self._event_count = 0
         fault = head.fault_address if head is not None else None
         self._host.on_attempt_ended(self, attempt, result, fault)
@@ -357,6 +411,31 @@
         else:
             self._on_failed_attempt(result, head)
 
+    def _report_progress(
+        self,
+        attempt: exchange_host.Attempt,
+        end: calls.EndKind,
+        result: retry_policy.AttemptResult | None,
+        head: calls.ResponseHead | None,
+    ) -> None:
+        """Reports whether a model's answer got past its beginning."""
+        if self.req.size is None:
+            return
+        is_beginning = self._event_count < BEGINNING_EVENTS
+        has_begun = head is not None and head.status == 200
+        if result is None:
+            # A short answer; one without a length may be cut.
+            if is_beginning and has_begun and head is not None and head.framed:
+                self._host.on_answer_begun(self)
+        elif result is retry_policy.AttemptResult.LOST and end in (
+            "broken",
+            "complete",
+        ):
+            suspect = crash_evidence.Suspect(self.req.shared_parts, has_begun)
+            self._host.on_connection_lost(
+                self, attempt, suspect if is_beginning else None
+            )
+
     def _attempt_result(
         self, end: calls.EndKind, head: calls.ResponseHead | None
     ) -> retry_policy.AttemptResult | None:
@@ -371,6 +450,14 @@
             return retry_policy.AttemptResult.FAILED
         if self.is_stream and self._event_splitter.has_partial_event:
             return retry_policy.AttemptResult.LOST
+        if (
+            self.is_stream
+            and head.status == 200
+            and not head.framed
+            and not self._event_count
+            and self.last_event_id is None
+        ):
+            return retry_policy.AttemptResult.LOST
         return None
 
     def _complete_response(self, head: calls.ResponseHead | None) -> None:
--- a/src/apricottrestle/gateway/exchange_host.py
+++ b/src/apricottrestle/gateway/exchange_host.py
@@ -1,9 +1,10 @@
 """The interface between an exchange and the gateway that runs it."""
 
 import abc
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Literal, NamedTuple
 
-from apricottrestle.gateway import calls, retry_policy
+from apricottrestle.gateway import calls, crash_evidence, retry_policy
 
 if TYPE_CHECKING:
     from apricottrestle.gateway import exchange
@@ -29,6 +30,7 @@
         started_at: Monotonic time at which the attempt started.
         first_event_s: Expected time to the first event; 0 for plain calls.
         on_probation: Whether the upstream may be busy with unknown runs.
+        process_started_at_ms: Start time of the upstream's process, as listed.
     """
 
     upstream_id: str
@@ -37,6 +39,7 @@
     started_at: float
     first_event_s: float
     on_probation: bool = False
+    process_started_at_ms: int = 0
 
 
 class ExchangeHost(abc.ABC):
@@ -74,6 +77,32 @@
                 the first one or several events arrived together.
         """
 
+    @abc.abstractmethod
+    def on_answer_begun(self, request: "exchange.Exchange") -> None:
+        """Called when an engine's answer has got past its beginning."""
+
+    @abc.abstractmethod
+    def on_connection_lost(
+        self,
+        request: "exchange.Exchange",
+        attempt: Attempt,
+        suspect: crash_evidence.Suspect | None,
+    ) -> None:
+        """Called when an engine closed the connection before the answer's end.
+
+        Args:
+            request: The exchange.
+            attempt: The attempt.
+            suspect: The request if its answer hadn't got past its beginning, so
+                that it may have crashed the engine.
+        """
+
+    @abc.abstractmethod
+    def probe_upstream(
+        self, attempt: Attempt, callback: Callable[[calls.ProbeResult], None]
+    ) -> None:
+        """Asks whether an attempt's upstream is running, for the callback."""
+
     @abc.abstractmethod
     def on_attempt_ended(
         self,
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -13,6 +13,7 @@
 import logging
 import math
 import random
+from collections.abc import Callable
 from typing import Final
 
 from apricottrestle import hashing, logs, metrics
@@ -20,6 +21,8 @@
     accept,
     calls,
     clock,
+    crash_evidence,
+    crash_guard,
     engine_claims,
     engine_costs,
     engine_load,
@@ -125,6 +128,13 @@
 MAX_LOGGED_PARTS: Final = 8
 """Parts of a prompt in the log line of an accepted request."""
 
+BAD_PROMPT: Final = "crashes_engines"
+"""Reason of the refusal of a prompt with parts that crash engines."""
+
+BAD_PROMPT_RETRY_AFTER_S: Final = 3_600.0
+"""Retry-After of such a refusal: no engine will run the prompt before someone
+has looked into it."""
+
 SLOT_RESERVATION_S: Final = 0.25
 """Time for which slots stay reserved after an on-time request could not be
 placed; the shortest target time to the first event."""
@@ -172,6 +182,9 @@
         """Returns the number of stopping peers that callers may still reach."""
         return 0
 
+    def crashes_changed(self, crash_ids: list[str]) -> None:
+        """Called when this gateway has learned more of crashes of engines."""
+
 
 class Gateway(calls.RequestHandler, exchange_host.ExchangeHost):
     """Serves the requests of callers.
@@ -182,6 +195,7 @@
         slowdowns: Slowdown of each engine relative to its published cost model.
         claims: Claims of all gateways on engines.
         probation: Engines whose load isn't known for certain.
+        crashes: Crashes of engines, and the prompts that cause them.
         peer_calls: Calls of other gateways to plain upstreams, by the
             gateway's incarnation and the upstream's id.
         listener: Receives changes of this gateway's load.
@@ -203,6 +217,9 @@
         self.slowdowns = engine_pace.EngineSlowdowns()
         self.claims = engine_claims.EngineClaims()
         self.probation = engine_probation.EngineProbation()
+        self.crashes = crash_guard.CrashGuard(client)
+        self.crashes.on_changed = self._on_crashes_changed
+        self.crashes.on_verdict = self._end_bad_prompts
         self._on_time_shares = on_time_shares.OnTimeShares()
         self._slots_reserved_until: dict[str, float] = {}
         self._own_claims: dict[exchange.Exchange, str] = {}
@@ -278,6 +295,7 @@
                 status=decision.status,
                 reason=decision.reason,
                 config_version=self.state.config_version,
+                **self._describe_verdict(req),
             )
             return
         logs.decision(
@@ -338,8 +356,56 @@
             req, decision
         ):
             return self._refuse_stopping(req)
+        if isinstance(decision, accept.Accepted) and self._is_bad_prompt(
+            req, decision.service
+        ):
+            return accept.Refused(
+                accept.UNAVAILABLE, BAD_PROMPT, BAD_PROMPT_RETRY_AFTER_S
+            )
         return decision
 
+    def _on_crashes_changed(self, crash_ids: list[str]) -> None:
+        self.listener.crashes_changed(crash_ids)
+
+    def _is_bad_prompt(
+        self, req: calls.CallerRequest, service: fleet_config.Service
+    ) -> bool:
+        """Returns whether a prompt has parts that crash engines."""
+        return (
+            service.engine is not None
+            and self.crashes.verdict_on(req) is not None
+        )
+
+    def _describe_verdict(self, req: calls.CallerRequest) -> dict[str, object]:
+        """Returns the evidence against a prompt, for the log."""
+        verdict = self.crashes.verdict_on(req)
+        if verdict is None:
+            return {}
+        return crash_guard.describe(verdict, self.crashes.evidence, clock.now())
+
+    def _end_bad_prompts(self) -> None:
+        """Ends requests that would crash engines, before they do.
+
+        Answers that have got past their beginning go on: they show that their
+        prompts are sound.
+        """
+        for request in list(self.active):
+            if not self._is_bad_prompt(request.req, request.accepted.service):
+                continue
+            if request in self._waiting:
+                self._refuse_bad_prompt(request)
+            elif request.is_beginning:
+                request.refuse(accept.UNAVAILABLE, BAD_PROMPT, None)
+
+    def _refuse_bad_prompt(self, request: exchange.Exchange) -> None:
+        logs.decision(
+            _LOG,
+            "prompt stopped",
+            request_id=request.req.request_id,
+            **self._describe_verdict(request.req),
+        )
+        self._refuse_waiting(request, BAD_PROMPT, BAD_PROMPT_RETRY_AFTER_S)
+
     def _refuse_stopping(self, req: calls.CallerRequest) -> accept.Refused:
         """Refuses a request; it returns when another gateway can serve it."""
         peers = self.listener.peers_in_rotation()
@@ -469,6 +535,44 @@
             self.slowdowns.record_gap(attempt.upstream_id, gap_s, pass_s, now)
         state.record_event(model, now, now)
 
+    def on_answer_begun(self, request: exchange.Exchange) -> None:
+        """See ExchangeHost.on_answer_begun."""
+        self.crashes.answer_begun(request.req)
+
+    def on_connection_lost(
+        self,
+        request: exchange.Exchange,
+        attempt: exchange_host.Attempt,
+        suspect: crash_evidence.Suspect | None,
+    ) -> None:
+        """See ExchangeHost.on_connection_lost."""
+        self.crashes.connection_lost(
+            attempt.upstream_id,
+            attempt.address,
+            attempt.process_started_at_ms,
+            suspect,
+        )
+
+    def probe_upstream(
+        self,
+        attempt: exchange_host.Attempt,
+        callback: Callable[[calls.ProbeResult], None],
+    ) -> None:
+        """See ExchangeHost.probe_upstream."""
+
+        async def probe() -> None:
+            callback(
+                await self._client.probe(
+                    attempt.upstream_id,
+                    attempt.address,
+                    attempt.process_started_at_ms,
+                )
+            )
+
+        task = asyncio.ensure_future(probe())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def on_attempt_ended(
         self,
         request: exchange.Exchange,
@@ -706,6 +810,9 @@
         service = request.accepted.service
         model = service.engine
         assert model is not None
+        if self._is_bad_prompt(request.req, service):
+            self._refuse_bad_prompt(request)
+            return
         needs = request.engine_needs(now)
         usable = self._engine_candidates(service, model, request, now)
         if not usable:
@@ -866,11 +973,16 @@
             self.claims.remove(claim_id)
             self.listener.claim_removed(claim_id)
 
-    def _refuse_waiting(self, request: exchange.Exchange, reason: str) -> None:
+    def _refuse_waiting(
+        self,
+        request: exchange.Exchange,
+        reason: str,
+        retry_after_s: float = OVERLOAD_RETRY_AFTER_S,
+    ) -> None:
         self._remove_waiting(request)
         self._record_placement(request, on_time=False)
         metrics.REFUSALS.labels(reason).inc()
-        request.refuse(accept.UNAVAILABLE, reason, OVERLOAD_RETRY_AFTER_S)
+        request.refuse(accept.UNAVAILABLE, reason, retry_after_s)
 
     def _engine_candidates(
         self,
@@ -973,6 +1085,7 @@
             now,
             choice.first_event_s,
             self.probation.contains(run.engine, now),
+            entry.started_at_ms,
         )
         self.slowdowns.expect_first_event(
             run.engine, run.run_id, choice.first_event_s, now
@@ -1030,6 +1143,7 @@
 
     def _on_upstream_change(self, change: upstream_list.Change) -> None:
         if change.after == "gone" or change.restarted:
+            self.crashes.upstream_ended(change.upstream_id)
             self._health.forget(change.upstream_id)
             self.slowdowns.forget(change.upstream_id)
             self._preferences.pop(change.upstream_id, None)
@@ -1039,6 +1153,7 @@
         """Cancels pending reservations."""
         for task in self._tasks:
             task.cancel()
+        self.crashes.close()
         self._holds.close()
 
 
--- a/src/apricottrestle/gateway/peer_messages.py
+++ b/src/apricottrestle/gateway/peer_messages.py
@@ -10,6 +10,7 @@
 
 from apricottrestle import errors
 from apricottrestle.gateway import (
+    crash_evidence,
     engine_claims,
     engine_load,
     fleet_config,
@@ -32,6 +33,7 @@
             if it is stopping, time left to accept requests.
         stop_order: Position in the sequence of stops; 0 if the sender isn't
             stopping.
+        crash_digest: Hash of all crashes of engines that the sender knows.
     """
 
     instance_id: str
@@ -42,6 +44,7 @@
     reaches_store: bool = False
     ready: bool = False
     stop_order: int = 0
+    crash_digest: int = 0
 
 
 class StartedRun(msgspec.Struct, array_like=True, frozen=True):
@@ -71,6 +74,7 @@
             sender measured them recently on its own streams.
         claimed: Claims on engines by waiting requests.
         released: Ids of claims that ended.
+        crashes: Crashes of engines of which the sender has learned more.
     """
 
     sender: Sender
@@ -81,6 +85,7 @@
     slowdowns: dict[str, float] = {}
     claimed: list[engine_claims.Claim] = []
     released: list[str] = []
+    crashes: list[crash_evidence.CrashReport] = []
 
 
 class Hello(msgspec.Struct, array_like=True, tag="hello", frozen=True):
@@ -107,6 +112,8 @@
         gateways: Peer addresses of the gateways that the sender counts as
             alive if requested, else empty.
         started: All runs of the sender.
+        crashes: All crashes of engines that the sender knows, if the receiver
+            knows others or none.
     """
 
     sender: Sender
@@ -114,6 +121,7 @@
     upstreams: list[upstream_list.UpstreamEntry]
     gateways: list[str]
     started: list[StartedRun]
+    crashes: list[crash_evidence.CrashReport] = []
 
 
 class ConfigUpdate(msgspec.Struct, array_like=True, tag="config", frozen=True):
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -51,6 +51,10 @@
 """Time after the start in which only the store is asked for configuration and
 upstream list; a few of its calls."""
 
+CRASH_SYNC_S: Final = 0.3
+"""Time for which a peer may know other crashes of engines before it is asked
+for them: longer than the delay of a message."""
+
 RELAY_FANOUT: Final = 3
 """Peers to which a gateway sends a configuration itself; 300 gateways get it
 over five relays."""
@@ -106,6 +110,8 @@
         self._changed_calls: dict[str, int] = {}
         self._new_claims: list[engine_claims.Claim] = []
         self._released_claims: list[str] = []
+        self._changed_crashes: dict[str, None] = {}
+        self._crashes_differ_since: dict[str, float] = {}
         self._heartbeat_scheduled = False
         self._last_heartbeat_at = 0.0
         self._link: peer_link.Link | None = None
@@ -286,6 +292,11 @@
         self._released_claims.append(claim_id)
         self._schedule_heartbeat()
 
+    def crashes_changed(self, crash_ids: list[str]) -> None:
+        """See RunListener.crashes_changed."""
+        self._changed_crashes.update(dict.fromkeys(crash_ids))
+        self._schedule_heartbeat()
+
     def calls_changed(self, upstream_id: str, count: int) -> None:
         """See RunListener.calls_changed."""
         self._changed_calls[upstream_id] = count
@@ -314,8 +325,10 @@
                 self._core.slowdowns.own_slowdowns(now),
                 self._new_claims,
                 self._released_claims,
+                self._core.crashes.evidence.reports(now, self._changed_crashes),
             )
         )
+        self._changed_crashes = {}
         self._new_claims, self._released_claims = [], []
         self._started_runs, self._first_events, self._ended_runs = [], [], []
         self._changed_calls = {}
@@ -330,13 +343,16 @@
             self._store_sync is not None and self._store_sync.reaches_store,
             self._ready(),
             self.stop_order,
+            self._core.crashes.evidence.digest,
         )
 
     def tick(self) -> None:
         """Drops peers that timed out, and sends a heartbeat if one is due."""
         now = clock.now()
         lost, forgotten = self._peers.expire(now)
+        self._core.crashes.tick()
         for peer in lost:
+            self._crashes_differ_since.pop(peer.address, None)
             logs.decision(
                 _LOG,
                 "peer lost",
@@ -392,6 +408,23 @@
                 self._relay_config(message.config, message.relay_to)
             case peer_messages.UpstreamUpdate():
                 self._on_upstreams(message)
+        self._request_unknown_crashes(sender, now)
+
+    def _request_unknown_crashes(
+        self, sender: peer_messages.Sender, now: float
+    ) -> None:
+        """Asks a peer that knows other crashes for all that it knows.
+
+        It has a message that was lost, or knows them from before this process
+        started or was cut off; it asks in turn for what it lacks.
+        """
+        if sender.crash_digest == self._core.crashes.evidence.digest:
+            self._crashes_differ_since.pop(sender.address, None)
+            return
+        since = self._crashes_differ_since.setdefault(sender.address, now)
+        if now >= since + CRASH_SYNC_S:
+            self._crashes_differ_since[sender.address] = now
+            self._send_hello(sender.address)
 
     def _record_sender(self, sender: peer_messages.Sender, now: float) -> None:
         is_new, ended_incarnation = self._peers.record_message(
@@ -454,6 +487,10 @@
             self._core.claims.add(claim, now)
         for claim_id in heartbeat.released:
             self._core.claims.remove(claim_id)
+        if heartbeat.crashes:
+            self._core.crashes.merge(
+                heartbeat.crashes, heartbeat.sender.instance_id
+            )
         for engine, slowdown in heartbeat.slowdowns.items():
             self._core.slowdowns.merge_peer(engine, slowdown, now)
         if heartbeat.calls:
@@ -480,6 +517,8 @@
             )
         for address in welcome.gateways:
             self._connect(address)
+        if welcome.crashes:
+            self._core.crashes.merge(welcome.crashes, source)
         self._drop_runs(welcome.sender.incarnation)
         self._add_runs(welcome.sender.incarnation, welcome.started, now)
 
@@ -596,6 +635,9 @@
                     peer_messages.StartedRun(run, now - started_at)
                     for run, started_at in self._own_runs.values()
                 ],
+                self._core.crashes.evidence.reports(now)
+                if sender.crash_digest != self._core.crashes.evidence.digest
+                else [],
             ),
         )
 
--- a/src/apricottrestle/gateway/store.py
+++ b/src/apricottrestle/gateway/store.py
@@ -8,7 +8,11 @@
 from typing import NamedTuple
 
 from apricottrestle import errors
-from apricottrestle.gateway import fleet_config, upstream_list
+from apricottrestle.gateway import (
+    crash_evidence,
+    fleet_config,
+    upstream_list,
+)
 
 
 class HistoryLostError(errors.PlatformError):
@@ -100,6 +104,18 @@
     async def read_gateways(self) -> list[GatewayEntry]:
         """Returns the entries of all gateways, including stopped ones."""
 
+    @abc.abstractmethod
+    async def read_crashes(self) -> list[crash_evidence.CrashReport]:
+        """Returns the saved crashes of engines; their age is 0."""
+
+    @abc.abstractmethod
+    async def save_crash(self, report: crash_evidence.CrashReport) -> None:
+        """Saves a crash of an engine; replaces what was saved of it before."""
+
+    @abc.abstractmethod
+    async def delete_crash(self, crash_id: str) -> None:
+        """Deletes a saved crash."""
+
     @abc.abstractmethod
     def close(self) -> None:
         """Closes the connections to the store."""
--- a/src/apricottrestle/hashing.py
+++ b/src/apricottrestle/hashing.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Final
 
+import msgspec
 import xxhash
 
 PREFIX_BLOCK_TOKENS: Final = 512
@@ -25,6 +26,11 @@
     return xxhash.xxh3_64_hexdigest(text.encode())
 
 
+def object_digest(value: object) -> int:
+    """Returns the 64-bit hash of a value that MessagePack can encode."""
+    return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(value))
+
+
 def rendezvous_score(key: str, member: str) -> int:
     """Returns the 64-bit rendezvous hash of a key and a member."""
     return xxhash.xxh3_64_intdigest(f"{key}\x00{member}".encode())
--- a/src/apricottrestle/metrics.py
+++ b/src/apricottrestle/metrics.py
@@ -35,6 +35,14 @@
 RETRIES = Counter(
     "apricottrestle_retries", "Attempts after the first", ["reason"]
 )
+ENGINE_CRASHES = Counter(
+    "apricottrestle_engine_crashes",
+    "Crashes of engines that this gateway confirmed, once for each change",
+)
+BAD_PROMPT_PARTS = Gauge(
+    "apricottrestle_bad_prompt_parts",
+    "Sets of prompt parts that are refused because they crash engines",
+)
 FIRST_TOKEN_SECONDS = Histogram(
     "apricottrestle_first_token_seconds",
     "Time to first token as seen by the entry",
--- a/src/apricottrestle/platform/codec.py
+++ b/src/apricottrestle/platform/codec.py
@@ -95,6 +95,11 @@
     born: int = 0
 
 
+class _Report(msgspec.Struct):
+    # Start time in Unix milliseconds.
+    born: int | None = None
+
+
 def decode_config(value: bytes) -> fleet_config.FleetConfig:
     """Decodes a configuration.
 
@@ -164,6 +169,17 @@
     )
 
 
+def decode_start_time_ms(report: bytes) -> int | None:
+    """Returns an upstream's start time in Unix milliseconds from its report.
+
+    None if the report doesn't have it, as that of a plain service.
+    """
+    try:
+        return msgspec.json.decode(report, type=_Report).born
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
 def _malformed_entry(upstream_id: str, reason: str) -> errors.PlatformError:
     return errors.PlatformError(
         f"malformed upstream entry: {reason}", step="list", peer=upstream_id
--- a/src/apricottrestle/platform/names.py
+++ b/src/apricottrestle/platform/names.py
@@ -25,6 +25,7 @@
 
 READY_PATH: Final = "/-/ready"
 RESERVATION_PATH: Final = "/-/order"
+REPORT_PATH: Final = "/-/report"
 
 LOG_READ_PATH: Final = "/-/log-read"
 LOG_NEWEST_PATH: Final = "/-/log-newest"
@@ -33,6 +34,10 @@
 CONFIG_TOPIC: Final = "keyed.op"
 CONFIG_KEY: Final = "config"
 UPSTREAMS_TOPIC: Final = "keyed.servers"
+CRASHES_TOPIC: Final = "keyed.crashes"
+"""Topic that only gateways use, for the crashes that prove a part of a prompt
+to be bad."""
+
 GATEWAYS_TOPIC: Final = "keyed.gateways"
 """Topic that only gateways use, for the addresses of their peer sockets."""
 
--- a/src/apricottrestle/platform/store_client.py
+++ b/src/apricottrestle/platform/store_client.py
@@ -9,12 +9,12 @@
 import time
 import urllib.parse
 from collections.abc import Iterator
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, TypeVar
 
 import msgspec
 
 from apricottrestle import errors, metrics, platform_http
-from apricottrestle.gateway import store, upstream_list
+from apricottrestle.gateway import crash_evidence, store, upstream_list
 from apricottrestle.platform import codec, names
 
 CALL_TIMEOUT_S: Final = 1.0
@@ -33,6 +33,8 @@
 _HTTP_GONE: Final = 410
 _LOG: Final = logging.getLogger(__name__)
 
+_Record = TypeVar("_Record")
+
 
 class _Item(msgspec.Struct):
     key: str
@@ -133,34 +135,68 @@
 
     async def announce(self, entry: store.GatewayEntry) -> None:
         """See FleetStore.announce."""
-        query = urllib.parse.urlencode(
-            {"topic": names.GATEWAYS_TOPIC, "part": 0}
+        await self._append(
+            names.GATEWAYS_TOPIC,
+            entry.instance_id,
+            msgspec.json.encode(entry),
+            "announce",
+        )
+
+    async def read_gateways(self) -> list[store.GatewayEntry]:
+        """See FleetStore.read_gateways."""
+        return await self._read_own(names.GATEWAYS_TOPIC, store.GatewayEntry)
+
+    async def read_crashes(self) -> list[crash_evidence.CrashReport]:
+        """See FleetStore.read_crashes."""
+        return await self._read_own(
+            names.CRASHES_TOPIC, crash_evidence.CrashReport
         )
+
+    async def save_crash(self, report: crash_evidence.CrashReport) -> None:
+        """See FleetStore.save_crash."""
+        await self._append(
+            names.CRASHES_TOPIC,
+            report.crash_id,
+            msgspec.json.encode(report),
+            "save",
+        )
+
+    async def delete_crash(self, crash_id: str) -> None:
+        """See FleetStore.delete_crash."""
+        await self._append(names.CRASHES_TOPIC, crash_id, b"", "delete")
+
+    async def _append(
+        self, topic: str, key: str, value: bytes, step: str
+    ) -> None:
+        """Appends a record to a keyed topic; an empty value deletes the key."""
+        query = urllib.parse.urlencode({"topic": topic, "part": 0})
         await self._call(
             "POST",
             f"{names.LOG_APPEND_PATH}?{query}",
-            "announce",
-            body=encode_record(entry.instance_id, msgspec.json.encode(entry)),
+            step,
+            body=encode_record(key, value),
             appends=True,
         )
 
-    async def read_gateways(self) -> list[store.GatewayEntry]:
-        """See FleetStore.read_gateways."""
-        records, _ = await self._read_newest(names.GATEWAYS_TOPIC)
-        entries = []
+    async def _read_own(self, topic: str, kind: type[_Record]) -> list[_Record]:
+        """Returns the records of a topic that only gateways write to."""
+        records, _ = await self._read_newest(topic)
+        decoded = []
         for record in records:
             if record.value is None:
                 continue
             try:
-                entries.append(
-                    msgspec.json.decode(record.value, type=store.GatewayEntry)
-                )
+                decoded.append(msgspec.json.decode(record.value, type=kind))
             except (msgspec.DecodeError, UnicodeDecodeError) as exc:
                 _LOG.warning(
-                    "ignored a malformed gateway entry in the store",
-                    extra={"key": record.key, "reason": str(exc)},
+                    "ignored a malformed record in the store",
+                    extra={
+                        "topic": topic,
+                        "key": record.key,
+                        "reason": str(exc),
+                    },
                 )
-        return entries
+        return decoded
 
     def close(self) -> None:
         """See FleetStore.close."""
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -17,7 +17,7 @@
 
 from apricottrestle import errors
 from apricottrestle.gateway import calls
-from apricottrestle.platform import names
+from apricottrestle.platform import codec, names
 
 CONNECT_TIMEOUT_S: Final = 0.4
 """Timeout of opening a connection: a hundred round trips between data centres.
@@ -44,6 +44,10 @@
 RESERVATION_TIMEOUT_S: Final = 0.5
 """Timeout of a request that reserves or releases memory."""
 
+PROBE_TIMEOUT_S: Final = 0.4
+"""Timeout of the question whether an upstream is running; as CONNECT_TIMEOUT_S,
+since the answer needs no place in its queue."""
+
 DEADLINE_MARGIN_S: Final = 0.25
 """Time by which a transfer's timeout exceeds the caller's remaining time, so
 that the upstream's own response at the deadline still arrives."""
@@ -327,6 +331,30 @@
         """See UpstreamClient.send."""
         return _HttpTransfer(self._client, call, sink)
 
+    async def probe(
+        self, upstream_id: str, address: str, started_at_ms: int
+    ) -> calls.ProbeResult:
+        """See UpstreamClient.probe."""
+        req = httpclient.HTTPRequest(
+            f"http://{address}{names.REPORT_PATH}",
+            headers={names.UPSTREAM_ID: upstream_id},
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=PROBE_TIMEOUT_S,
+            follow_redirects=False,
+            decompress_response=False,
+        )
+        try:
+            response = await self._client.fetch(req, raise_error=False)
+        except curl_httpclient.CurlError as exc:
+            refused = exc.errno == pycurl.E_COULDNT_CONNECT
+            return "ended" if refused else "unknown"
+        is_other = (
+            response.code == _HTTP_MISDIRECTED_REQUEST
+            or (codec.decode_start_time_ms(response.body) or started_at_ms)
+            > started_at_ms
+        )
+        return "ended" if is_other else "running"
+
     async def reserve(self, reservation: calls.Reservation) -> bool:
         """See UpstreamClient.reserve."""
         status = await self._post_reservation(
--- a/src/apricottrestle_standins/platform/soak.py
+++ b/src/apricottrestle_standins/platform/soak.py
@@ -62,6 +62,18 @@
 )
 
 
+PROMPT_ENGINES: Final = 8
+PROMPT_TRAFFIC_S: Final = 12.0
+PROMPT_RESTART_S: Final = 1.0
+PROMPT_FAULTS: Final = ("kill", "kill_all", "pause", "term", "store_lost")
+"""Runs with prompts that crash engines: number of engines, duration, time until
+an engine is back, and the faults that come beside."""
+
+SETTLE_S: Final = 3.0
+"""Time after a disturbance in which a gateway may act on old state, by the
+platform's rules."""
+
+
 class Fault(NamedTuple):
     """A fault to inject: start, kind and duration."""
 
@@ -70,10 +82,18 @@
     duration_s: float
 
 
-def generate_faults(seed: int, length_s: float) -> list[Fault]:
-    """Returns the faults of a seed; every third seed has planned ones only."""
+def generate_faults(
+    seed: int, length_s: float, kinds: tuple[str, ...] = ()
+) -> list[Fault]:
+    """Returns the faults of a seed; every third seed has planned ones only.
+
+    Args:
+        seed: Seed of the random choices.
+        length_s: Duration of the run.
+        kinds: Kinds of faults, if not those of the usual run.
+    """
     rng = random.Random(seed)
-    kinds = PLANNED if seed % 3 == 0 else PLANNED + UNPLANNED
+    kinds = kinds or (PLANNED if seed % 3 == 0 else PLANNED + UNPLANNED)
     count = rng.randint(2, 6)
     return sorted(
         Fault(
@@ -183,7 +203,12 @@
 class Fleet:
     """Store, upstreams, proxies and gateway processes of a run."""
 
-    def __init__(self, directory: pathlib.Path, rng: random.Random) -> None:
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        rng: random.Random,
+        engine_count: int = ENGINE_COUNT,
+    ) -> None:
         """Creates a fleet that is not yet running."""
         self.run_ledger = ledger.Ledger()
         self.problems: list[str] = []
@@ -197,12 +222,14 @@
         self.store = store_http.Store()
         self.upstreams = [
             upstream_http.Upstream(
-                f"up-{n}", self.run_ledger, rng, streams=n < ENGINE_COUNT
+                f"up-{n}", self.run_ledger, rng, streams=n < engine_count
             )
-            for n in range(ENGINE_COUNT + PLAIN_COUNT)
+            for n in range(engine_count + PLAIN_COUNT)
         ]
         self.proxies: dict[str, fault_proxy.FaultProxy] = {}
         self._draining: set[upstream_http.Upstream] = set()
+        self._restarts: set[asyncio.Task[None]] = set()
+        self._is_direct = engine_count != ENGINE_COUNT
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
@@ -258,7 +285,10 @@
         if state is not None:
             entry = {
                 "service": "engines" if upstream.streams else "plain",
-                "address": self.proxies[upstream.upstream_id].address,
+                # A proxy accepts connections also while its engine is down.
+                "address": upstream.address
+                if self._is_direct
+                else self.proxies[upstream.upstream_id].address,
                 "zone": "dc-1",
                 "state": state,
                 "slots": 8,
@@ -341,7 +371,7 @@
     async def _pause(self, duration_s: float) -> None:
         row = self._any_gateway()
         row.signal(signal.SIGSTOP)
-        await asyncio.sleep(duration_s)
+        await self._disturb([row], duration_s)
         row.signal(signal.SIGCONT)
 
     async def _hup(self, _duration_s: float) -> None:
@@ -434,11 +464,53 @@
     ) -> None:
         for row in rows:
             row.signal(signal.SIGKILL)
-        await asyncio.sleep(pause_s / 3)
+        await self._disturb(rows, pause_s / 3)
         for row in rows:
             await row.wait_exit(2.0)
             if row.popen is not None and row.popen.poll() is not None:
                 row.start()
+        await self._disturb(rows, 0.0)
+
+    async def _disturb(
+        self, rows: list[_GatewayProcess], duration_s: float
+    ) -> None:
+        """Waits, and records that gateways are disturbed meanwhile."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + duration_s
+        while True:
+            now = loop.time()
+            self.run_ledger.disturbed += [
+                (row.caller_address, now) for row in rows
+            ]
+            if now >= end:
+                return
+            await asyncio.sleep(min(end - now, SETTLE_S / 2))
+
+    def crash_by_prompts(self, *, framed: bool) -> None:
+        """Lets prompts with the part "bad" crash the engines."""
+        for upstream in self.upstreams:
+            upstream.crashing_parts = frozenset(("bad",))
+            upstream.frames_answers = framed
+            upstream.on_prompt_crash = self._on_prompt_crash
+
+    def _on_prompt_crash(
+        self, upstream: upstream_http.Upstream, part: str
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        self.run_ledger.prompt_crashes.setdefault(part, []).append(now)
+        task = asyncio.ensure_future(self._replace(upstream))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _replace(self, upstream: upstream_http.Upstream) -> None:
+        """Starts an engine again, under another id at the same address."""
+        await asyncio.sleep(PROMPT_RESTART_S)
+        ended_id = upstream.upstream_id
+        self.store.put("keyed.servers", ended_id, None)
+        upstream.upstream_id = f"{ended_id}x"
+        self.proxies[upstream.upstream_id] = self.proxies[ended_id]
+        await upstream.start()
+        self._put_list_entry(upstream, "ready")
 
     async def _term(self, _duration_s: float) -> None:
         """Stops a gateway with SIGTERM and starts it again."""
@@ -446,6 +518,7 @@
         if row.stopping or row.popen is None or row.popen.poll() is not None:
             return
         row.stopping = True
+        await self._disturb([row], 0.0)
         popen = row.popen
         row.signal(signal.SIGTERM)
         if not await row.wait_exit(GRACE_S + 1.0):
@@ -460,6 +533,7 @@
         row.stopping = False
         if row.popen is popen:
             row.start()
+            await self._disturb([row], 0.0)
 
     async def check_configuration(self) -> None:
         """Checks that a new version is in force in time at each gateway."""
@@ -528,6 +602,36 @@
     return problems
 
 
+async def run_prompt_seed(seed: int, directory: pathlib.Path) -> list[str]:
+    """Does a run with prompts that crash engines; returns its problems.
+
+    In each second run, answers have no length.
+    """
+    rng = random.Random(seed + 1)
+    fleet = Fleet(directory, rng, PROMPT_ENGINES)
+    fleet.crash_by_prompts(framed=seed % 2 == 0)
+    faults = generate_faults(seed, PROMPT_TRAFFIC_S, PROMPT_FAULTS)
+    prompts = [("first",)] * 8 + [("first", "bad")] * 3
+    async with fleet.running():
+        deadline = asyncio.get_running_loop().time() + PROMPT_TRAFFIC_S
+        callers = [
+            soak_callers.Caller(
+                f"caller-{n}",
+                fleet.run_ledger,
+                fleet.rotation,
+                random.Random(n),
+                shared_parts,
+            ).run(deadline)
+            for n, shared_parts in enumerate(prompts)
+        ]
+        await asyncio.gather(fleet.inject(faults), *callers)
+    problems = fleet.problems + ledger.find_violations(fleet.run_ledger)
+    problems += ledger.find_prompt_violations(fleet.run_ledger, SETTLE_S)
+    if not fleet.run_ledger.prompt_crashes:
+        problems.append("no prompt crashed an engine")
+    return problems
+
+
 def _check_served(run_ledger: ledger.Ledger, *, planned: bool) -> list[str]:
     """Returns requests that failed during planned operations.
 
@@ -564,7 +668,13 @@
     parser.add_argument(
         "--keep", type=pathlib.Path, help="directory to keep the logs in"
     )
+    parser.add_argument(
+        "--prompts",
+        action="store_true",
+        help="runs with prompts that crash engines",
+    )
     args = parser.parse_args()
+    run = run_prompt_seed if args.prompts else run_seed
     failed = 0
     for seed in range(args.first, args.first + args.seeds):
         with tempfile.TemporaryDirectory() as temp:
@@ -572,9 +682,16 @@
             if args.keep is not None:
                 directory = args.keep / str(seed)
                 directory.mkdir(parents=True, exist_ok=True)
-            problems = asyncio.run(run_seed(seed, directory))
+            problems = asyncio.run(run(seed, directory))
         failed += bool(problems)
-        faults = [fault.kind for fault in generate_faults(seed, TRAFFIC_S)]
+        faults = [
+            fault.kind
+            for fault in (
+                generate_faults(seed, PROMPT_TRAFFIC_S, PROMPT_FAULTS)
+                if args.prompts
+                else generate_faults(seed, TRAFFIC_S)
+            )
+        ]
         print(f"seed {seed}: {problems[:3] or 'ok'} {faults}", flush=True)
     print(f"{failed} of {args.seeds} runs failed")
     return min(failed, 1)
--- a/src/apricottrestle_standins/platform/soak_callers.py
+++ b/src/apricottrestle_standins/platform/soak_callers.py
@@ -52,6 +52,7 @@
         run_ledger: ledger.Ledger,
         addresses: list[str],
         rng: random.Random,
+        shared_parts: tuple[str, ...] = (),
     ) -> None:
         """Creates a caller without a connection.
 
@@ -61,7 +62,11 @@
             addresses: Gateways in rotation; changed in place by
                 `watch_readiness`.
             rng: Source of random choices.
+            shared_parts: Shared parts of its prompts; a caller with any sends
+                prompts only.
         """
+        self._shared_parts = shared_parts
+        self._address = ""
         self._name = name
         self._run_ledger = run_ledger
         self._addresses = addresses
@@ -80,9 +85,11 @@
 
     async def _request(self) -> None:
         loop = asyncio.get_running_loop()
-        kind = self._rng.choice(KINDS)
+        kind = self._rng.choice(KINDS[:1] if self._shared_parts else KINDS)
         events = self._rng.randint(2, 12) if kind.route_kind == "stream" else 1
-        arrival = workload.Arrival(0.0, kind, 0, 0, 0, events, 0.0, 0.0)
+        arrival = workload.Arrival(
+            0.0, kind, 0, 0, 0, events, 0.0, 0.0, self._shared_parts
+        )
         deadline = loop.time() + kind.timeout_s
         attempts: list[ledger.Attempt] = []
         self._run_ledger.requests.append(attempts)
@@ -109,6 +116,7 @@
         try:
             async with asyncio.timeout(max(deadline - loop.time(), 0.01)):
                 conn = await self._connect()
+                attempt.gateway = self._address
                 conn.writer.write(self._request_head(attempt, deadline))
                 await self._read_response(attempt, conn)
         except (TimeoutError, asyncio.IncompleteReadError, OSError) as exc:
@@ -124,7 +132,8 @@
         self._close()
         if not self._addresses:
             raise OSError("no gateway in rotation")
-        host, _, port = self._rng.choice(self._addresses).rpartition(":")
+        self._address = self._rng.choice(self._addresses)
+        host, _, port = self._address.rpartition(":")
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             self._conn = _Conn(*await asyncio.open_connection(host, int(port)))
         self._requests_left_on_conn = REQUESTS_PER_CONNECTION
@@ -148,6 +157,10 @@
         ]
         if arrival.kind.route_kind == "stream":
             lines.append(f"Apricottrestle-Token-Usage: 2000,{arrival.events}")
+        if arrival.shared_parts:
+            entries = [f"{part}:40" for part in arrival.shared_parts]
+            entries.append(f"{attempt.request_id}:1900")
+            lines.append(f"Apricottrestle-Prompt-Prefix: {','.join(entries)}")
         if attempt.resume_after:
             lines.append(f"Last-Event-Id: {attempt.resume_after}")
         return "\r\n".join([*lines, "", "body"]).encode()
--- a/src/apricottrestle_standins/platform/upstream_http.py
+++ b/src/apricottrestle_standins/platform/upstream_http.py
@@ -9,6 +9,7 @@
 import random
 import socket
 import struct
+from collections.abc import Callable
 from types import TracebackType
 from typing import Final, NamedTuple, Self
 
@@ -17,6 +18,7 @@
 EVENT_INTERVAL_S: Final = 0.03
 FIRST_EVENT_DELAY_S: Final = 0.02
 SERVICE_TIME_S: Final = 0.02
+REPORT_PATH: Final = "/-/report"
 
 
 class ReceivedRequest(NamedTuple):
@@ -70,8 +72,16 @@
         streams: Whether it is an engine.
         answer_loss_rate: Share of a plain service's requests that run, but
             whose connection is then reset.
+        frames_answers: Whether an engine's answers are chunked; if not, they
+            end with their connection.
+        crashing_parts: Parts of prompts that crash the engine.
+        on_prompt_crash: Called with the part that has crashed the engine.
     """
 
+    frames_answers = True
+    crashing_parts: frozenset[str] = frozenset()
+    on_prompt_crash: Callable[["Upstream", str], None]
+
     def __init__(
         self,
         upstream_id: str,
@@ -114,13 +124,21 @@
         self._port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{self._port}"
 
-    def crash(self) -> None:
-        """Stops listening and resets the open connections."""
+    def crash(self, *, resets: bool = True) -> None:
+        """Stops listening and ends the open connections.
+
+        Args:
+            resets: Whether to reset them; else they are closed after what was
+                written.
+        """
         if self._server is not None:
             self._server.close()
             self._server = None
         for writer in list(self._writers):
-            reset(writer)
+            if resets:
+                reset(writer)
+            else:
+                writer.close()
         self._writers.clear()
 
     async def _serve(
@@ -153,6 +171,20 @@
         headers = received.headers
         request_id = headers.get("apricottrestle-attempt-id", "")
         expected = headers.get("apricottrestle-expect-instance")
+        if received.target == REPORT_PATH:
+            report = b'{"born":%d}' % self.started_at_ms
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+                % (len(report), report)
+            )
+            return True
+        self._run_ledger.deliveries.append(
+            ledger.Delivery(
+                request_id,
+                self.upstream_id,
+                asyncio.get_running_loop().time(),
+            )
+        )
         if expected not in (None, self.upstream_id):
             writer.write(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
             return True
@@ -178,14 +210,33 @@
             writer.write(f"{head}Content-Length: 2\r\n\r\nok".encode())
             return True
         events = int(received.target.rpartition("/")[2])
-        writer.write(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+        framing = "Transfer-Encoding: chunked\r\n" * self.frames_answers
+        writer.write(f"{head}{framing}\r\n".encode())
         await asyncio.sleep(FIRST_EVENT_DELAY_S)
+        if self._crash_by_prompt(headers):
+            return False
         for number in range(resume_after + 1, events + 1):
-            event = f"id: {number}\ndata: x\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            self._write_body(writer, f"id: {number}\ndata: x\n\n".encode())
             await writer.drain()
             if reader.at_eof():
                 return False
             await asyncio.sleep(EVENT_INTERVAL_S)
-        writer.write(b"0\r\n\r\n")
+        self._write_body(writer, b"")
+        return self.frames_answers
+
+    def _write_body(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Writes a part of the body; an empty one ends a chunked body."""
+        if self.frames_answers:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        writer.write(data)
+
+    def _crash_by_prompt(self, headers: dict[str, str]) -> bool:
+        """Crashes if one of the prompt's shared parts crashes the engine."""
+        entries = headers.get("apricottrestle-prompt-prefix", "").split(",")
+        parts = {entry.partition(":")[0] for entry in entries[:-1]}
+        bad_parts = parts & self.crashing_parts
+        if not bad_parts or self._server is None:
+            return False
+        self.crash(resets=False)
+        self.on_prompt_crash(self, min(bad_parts))
         return True
--- a/src/apricottrestle_standins/platform/virtual_store.py
+++ b/src/apricottrestle_standins/platform/virtual_store.py
@@ -4,7 +4,12 @@
 from typing import Final
 
 from apricottrestle import errors
-from apricottrestle.gateway import fleet_config, store, upstream_list
+from apricottrestle.gateway import (
+    crash_evidence,
+    fleet_config,
+    store,
+    upstream_list,
+)
 
 RESPONSE_TIME_S: Final = 0.004
 SILENCE_TIMEOUT_S: Final = 2.5
@@ -18,6 +23,7 @@
         list_records: Changes of the upstream list, in order.
         first: Offset of the first retained list record.
         gateways: Entries of the gateways by instance id.
+        crashes: Saved crashes of engines by their ids.
         calls: Number of calls, failed ones included.
     """
 
@@ -29,6 +35,7 @@
         ] = []
         self.first = 0
         self.gateways: dict[str, store.GatewayEntry] = {}
+        self.crashes: dict[str, crash_evidence.CrashReport] = {}
         self.calls = 0
         self._changed = asyncio.Event()
 
@@ -120,6 +127,21 @@
         await self._simulate_response()
         return list(self._log.gateways.values())
 
+    async def read_crashes(self) -> list[crash_evidence.CrashReport]:
+        """See FleetStore.read_crashes."""
+        await self._simulate_response()
+        return list(self._log.crashes.values())
+
+    async def save_crash(self, report: crash_evidence.CrashReport) -> None:
+        """See FleetStore.save_crash."""
+        await self._simulate_response()
+        self._log.crashes[report.crash_id] = report
+
+    async def delete_crash(self, crash_id: str) -> None:
+        """See FleetStore.delete_crash."""
+        await self._simulate_response()
+        self._log.crashes.pop(crash_id, None)
+
     def close(self) -> None:
         """See FleetStore.close."""
 
--- a/src/apricottrestle_standins/platform/virtual_upstreams.py
+++ b/src/apricottrestle_standins/platform/virtual_upstreams.py
@@ -319,11 +319,14 @@
         """
         call = incoming.call
         first = int(call.resume_after or 0) + 1
+        if first > arrival.events:
+            self._finish_resumed(incoming)
+            return
         job = engine_passes.Job(
             call.req.request_id,
             arrival.tokens,
             first,
-            max(arrival.events, first),
+            arrival.events,
             1 + len(helpers),
             call.priority,
         )
@@ -347,6 +350,22 @@
             helper.schedule_pass_end()
         self.schedule_pass_end()
 
+    def _finish_resumed(self, incoming: IncomingCall) -> None:
+        """Ends a stream that is resumed after its last event."""
+        self._record_run(incoming)
+        incoming.transfer.head(200, framed=self.frames_answers)
+        incoming.transfer.end("complete")
+
+    def _record_run(self, incoming: IncomingCall) -> None:
+        self.run_ledger.runs.append(
+            ledger.RunRecord(
+                incoming.call.req.request_id,
+                self.upstream_id,
+                asyncio.get_running_loop().time(),
+                int(incoming.call.resume_after or 0) + 1,
+            )
+        )
+
     def schedule_pass_end(self) -> None:
         """Starts the timer of the running pass, if there is none."""
         if self._timer is not None:
@@ -382,14 +401,7 @@
             self._cancel_job(job)
             return
         if emitted.event_id == int(incoming.call.resume_after or 0) + 1:
-            self.run_ledger.runs.append(
-                ledger.RunRecord(
-                    job.job_id,
-                    self.upstream_id,
-                    asyncio.get_running_loop().time(),
-                    emitted.event_id,
-                )
-            )
+            self._record_run(incoming)
             if self._crash_by_prompt(incoming, emitted.event_id):
                 return
             transfer.head(200, framed=self.frames_answers)
@@ -591,6 +603,21 @@
                 transfer.ended = True
                 transfer.unreachable = True
 
+    async def probe(
+        self, upstream_id: str, address: str, started_at_ms: int
+    ) -> calls.ProbeResult:
+        """See UpstreamClient.probe."""
+        upstream = self.by_address[address]
+        await asyncio.sleep(2 * self._delay_s(upstream))
+        if upstream.state == "dark":
+            return "unknown"
+        is_running = (
+            upstream.state == "up"
+            and upstream.upstream_id == upstream_id
+            and upstream.started_at_ms == started_at_ms
+        )
+        return "running" if is_running else "ended"
+
     async def reserve(self, reservation: calls.Reservation) -> bool:
         """See UpstreamClient.reserve."""
         engine = await self._await_engine(reservation)
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -9,6 +9,7 @@
 from apricottrestle.gateway import (
     accept,
     calls,
+    crash_evidence,
     exchange,
     exchange_host,
     fleet_config,
@@ -81,6 +82,9 @@
         self.transfers: list[_Transfer] = []
         self.results: list[retry_policy.AttemptResult | None] = []
         self.outcomes: list[str] = []
+        self.begun = 0
+        self.suspects: list[crash_evidence.Suspect | None] = []
+        self.probe_result: calls.ProbeResult = "running"
         self._has_budget = has_budget
 
     def start_call(
@@ -124,6 +128,24 @@
     ) -> None:
         self.results.append(result)
 
+    def on_answer_begun(self, request: exchange.Exchange) -> None:
+        self.begun += 1
+
+    def on_connection_lost(
+        self,
+        request: exchange.Exchange,
+        attempt: exchange_host.Attempt,
+        suspect: crash_evidence.Suspect | None,
+    ) -> None:
+        self.suspects.append(suspect)
+
+    def probe_upstream(
+        self,
+        attempt: exchange_host.Attempt,
+        callback: Callable[[calls.ProbeResult], None],
+    ) -> None:
+        asyncio.get_running_loop().call_soon(callback, self.probe_result)
+
     def consume_retry(self, request: exchange.Exchange) -> bool:
         return self._has_budget
 
@@ -537,3 +559,138 @@
         assert caller.endings == ["complete"]
 
     virtual_time.run(main())
+
+
+UNFRAMED = HEAD._replace(framed=False)
+
+
+@pytest.mark.parametrize(
+    ("responses", "probe_result", "ending", "body"),
+    [
+        pytest.param(
+            [Response("complete", UNFRAMED, _events(1, 3))],
+            "running",
+            "complete",
+            _events(1, 3),
+            id="whole",
+        ),
+        pytest.param(
+            [Response("complete", UNFRAMED, _events(1, 3))],
+            "unknown",
+            "complete",
+            _events(1, 3),
+            id="whole, engine not reached",
+        ),
+        pytest.param(
+            [
+                Response("complete", UNFRAMED, _events(1, 3)),
+                Response("complete", HEAD, _events(4, 5)),
+            ],
+            "ended",
+            "complete",
+            _events(1, 5),
+            id="cut between events",
+        ),
+        pytest.param(
+            [
+                Response("complete", UNFRAMED, _events(1, 2) + b"id: 3\nd"),
+                Response("complete", HEAD, _events(3, 4)),
+            ],
+            "running",
+            "complete",
+            _events(1, 4),
+            id="cut inside an event",
+        ),
+        pytest.param(
+            [Response("complete", UNFRAMED), WHOLE_STREAM],
+            "running",
+            "complete",
+            _events(1, 3),
+            id="cut before the first event",
+        ),
+        pytest.param(
+            [
+                Response("broken", HEAD, _events(1, 3)),
+                Response("complete", UNFRAMED),
+            ],
+            "running",
+            "complete",
+            _events(1, 3),
+            id="resumed after the last event",
+        ),
+    ],
+)
+def test_stream_without_length_is_whole_only_if_its_engine_runs(
+    responses: list[Response],
+    probe_result: calls.ProbeResult,
+    ending: str,
+    body: bytes,
+) -> None:
+    """Guards against taking a crash between two events for a stream's end."""
+    host = _Host()
+    host.probe_result = probe_result
+    caller = virtual_time.run(
+        _run_exchange(gateway_parts.STREAM, responses, host)
+    )
+    assert (caller.endings, caller.body) == ([ending], body)
+
+
+@pytest.mark.parametrize(
+    ("response", "suspects", "begun"),
+    [
+        (Response("complete", HEAD, _events(1, 2)), [], 1),
+        (Response("complete", HEAD, _events(1, 9)), [], 1),
+        (Response("broken", HEAD, _events(1, 9)), [None], 1),
+        (Response("broken", HEAD, _events(1, 2)), [True], 0),
+        (Response("broken", HEAD), [True], 0),
+        (Response("broken"), [False], 0),
+        (Response("complete", UNFRAMED), [True], 0),
+        (Response("complete", UNFRAMED, _events(1, 2)), [], 0),
+        (Response("complete", UNFRAMED, b"id: 1"), [True], 0),
+        (Response("not_sent"), [], 0),
+        (Response("timeout", HEAD), [], 0),
+        (REFUSED, [], 0),
+    ],
+)
+def test_progress_of_an_answer_is_reported(
+    response: Response, suspects: list[bool | None], begun: int
+) -> None:
+    """Guards against sound prompts as suspects, and bad ones as sound.
+
+    A suspect is reported with whether its answer had begun.
+    """
+    host = _Host(has_budget=False)
+    route = gateway_parts.STREAM._replace(max_attempts=1)
+    parts = ("first", "bad")
+
+    virtual_time.run(_run_exchange(route, [response], host, shared_parts=parts))
+    assert host.suspects == [
+        crash_evidence.Suspect(parts, begun) if begun is not None else None
+        for begun in suspects
+    ]
+    assert host.begun == begun
+
+
+def test_refused_request_in_flight_is_not_reported_as_not_run() -> None:
+    """Guards against "not run" for a prompt that was stopped at its engine."""
+
+    async def main() -> _Caller:
+        host, caller = _Host(), _Caller()
+        now = asyncio.get_running_loop().time()
+        accepted = accept.Accepted(
+            gateway_parts.STREAM,
+            None,
+            fleet_config.Service("s", 1, None),
+            0,
+            now + 1.0,
+            1,
+        )
+        req = gateway_parts.request(arrived_at=now)
+        stopped = exchange.Exchange(host, req, accepted, caller)
+        stopped.start()
+        stopped.refuse(accept.UNAVAILABLE, "stopped", 1.0)
+        assert host.transfers[0].cancelled
+        return caller
+
+    caller = virtual_time.run(main())
+    assert (caller.status, caller.retry_after_s) == (502, None)
--- a/tests/test_gateway_memory_holds.py
+++ b/tests/test_gateway_memory_holds.py
@@ -24,6 +24,11 @@
     ) -> calls.Transfer:
         raise NotImplementedError
 
+    async def probe(
+        self, upstream_id: str, address: str, started_at_ms: int
+    ) -> calls.ProbeResult:
+        raise NotImplementedError
+
     async def reserve(self, reservation: calls.Reservation) -> bool:
         self.requests.append(("reserve", reservation.upstream_id))
         await asyncio.sleep(0)
--- a/tests/test_platform_upstream_client.py
+++ b/tests/test_platform_upstream_client.py
@@ -302,3 +302,71 @@
     client = upstream_client.HttpUpstreamClient()
     with pytest.raises(errors.UpstreamError):
         await getattr(client, request_kind)(reservation)
+
+
+async def _answer_report(
+    received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    """Answers as the process "up-1", which started at 5."""
+    if received.headers["apricottrestle-expect-instance"] != "up-1":
+        conn.write(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+        return
+    body = b'{"stage":"colocated","active":1,"born":5}'
+    conn.write(b"HTTP/1.1 200 OK\r\nContent-Length: 41\r\n\r\n" + body)
+
+
+async def _answer_not_found(
+    _received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    conn.write(b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n")
+
+
+async def _close(
+    _received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    conn.reset()
+
+
+async def _stay_silent(
+    _received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    await conn.until_closed()
+
+
+@pytest.mark.parametrize(
+    ("script", "upstream_id", "started_at_ms", "result"),
+    [
+        (_answer_report, "up-1", 5, "running"),
+        (_answer_report, "up-1", 4, "ended"),
+        (_answer_report, "up-2", 5, "ended"),
+        (_answer_not_found, "up-1", 5, "running"),
+        (_close, "up-1", 5, "unknown"),
+        (_stay_silent, "up-1", 5, "unknown"),
+    ],
+)
+@async_helpers.async_test
+async def test_probe_tells_a_process_from_its_successor(
+    script: scripted_upstream.Script,
+    upstream_id: str,
+    started_at_ms: int,
+    result: calls.ProbeResult,
+) -> None:
+    """Guards against crashes that go unnoticed, or that did not happen.
+
+    A reset or silent connection says nothing about the process.
+    """
+    async with scripted_upstream.running(script) as upstream:
+        client = upstream_client.HttpUpstreamClient()
+        probed = await client.probe(
+            upstream_id, upstream.address, started_at_ms
+        )
+    assert probed == result
+
+
+@async_helpers.async_test
+async def test_probe_of_a_closed_port_finds_that_the_process_ended() -> None:
+    """Guards against crashes that only the upstream list would show."""
+    async with scripted_upstream.running(_close) as upstream:
+        address = upstream.address
+    client = upstream_client.HttpUpstreamClient()
+    assert await client.probe("up-1", address, 5) == "ended"
--- a/tests/test_soak_days.py
+++ b/tests/test_soak_days.py
@@ -32,3 +32,15 @@
 def test_soak_run_of_seed(seed: int, tmp_path: pathlib.Path) -> None:
     """No rule is violated, as observed by callers and upstreams."""
     assert asyncio.run(soak.run_seed(seed, tmp_path)) == []
+
+
+@pytest.mark.parametrize("seed", [0, 1])
+def test_soak_run_with_prompts_that_crash_engines(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    """Guards against engines that crash one after the other by one part.
+
+    Gateways are killed, paused and stopped meanwhile; with seed 1, answers have
+    no length.
+    """
+    assert asyncio.run(soak.run_prompt_seed(seed, tmp_path)) == []
--- a/tests/test_world_crashing_prompts.py
+++ b/tests/test_world_crashing_prompts.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from apricottrestle.gateway import gateway
 from apricottrestle_standins.platform import (
     ledger,
     virtual_time,
@@ -218,3 +219,48 @@
     assert run_ledger.prompt_crashes
     assert ledger.find_prompt_violations(run_ledger, SETTLE_S) == []
     assert ledger.find_violations(run_ledger) == []
+
+
+@pytest.mark.parametrize("hot_share", [0.0, 0.3])
+@pytest.mark.parametrize("name", ["zimska-trgatev", "zimska-trgatev-grown"])
+def test_engines_that_fail_for_other_reasons_stop_no_prompt(
+    name: str, hot_share: float
+) -> None:
+    """Guards against sound prompts that are refused after crashes.
+
+    A sixth of the engines fail together each second or two, with a part that
+    many prompts share.
+    """
+    site = workload.SITES[name]
+    rng = random.Random(1)
+    arrivals = [
+        arrival._replace(shared_parts=(f"hot-{arrival.kind.name}",))
+        if arrival.shared_parts and rng.random() < hot_share
+        else arrival
+        for arrival in workload.generate_arrivals(site, 12.0, rng)
+    ]
+
+    async def crash_engines(fleet: world.World) -> None:
+        tasks = []
+        for _ in range(6):
+            await asyncio.sleep(1.7)
+            running = [e for e in fleet.engines if e.state == "up"]
+            tasks += [
+                asyncio.ensure_future(fleet.crash_and_replace(engine, 1.5))
+                for engine in rng.sample(running, len(fleet.engines) // 6)
+            ]
+        await asyncio.gather(*tasks)
+
+    async def main() -> ledger.Ledger:
+        fleet = world.World(site, 1)
+        return await fleet.run_workload(arrivals, crash_engines(fleet))
+
+    run_ledger = virtual_time.run(main())
+    stopped = [
+        attempt.request_id
+        for attempts in run_ledger.requests
+        for attempt in attempts
+        if attempt.retry_after_s == gateway.BAD_PROMPT_RETRY_AFTER_S
+    ]
+    assert stopped == []
+    assert ledger.find_violations(run_ledger) == []
