Decode and log the limits that upstreams name

The collected logs don't show which gateway was told of a limit, and when: the header was passed on unread.

`send ended` now has the limit of the answer. The value is decoded once, in the adapter: a plain decimal number, the least of several; anything else (negative, infinite, an exponent, empty) is unreadable, logged, and neither sets nor ends a limit. The header still reaches the caller unchanged.

--- a/src/apricottrestle/gateway/calls.py
+++ b/src/apricottrestle/gateway/calls.py
@@ -149,6 +149,16 @@
     at_most_once: bool
 
 
+class NamedLimit(NamedTuple):
+    """A limit that an upstream names in its responses, for all its callers.
+
+    Attributes:
+        requests_per_s: Requests per second, or None if the value is unreadable.
+    """
+
+    requests_per_s: float | None
+
+
 class ResponseHead(NamedTuple):
     """Status and headers of an upstream's response.
 
@@ -163,6 +173,7 @@
             is not the one that responded, or None.
         framed: Whether the body has a length or chunks. If not, it ends with
             its connection, whether or not it is complete.
+        limit: Limit that the upstream names, or None if it names none.
     """
 
     status: int
@@ -173,6 +184,7 @@
     encoded: bool
     fault_address: str | None
     framed: bool = True
+    limit: NamedLimit | None = None
 
 
 EndKind = Literal["complete", "not_sent", "broken", "timeout", "cancelled"]
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -397,6 +397,7 @@
             detail=detail,
             status=head.status if head else None,
             framed=head.framed if head else None,
+            limit=head.limit.requests_per_s if head and head.limit else None,
             events=self._event_count,
             after_s=round(clock.now() - attempt.started_at, 4),
             outcome=result.value if result else "served",
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -74,6 +74,11 @@
 """curl errors that occur before any byte of the request is sent."""
 
 
+_DECIMAL: Final = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
+"""A decimal number that is neither negative nor infinite."""
+
+MAX_LOGGED_VALUES: Final = 4
+
 _HEADER_LINE: Final = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+:|[ \t]")
 """Start of a header line, or of the continuation of one."""
 
@@ -311,9 +316,27 @@
         "Content-Encoding" in headers,
         headers.get(names.FAILED_ADDRESS),
         "Content-Length" in headers or "Transfer-Encoding" in headers,
+        _parse_limit(headers.get_list(names.REQUEST_LIMIT)),
     )
 
 
+def _parse_limit(values: list[str]) -> calls.NamedLimit | None:
+    """Decodes the limit that an upstream names; the least if there are several.
+
+    Unreadable if any value isn't a plain decimal number, so that a malformed
+    head neither sets a limit nor ends one.
+    """
+    if not values:
+        return None
+    if any(_DECIMAL.fullmatch(value.strip()) is None for value in values):
+        _LOG.warning(
+            "upstream named a limit that is not a decimal number",
+            extra={"values": values[:MAX_LOGGED_VALUES]},
+        )
+        return calls.NamedLimit(None)
+    return calls.NamedLimit(min(float(value) for value in values))
+
+
 class HttpUpstreamClient(calls.UpstreamClient):
     """Sends calls and memory reservations over HTTP/1.1."""
 
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -9,6 +9,7 @@
 from tornado import httputil
 
 from apricottrestle import errors, hashing
+from apricottrestle.gateway import calls
 from apricottrestle.platform import (
     caller_server,
     codec,
@@ -353,3 +354,43 @@
     )
     assert head is not None
     assert head.framed == framed
+
+
+UNREADABLE = calls.NamedLimit(None)
+
+
+@pytest.mark.parametrize(
+    ("values", "limit"),
+    [
+        ([], None),
+        (["4"], calls.NamedLimit(4.0)),
+        ([" 1.25 "], calls.NamedLimit(1.25)),
+        ([".5"], calls.NamedLimit(0.5)),
+        (["0"], calls.NamedLimit(0.0)),
+        (["3", "2.5"], calls.NamedLimit(2.5)),
+        (["-1"], UNREADABLE),
+        (["inf"], UNREADABLE),
+        (["nan"], UNREADABLE),
+        (["1e3"], UNREADABLE),
+        (["1,5"], UNREADABLE),
+        ([""], UNREADABLE),
+        (["2", "many"], UNREADABLE),
+        (["9" * 400], UNREADABLE),
+    ],
+)
+def test_limit_that_an_upstream_names_is_decoded(
+    values: list[str], limit: calls.NamedLimit | None
+) -> None:
+    """Guards against limits from values that are no decimal number."""
+    head = upstream_client.parse_response_head(
+        [
+            "HTTP/1.1 200 OK\r\n",
+            *(f"Server-Limit: {value}\r\n" for value in values),
+            "\r\n",
+        ]
+    )
+    assert head is not None
+    assert head.limit == limit
+    assert len([n for n, _ in head.headers if n == "Server-Limit"]) == len(
+        values
+    )
