--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -41,6 +41,28 @@
     at_s: float
 
 
+class LimitPeriod:
+    """A time in which upstreams name a limit of requests per second.
+
+    Attributes:
+        per_s: The limit.
+        upstream_ids: The upstreams.
+        named_s: Time of the first response that named it, by upstream.
+        ended_s: Time at which the upstreams stopped naming it.
+    """
+
+    def __init__(self, per_s: float, upstream_ids: list[str]) -> None:
+        """Starts a period."""
+        self.per_s = per_s
+        self.upstream_ids = upstream_ids
+        self.named_s: dict[str, float] = {}
+        self.ended_s = float("inf")
+
+    def note_named(self, upstream_id: str, now: float) -> None:
+        """Records a response that names the limit."""
+        self.named_s.setdefault(upstream_id, now)
+
+
 class Attempt:
     """An attempt of a caller at a request.
 
@@ -89,6 +111,7 @@
         deliveries: Requests that reached upstreams.
         prompt_crashes: Times at which a part of a prompt crashed an engine, by
             the part.
+        limits: Periods in which upstreams named a limit, in order.
         disturbed: Gateways that were started, killed or cut off: address and
             time.
         requests: The attempts of each request.
@@ -104,6 +127,7 @@
         self.runs: list[RunRecord] = []
         self.deliveries: list[Delivery] = []
         self.prompt_crashes: dict[str, list[float]] = {}
+        self.limits: list[LimitPeriod] = []
         self.disturbed: list[tuple[str, float]] = []
         self.requests: list[list[Attempt]] = []
         self.leaks: list[tuple[str, str]] = []
@@ -163,6 +187,56 @@
     return lines
 
 
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+LIMIT_TOLD_S = 0.5
+"""Upstreams may get, in each window, this factor of what a limit allows plus
+the slack, from the time at which gateways have been told."""
+
+
+def find_limit_violations(ledger: Ledger, settle_s: float) -> list[str]:
+    """Returns the upstreams that got more requests than their limit allows.
+
+    All gateways have to know the limit after LIMIT_TOLD_S, also those that got
+    no response that names it.
+    """
+    gateways = {
+        attempt.request_id: attempt.gateway
+        for attempts in ledger.requests
+        for attempt in attempts
+    }
+    lines = []
+    for period in ledger.limits:
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * period.per_s + LIMIT_SLACK
+        for upstream_id, named_s in period.named_s.items():
+            times = sorted(
+                delivery.at_s
+                for delivery in ledger.deliveries
+                if delivery.upstream_id == upstream_id
+                and named_s + LIMIT_TOLD_S < delivery.at_s < period.ended_s
+                and _is_settled(
+                    ledger,
+                    gateways[delivery.request_id],
+                    delivery.at_s,
+                    settle_s,
+                )
+            )
+            most = max(
+                (
+                    sum(at <= other <= at + LIMIT_WINDOW_S for other in times)
+                    for at in times
+                ),
+                default=0,
+            )
+            if most > allowed:
+                lines.append(
+                    f"LIMIT {upstream_id}: {most} requests in "
+                    f"{LIMIT_WINDOW_S:.0f} s at {period.per_s} a second"
+                )
+    return lines
+
+
 def find_prompt_violations(ledger: Ledger, settle_s: float) -> list[str]:
     """Returns violations of the rules on parts of prompts that crash engines.
 
--- a/src/apricottrestle_standins/platform/virtual_upstreams.py
+++ b/src/apricottrestle_standins/platform/virtual_upstreams.py
@@ -86,7 +86,12 @@
             loop.call_later(self._delay_s, self.on_cancel)
 
     def head(
-        self, status: int, *, not_run: bool = False, framed: bool = True
+        self,
+        status: int,
+        *,
+        not_run: bool = False,
+        framed: bool = True,
+        limit: calls.NamedLimit | None = None,
     ) -> None:
         """Delivers the head of the response, with the upstream's signature."""
         head = calls.ResponseHead(
@@ -98,6 +103,7 @@
             False,
             None,
             framed,
+            limit,
         )
         self.framed = framed
         self._deliver_later(lambda: self._sink.on_head(head))
@@ -141,6 +147,7 @@
         draining_since: Time at which its drain notice was stored, or None.
         started_at_ms: Start time of its process, as listed; increases at each
             restart.
+        limit: Limit that it names in its responses, or None.
         cut_event: What a crash sends of the next event of each answer without
             a length; empty if it cuts them between events.
     """
@@ -164,11 +171,32 @@
         self.transfers: dict[VirtualTransfer, None] = {}
         self.draining_since: float | None = None
         self.started_at_ms = 1
+        self.limit: calls.NamedLimit | None = None
 
     def arrive(self, incoming: IncomingCall, arrival: workload.Arrival) -> None:
         """Receives a call."""
         raise NotImplementedError
 
+    def respond(
+        self,
+        transfer: VirtualTransfer,
+        status: int,
+        *,
+        not_run: bool = False,
+        framed: bool = True,
+    ) -> None:
+        """Delivers the head of a response, with the limit if there is one."""
+        if self.limit is not None:
+            self.run_ledger.limits[-1].note_named(
+                self.upstream_id, asyncio.get_running_loop().time()
+            )
+        transfer.head(status, not_run=not_run, framed=framed, limit=self.limit)
+
+    def reject(self, transfer: VirtualTransfer, status: int = 503) -> None:
+        """Rejects a request that doesn't run."""
+        self.respond(transfer, status, not_run=True)
+        transfer.end("complete")
+
     def crash(self, *, dark: bool) -> None:
         """Ends all work.
 
@@ -220,8 +248,7 @@
     def arrive(self, incoming: IncomingCall, arrival: workload.Arrival) -> None:
         """Runs, queues or rejects a call."""
         if self._running + len(self._queue) >= self.slots + self.queue:
-            incoming.transfer.head(503, not_run=True)
-            incoming.transfer.end("complete")
+            self.reject(incoming.transfer)
             return
         self.transfers[incoming.transfer] = None
         self._queue.append((incoming, arrival))
@@ -257,7 +284,7 @@
                 transfer.end("broken")
             else:
                 is_error = self.rng.random() < arrival.error_rate
-                transfer.head(500 if is_error else 200)
+                self.respond(transfer, 500 if is_error else 200)
                 transfer.data(b"answer")
                 transfer.end("complete")
         self._start_queued()
@@ -338,8 +365,7 @@
         now_ms = self._now_ms()
         helpers_up = all(helper.state == "up" for helper in helpers)
         if not helpers_up or not self.passes.enqueue(job, now_ms):
-            incoming.transfer.head(503, not_run=True)
-            incoming.transfer.end("complete")
+            self.reject(incoming.transfer)
             return
         self.jobs[job.job_id] = (job, incoming)
         self.helpers_of[job.job_id] = helpers
@@ -353,7 +379,7 @@
     def _finish_resumed(self, incoming: IncomingCall) -> None:
         """Ends a stream that is resumed after its last event."""
         self._record_run(incoming)
-        incoming.transfer.head(200, framed=self.frames_answers)
+        self.respond(incoming.transfer, 200, framed=self.frames_answers)
         incoming.transfer.end("complete")
 
     def _record_run(self, incoming: IncomingCall) -> None:
@@ -404,7 +430,7 @@
             self._record_run(incoming)
             if self._crash_by_prompt(incoming, emitted.event_id):
                 return
-            transfer.head(200, framed=self.frames_answers)
+            self.respond(transfer, 200, framed=self.frames_answers)
         transfer.data(_event(emitted.event_id))
         if emitted.last:
             transfer.end("complete")
@@ -420,7 +446,7 @@
             return False
         transfer = incoming.transfer
         if fault.progress != "nothing":
-            transfer.head(200, framed=self.frames_answers)
+            self.respond(transfer, 200, framed=self.frames_answers)
         if fault.progress == "half_event":
             transfer.data(_event(event_id)[:7])
         elif fault.progress == "event":
@@ -557,8 +583,7 @@
             )
         )
         if call.upstream_id != upstream.upstream_id:
-            transfer.head(421, not_run=True)
-            transfer.end("complete")
+            upstream.reject(transfer, 421)
             return
         arrival = self.arrivals[call.req.request_id]
         if not isinstance(upstream, EngineUpstream):
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -7,7 +7,7 @@
 import asyncio
 import collections
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final, NamedTuple
 
 from apricottrestle.gateway import (
@@ -340,6 +340,25 @@
             },
         )
 
+    def set_limit(
+        self, upstreams: Sequence[virtual_upstreams.Upstream], per_s: float
+    ) -> None:
+        """Lets upstreams name a limit of requests per second."""
+        self.end_limits()
+        self.run_ledger.limits.append(
+            ledger.LimitPeriod(per_s, [each.upstream_id for each in upstreams])
+        )
+        for upstream in upstreams:
+            upstream.limit = calls.NamedLimit(per_s)
+
+    def end_limits(self) -> None:
+        """Lets no upstream name a limit."""
+        now = asyncio.get_running_loop().time()
+        for period in self.run_ledger.limits:
+            period.ended_s = min(period.ended_s, now)
+        for upstream in self.by_address.values():
+            upstream.limit = None
+
     def set_prompt_fault(
         self, fault: virtual_upstreams.PromptFault | None
     ) -> None:
