Move the limits' part of routing out of the gateway, and share test faults

`limit_gate.py` decides which upstreams may get a request and how long limits keep one in the queue; `tests/world_faults.py` and `Fleet.send_requests` hold what stood twice.

--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -33,6 +33,7 @@
     exchange_host,
     fleet_config,
     fleet_state,
+    limit_gate,
     memory_holds,
     on_time_shares,
     retry_budget,
@@ -232,6 +233,9 @@
         self.crashes.on_changed = self._on_crashes_changed
         self.crashes.on_verdict = self._end_bad_prompts
         self.limits = upstream_limits.UpstreamLimits(incarnation)
+        self._limit_gate = limit_gate.LimitGate(
+            self.limits, self.state.members, self._placement_rank
+        )
         self._on_time_shares = on_time_shares.OnTimeShares()
         self._slots_reserved_until: dict[str, float] = {}
         self._own_claims: dict[exchange.Exchange, str] = {}
@@ -376,6 +380,9 @@
             )
         return decision
 
+    def _placement_rank(self, upstream_id: str) -> int:
+        return self.listener.placement_rank(upstream_id)
+
     def _on_crashes_changed(self, crash_ids: list[str]) -> None:
         self.listener.crashes_changed(crash_ids)
 
@@ -717,7 +724,7 @@
             outstanding=best.outstanding if best else None,
         )
         if best is None:
-            limit_wait_s = self._limit_wait_s(service, now)
+            limit_wait_s = self._limit_gate.wait_s(service, now)
             if candidates or limit_wait_s <= 0:
                 reason = "full" if candidates else "no_upstream"
                 retry_after_s = OVERLOAD_RETRY_AFTER_S
@@ -761,11 +768,7 @@
         has not tried and that are not ejected, then any that it has not tried,
         then all usable upstreams.
         """
-        usable = [
-            entry
-            for entry in self.state.members.usable(service)
-            if self._wait_for_turn_s(entry.upstream_id, now) <= 0
-        ]
+        usable = self._limit_gate.allowed(service, now)
         for choice in (
             [
                 entry
@@ -783,25 +786,6 @@
                 return choice
         return usable
 
-    def _wait_for_turn_s(self, upstream_id: str, now: float) -> float:
-        """Returns the time until the limit of an upstream allows a request."""
-        return self.limits.wait_s(
-            upstream_id, self.listener.placement_rank, now
-        )
-
-    def _limit_wait_s(self, service: str, now: float) -> float:
-        """Returns the time until a limit of a service allows a request.
-
-        0 if one is allowed now, or the service has no upstream.
-        """
-        return min(
-            (
-                self._wait_for_turn_s(entry.upstream_id, now)
-                for entry in self.state.members.usable(service)
-            ),
-            default=0.0,
-        )
-
     def _count_sends(self, upstream_ids: list[str], now: float) -> None:
         """Counts a request against the limits of the upstreams it goes to."""
         limited = [
@@ -813,33 +797,20 @@
             self.listener.limits_changed(limited)
 
     def _refuse_limited(self, request: exchange.Exchange, now: float) -> bool:
-        """Refuses a waiting request that limits keep from all engines too long.
-
-        The limits are shared evenly by the gateways, and the requests that have
-        waited longer go first.
-        """
+        """Refuses a waiting request that limits keep in the queue too long."""
         service = request.accepted.service.name
-        limits = [
-            self.limits.limit(entry.upstream_id)
-            for entry in self.state.members.usable(service)
-        ]
-        if not limits or None in limits:
-            return False
-        per_s = sum(limit for limit in limits if limit is not None) / (
-            self.listener.gateway_count()
-        )
         ahead = sum(
             other.accepted.service.name == service
             and other.waiting_since < request.waiting_since
             for other in self._waiting
         )
-        expected_s = self._limit_wait_s(service, now) + (
-            ahead / max(per_s, upstream_limits.MIN_PER_S)
+        wait_s = self._limit_gate.queue_wait_s(
+            service, ahead, self.listener.gateway_count(), now
         )
         needs = request.engine_needs(now)
-        if expected_s <= min(needs.abandon_left_s, needs.time_left_s):
+        if wait_s <= max(min(needs.abandon_left_s, needs.time_left_s), 0.0):
             return False
-        self._refuse_waiting(request, LIMITED, expected_s)
+        self._refuse_waiting(request, LIMITED, wait_s)
         return True
 
     def _latency_s(self, entry: upstream_list.UpstreamEntry) -> float:
--- a/src/apricottrestle_standins/platform/soak.py
+++ b/src/apricottrestle_standins/platform/soak.py
@@ -17,7 +17,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from typing import Any, Final, NamedTuple
 
 from apricottrestle.platform import names
@@ -347,6 +347,31 @@
             },
         )
 
+    async def send_requests(
+        self,
+        length_s: float,
+        prompts: Sequence[tuple[str, ...]] = ((),) * CALLER_COUNT,
+    ) -> None:
+        """Lets callers send requests, one at a time each.
+
+        Args:
+            length_s: Duration of the traffic.
+            prompts: Shared parts of each caller's prompts.
+        """
+        deadline = asyncio.get_running_loop().time() + length_s
+        await asyncio.gather(
+            *(
+                soak_callers.Caller(
+                    f"caller-{n}",
+                    self.run_ledger,
+                    self.rotation,
+                    random.Random(n),
+                    shared_parts,
+                ).run(deadline)
+                for n, shared_parts in enumerate(prompts)
+            )
+        )
+
     async def inject(self, faults: list[Fault]) -> None:
         """Injects faults at their start times; waits until all have ended."""
         loop = asyncio.get_running_loop()
@@ -587,18 +612,9 @@
     fleet = Fleet(directory, rng)
     faults = generate_faults(seed, TRAFFIC_S)
     async with fleet.running():
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + TRAFFIC_S
-        callers = [
-            soak_callers.Caller(
-                f"caller-{n}",
-                fleet.run_ledger,
-                fleet.rotation,
-                random.Random(n),
-            ).run(deadline)
-            for n in range(CALLER_COUNT)
-        ]
-        await asyncio.gather(fleet.inject(faults), *callers)
+        await asyncio.gather(
+            fleet.inject(faults), fleet.send_requests(TRAFFIC_S)
+        )
         await fleet.wait_all_ready()
         await fleet.check_configuration()
     fleet.run_ledger.runs = [
@@ -620,18 +636,9 @@
     faults = generate_faults(seed, PROMPT_TRAFFIC_S, PROMPT_FAULTS)
     prompts = [("first",)] * 8 + [("first", "bad")] * 3
     async with fleet.running():
-        deadline = asyncio.get_running_loop().time() + PROMPT_TRAFFIC_S
-        callers = [
-            soak_callers.Caller(
-                f"caller-{n}",
-                fleet.run_ledger,
-                fleet.rotation,
-                random.Random(n),
-                shared_parts,
-            ).run(deadline)
-            for n, shared_parts in enumerate(prompts)
-        ]
-        await asyncio.gather(fleet.inject(faults), *callers)
+        await asyncio.gather(
+            fleet.inject(faults), fleet.send_requests(PROMPT_TRAFFIC_S, prompts)
+        )
     problems = fleet.problems + ledger.find_violations(fleet.run_ledger)
     problems += ledger.find_prompt_violations(fleet.run_ledger, SETTLE_S)
     if not fleet.run_ledger.prompt_crashes:
@@ -663,17 +670,11 @@
             upstream.limit_per_s = None
 
     async with fleet.running():
-        deadline = asyncio.get_running_loop().time() + PROMPT_TRAFFIC_S
-        callers = [
-            soak_callers.Caller(
-                f"caller-{n}",
-                fleet.run_ledger,
-                fleet.rotation,
-                random.Random(n),
-            ).run(deadline)
-            for n in range(CALLER_COUNT)
-        ]
-        await asyncio.gather(fleet.inject(faults), name_limit(), *callers)
+        await asyncio.gather(
+            fleet.inject(faults),
+            name_limit(),
+            fleet.send_requests(PROMPT_TRAFFIC_S),
+        )
     problems = fleet.problems + ledger.find_violations(fleet.run_ledger)
     problems += ledger.find_limit_violations(fleet.run_ledger, SETTLE_S)
     period = fleet.run_ledger.limits[0]
--- a/tests/test_world_crashing_prompts.py
+++ b/tests/test_world_crashing_prompts.py
@@ -20,6 +20,7 @@
     workload,
     world,
 )
+from tests import world_faults
 
 SMALL = workload.SITES["zimska-trgatev"]
 GROWN = workload.SITES["zimska-trgatev-grown"]
@@ -58,28 +59,7 @@
     faults: Faults | None = None
 
 
-async def _kill_one(fleet: world.World) -> None:
-    """Kills each gateway once, one after the other."""
-    await asyncio.sleep(9.0)
-    for number in range(len(fleet.gateways)):
-        fleet.kill_gateway(f"gateway-{number}")
-        await asyncio.sleep(0.5)
-        fleet.start_gateway(number)
-        await asyncio.sleep(1.5)
-
-
-async def _kill_all(fleet: world.World) -> None:
-    """Kills all gateways at once, shortly after the first crashes."""
-    await asyncio.sleep(FIRST_BAD_S + 4.0)
-    rows = list(fleet.gateways.values())
-    for row in rows:
-        fleet.kill_gateway(row.address)
-    await asyncio.sleep(1.0)
-    for row in rows:
-        fleet.start_gateway(row.data_centre)
-
-
-async def _kill_all_without_store(fleet: world.World) -> None:
+async def _restart_after_outage(fleet: world.World) -> None:
     """Kills all gateways after an outage of the store during the crashes."""
     await asyncio.sleep(FIRST_BAD_S - 1.0)
     views = [row.store for row in fleet.gateways.values()]
@@ -88,37 +68,7 @@
     await asyncio.sleep(6.0)
     for view in views:
         view.fault = ""
-    await asyncio.sleep(3.0)
-    rows = list(fleet.gateways.values())
-    for row in rows:
-        fleet.kill_gateway(row.address)
-    await asyncio.sleep(1.0)
-    for row in rows:
-        fleet.start_gateway(row.data_centre)
-
-
-async def _cut_one_off(fleet: world.World) -> None:
-    """Partitions a gateway from the others during the first crashes."""
-    address, *others = sorted(fleet.gateways)
-    await asyncio.sleep(FIRST_BAD_S - 1.0)
-    pairs = {frozenset((address, other)) for other in others}
-    fleet.partitioned |= pairs
-    for _ in range(8):
-        fleet.disturb(address)
-        await asyncio.sleep(1.0)
-    fleet.partitioned -= pairs
-    fleet.disturb(address)
-
-
-async def _lose_and_repeat_frames(fleet: world.World) -> None:
-    """Loses a third of the frames between gateways and repeats a third."""
-    rng = random.Random(5)
-
-    def delays_s() -> tuple[float, ...]:
-        copies = rng.choice((0, 1, 2))
-        return tuple(rng.uniform(0.001, 0.05) for _ in range(copies))
-
-    fleet.frame_delays_s = delays_s
+    await world_faults.restart_all(fleet, 3.0, 1.0)
 
 
 CASES: Final = {
@@ -152,13 +102,26 @@
     "three_gateways": Case(site=SMALL._replace(gateways=3)),
     "ten_gateways": Case(site=GROWN._replace(gateways=10)),
     "many_gateways": Case(site=GROWN._replace(gateways=28), bad_per_s=10.0),
-    "gateways_restart": Case(faults=_kill_one, length_s=30.0),
-    "all_gateways_restart": Case(faults=_kill_all, length_s=30.0),
+    "gateways_restart": Case(
+        faults=lambda fleet: world_faults.restart_each(fleet, 9.0, 1.5),
+        length_s=30.0,
+    ),
+    "all_gateways_restart": Case(
+        faults=lambda fleet: world_faults.restart_all(
+            fleet, FIRST_BAD_S + 4.0, 1.0
+        ),
+        length_s=30.0,
+    ),
     "all_restart_after_outage": Case(
-        faults=_kill_all_without_store, length_s=30.0
+        faults=_restart_after_outage, length_s=30.0
+    ),
+    "gateway_cut_off": Case(
+        faults=lambda fleet: world_faults.cut_one_off(
+            fleet, FIRST_BAD_S - 1.0, 8
+        ),
+        length_s=30.0,
     ),
-    "gateway_cut_off": Case(faults=_cut_one_off, length_s=30.0),
-    "frames_lost": Case(faults=_lose_and_repeat_frames),
+    "frames_lost": Case(faults=world_faults.lose_and_repeat_frames),
 }
 
 
--- a/tests/test_world_named_limits.py
+++ b/tests/test_world_named_limits.py
@@ -18,6 +18,7 @@
     workload,
     world,
 )
+from tests import world_faults
 
 SMALL = workload.SITES["zimska-trgatev"]
 GROWN = workload.SITES["zimska-trgatev-grown"]
@@ -56,50 +57,6 @@
     """Does nothing."""
 
 
-async def _restart_gateways(fleet: world.World) -> None:
-    """Kills each gateway once, one after the other."""
-    await asyncio.sleep(NAMED_AT_S + 2.0)
-    for number in range(len(fleet.gateways)):
-        fleet.kill_gateway(f"gateway-{number}")
-        await asyncio.sleep(0.5)
-        fleet.start_gateway(number)
-        await asyncio.sleep(0.7)
-
-
-async def _restart_all_gateways(fleet: world.World) -> None:
-    await asyncio.sleep(NAMED_AT_S + 3.0)
-    rows = list(fleet.gateways.values())
-    for row in rows:
-        fleet.kill_gateway(row.address)
-    await asyncio.sleep(0.5)
-    for row in rows:
-        fleet.start_gateway(row.data_centre)
-
-
-async def _lose_and_repeat_frames(fleet: world.World) -> None:
-    """Loses a third of the frames between gateways and repeats a third."""
-    rng = random.Random(5)
-
-    def delays_s() -> tuple[float, ...]:
-        copies = rng.choice((0, 1, 2))
-        return tuple(rng.uniform(0.001, 0.05) for _ in range(copies))
-
-    fleet.frame_delays_s = delays_s
-
-
-async def _cut_one_off(fleet: world.World) -> None:
-    """Partitions a gateway from the others for some seconds."""
-    address, *others = sorted(fleet.gateways)
-    await asyncio.sleep(NAMED_AT_S - 1.0)
-    pairs = {frozenset((address, other)) for other in others}
-    fleet.partitioned |= pairs
-    for _ in range(5):
-        fleet.disturb(address)
-        await asyncio.sleep(1.0)
-    fleet.partitioned -= pairs
-    fleet.disturb(address)
-
-
 class Case(NamedTuple):
     """A day on which upstreams name a limit.
 
@@ -143,15 +100,29 @@
         1.0, _all_plain, GROWN._replace(gateways=28), plain_load=3.0
     ),
     "gateways_restart": Case(
-        1.0, _half_of_the_engines, faults=_restart_gateways
+        1.0,
+        _half_of_the_engines,
+        faults=lambda fleet: world_faults.restart_each(
+            fleet, NAMED_AT_S + 2.0, 0.7
+        ),
     ),
     "all_gateways_restart": Case(
-        1.0, _half_of_the_engines, faults=_restart_all_gateways
+        1.0,
+        _half_of_the_engines,
+        faults=lambda fleet: world_faults.restart_all(
+            fleet, NAMED_AT_S + 3.0, 0.5
+        ),
     ),
     "frames_lost": Case(
-        1.0, _half_of_the_engines, faults=_lose_and_repeat_frames
+        1.0, _half_of_the_engines, faults=world_faults.lose_and_repeat_frames
+    ),
+    "gateway_cut_off": Case(
+        1.0,
+        _half_of_the_engines,
+        faults=lambda fleet: world_faults.cut_one_off(
+            fleet, NAMED_AT_S - 1.0, 5
+        ),
     ),
-    "gateway_cut_off": Case(1.0, _half_of_the_engines, faults=_cut_one_off),
 }
 
 
