--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -120,6 +120,7 @@
         late_dispatches: Requests sent to an upstream after its drain notice
             was in force: upstream id and time.
         overdue_stops: Gateways that exceeded their grace period.
+        stops: Gateways that were asked to stop: address and time.
     """
 
     def __init__(self) -> None:
@@ -133,6 +134,7 @@
         self.leaks: list[tuple[str, str]] = []
         self.late_dispatches: list[tuple[str, float]] = []
         self.overdue_stops: list[str] = []
+        self.stops: list[tuple[str, float]] = []
 
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -187,6 +189,25 @@
     return lines
 
 
+STOP_ACCEPT_S = 3.0
+"""Time after a stop signal until which a request may be sent that is still cut
+at the end of the grace period."""
+
+
+def find_cut_requests(ledger: Ledger, grace_s: float) -> list[str]:
+    """Returns requests that a stopping gateway took late and then cut."""
+    return [
+        f"LOST {attempt.arrival.kind.name} {attempt.request_id}: sent "
+        f"{attempt.sent_s - stopped_s:.2f} s after the stop signal of {address}"
+        for attempts in ledger.requests
+        for attempt in attempts
+        for address, stopped_s in ledger.stops
+        if attempt.broken
+        and attempt.gateway == address
+        and STOP_ACCEPT_S < attempt.sent_s - stopped_s <= grace_s
+    ]
+
+
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
--- a/src/apricottrestle_standins/platform/workload.py
+++ b/src/apricottrestle_standins/platform/workload.py
@@ -176,6 +176,9 @@
 
 TEAMS: Final = 10
 TEAM_ZIPF_EXPONENT: Final = 1.2
+MAX_EVENTS_FACTOR: Final = 2.5
+"""Longest answer of a kind, as a factor of the mean."""
+
 SHARED_PARTS: Final = 60
 PART_ZIPF_EXPONENT: Final = 0.5
 SAFE_ERROR_RATE: Final = 0.14
@@ -235,7 +238,9 @@
                     _draw_length(
                         kind.tokens, kind.spread, kind.max_tokens, rng
                     ),
-                    _draw_length(kind.events, 0.6, 2.5 * kind.events, rng),
+                    _draw_length(
+                        kind.events, 0.6, MAX_EVENTS_FACTOR * kind.events, rng
+                    ),
                     _draw_work_s(rng),
                     SAFE_ERROR_RATE if kind.route_kind == "safe" else 0.0,
                     (_draw_part(kind, part_weights, part_rng),)
@@ -279,7 +284,9 @@
                 rng.randrange(data_centres),
                 team,
                 _draw_length(kind.tokens, kind.spread, kind.max_tokens, rng),
-                _draw_length(kind.events, 0.6, 2.5 * kind.events, rng),
+                _draw_length(
+                    kind.events, 0.6, MAX_EVENTS_FACTOR * kind.events, rng
+                ),
                 0.0,
                 0.0,
                 shared_parts,
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import math
 import random
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final, NamedTuple
@@ -210,6 +211,8 @@
         plain: Upstreams of the plain service.
         by_address: All upstreams by address.
         config: The newest configuration.
+        hint_spread: Standard deviation of the logarithm of callers' estimates
+            of the length of their answers; 0 for exact ones.
         balancer: Load balancer that chooses the gateways of new connections;
             None if each ready gateway gets connections at once.
     """
@@ -227,6 +230,8 @@
         self.bytes_sent: collections.Counter[str] = collections.Counter()
         self.max_retries = DEFAULT_MAX_RETRIES
         self.honours_retry_after = True
+        self.hint_spread = 0.0
+        self._hint_rng = random.Random(0)
         self.balancer: load_balancer.LoadBalancer | None = None
         self._arrivals: dict[str, workload.Arrival] = {}
         self._start_count = 0
@@ -476,6 +481,9 @@
         A gateway that was killed in the meantime is not started again.
         """
         row = self.gateways[address]
+        self.run_ledger.stops.append(
+            (address, asyncio.get_running_loop().time())
+        )
         stop = graceful_stop.GracefulStop(
             row.node.core, row.node.peers, row.listener, GRACE_S
         )
@@ -615,13 +623,7 @@
                 max(deadline - loop.time(), 0.0),
                 loop.time(),
                 str(attempt.resume_after) if attempt.resume_after else None,
-                calls.PromptSize(
-                    arrival.tokens,
-                    arrival.events * workload.EVENT_TOKENS,
-                    arrival.events * workload.EVENT_TOKENS,
-                )
-                if kind.tokens
-                else None,
+                self._prompt_size(arrival) if kind.tokens else None,
                 arrival.shared_parts,
             ),
             connection,
@@ -629,6 +631,21 @@
         await self._await_response(connection, deadline)
         row.responders.pop(connection, None)
 
+    def _prompt_size(self, arrival: workload.Arrival) -> calls.PromptSize:
+        """Returns what the caller states of its prompt and the answer."""
+        output_tokens = arrival.events * workload.EVENT_TOKENS
+        if not self.hint_spread:
+            return calls.PromptSize(
+                arrival.tokens, output_tokens, output_tokens
+            )
+        factor = math.exp(self._hint_rng.gauss(0.0, self.hint_spread))
+        return calls.PromptSize(
+            arrival.tokens,
+            int(workload.MAX_EVENTS_FACTOR * arrival.kind.events)
+            * workload.EVENT_TOKENS,
+            int(output_tokens * factor),
+        )
+
     async def _await_response(
         self, connection: CallerConnection, deadline: float
     ) -> None:
--- a/tests/test_world_stops.py
+++ b/tests/test_world_stops.py
@@ -244,3 +244,100 @@
     assert len(staying) == max(
         min(needed - len(serving), available - len(serving)), 0
     )
+
+
+ROLLS = [
+    (3, 0.5, 1.5),
+    (3, 1.5, 1.5),
+    (3, 2.0, 2.5),
+    (4, 1.0, 2.5),
+    (6, 1.0, 2.5),
+    (10, 0.5, 1.5),
+]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(("gateways", "gap_s", "load"), ROLLS)
+def test_requests_taken_late_in_a_stop_are_never_cut(
+    gateways: int, gap_s: float, load: float, seed: int
+) -> None:
+    """Guards against answers that outlast the gateway which took them.
+
+    All gateways are stopped one after the other. Callers' estimates of the
+    length of their answers are right in the median only.
+    """
+    name = "zimska-trgatev" if gateways < 9 else "zimska-trgatev-grown"
+    site = workload.SITES[name]._replace(gateways=gateways)
+
+    async def main() -> ledger.Ledger:
+        fleet = world.World(site, seed)
+        fleet.hint_spread = 0.6
+        fleet.start_balancer()
+
+        async def roll() -> None:
+            stops = []
+            for number in range(gateways):
+                await asyncio.sleep(gap_s)
+                stops.append(
+                    asyncio.ensure_future(
+                        fleet.stop_gateway(f"gateway-{number}")
+                    )
+                )
+            await asyncio.gather(*stops)
+
+        arrivals = workload.generate_arrivals(
+            site, 20.0, random.Random(seed), load=load
+        )
+        return await fleet.run_workload(arrivals, roll())
+
+    records = virtual_time.run(main())
+    assert ledger.find_cut_requests(records, world.GRACE_S) == []
+    assert ledger.find_violations(records) == []
+
+
+@pytest.mark.parametrize(
+    ("gateways", "starts_s"),
+    [(3, (1.0, 18.0)), (4, (1.0, 18.0)), (3, (1.0, 18.0, 35.0))],
+)
+def test_few_gateways_stay_ready_over_several_series_of_stops(
+    gateways: int, starts_s: tuple[float, ...]
+) -> None:
+    """Guards against one gateway more that stays ready in each series.
+
+    Of all that are stopped, a quarter may be ready four seconds later, or one.
+    """
+    site = SITE._replace(gateways=gateways)
+    stayed: list[str] = []
+
+    async def main() -> int:
+        fleet = world.World(site, 3)
+        fleet.hint_spread = 0.6
+        fleet.start_balancer()
+
+        async def stop(at_s: float, number: int) -> None:
+            await asyncio.sleep(at_s)
+            row = fleet.gateways[f"gateway-{number}"]
+            stopped = asyncio.ensure_future(fleet.stop_gateway(row.address))
+            await asyncio.sleep(READY_CHECK_AFTER_S)
+            if fleet.gateways.get(row.address) is row and row.node.ready:
+                stayed.append(row.address)
+            await stopped
+
+        async def stops() -> None:
+            await asyncio.gather(
+                *(
+                    stop(start_s + 1.5 * number, number)
+                    for start_s in starts_s
+                    for number in range(gateways)
+                )
+            )
+
+        arrivals = workload.generate_arrivals(
+            site, starts_s[-1] + 6.0, random.Random(3), load=2.5
+        )
+        await fleet.run_workload(arrivals, stops())
+        return len(fleet.run_ledger.stops)
+
+    stopped_count = virtual_time.run(main())
+    assert stopped_count == gateways * len(starts_s)
+    assert len(stayed) <= max(1, stopped_count // 4)
