Close the test servers' writers before their event loop ends

Cause: a handler of the endless server that was still sending when its test ended was cancelled by asyncio.run without closing its writer. The writer's finaliser then closed it on the closed loop, and pytest reported the exception as an error after all tests had passed.

Ruled out: the scripted upstream (each of the four tests was run by itself; only test_store_answer_without_end_is_an_error reported it), and the product's HTTP clients, which own no StreamWriter.

Change: the handler closes its writer also when it is cancelled. No check, bound or case changed.

Before: `pytest tests/test_platform_endless_bytes.py` exited with PytestUnraisableExceptionWarning in the one run made on the untouched code, after its tests had passed. After: five of five runs passed, 16 tests each.

--- a/tests/test_platform_endless_bytes.py
+++ b/tests/test_platform_endless_bytes.py
@@ -160,9 +160,11 @@
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        await send(writer)
-        writer.close()
+        # Also closes the writer of a connection that the end of the event loop
+        # cancels, which can't close it afterwards.
+        with contextlib.closing(writer):
+            await reader.readuntil(b"\r\n\r\n")
+            await send(writer)
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()[:2]
