--- a/src/apricottrestle/gateway/assembly.py
+++ b/src/apricottrestle/gateway/assembly.py
@@ -27,6 +27,7 @@
 
     Attributes:
         cfg: Settings in force.
+        incarnation: Id of this process, unique in the fleet.
         core: Serves requests.
         peers: Exchanges state with other gateways.
         store_sync: Keeps configuration and upstream list up to date.
@@ -51,7 +52,7 @@
             incarnation: Id of this process, unique in the fleet.
         """
         self.cfg = cfg
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self.core = gateway.Gateway(cfg, client, rng, incarnation)
         self.peers = peer_sync.PeerSync(cfg, self.core, incarnation, rng)
         self.core.listener = self.peers
@@ -83,7 +84,7 @@
         self.peers.start(link, self.store_sync)
         self.store_sync.start(
             store.GatewayEntry(
-                self.cfg.instance_id, self.cfg.peers, self._incarnation
+                self.cfg.instance_id, self.cfg.peers, self.incarnation
             ),
             self.peers.connect_gateways,
         )
--- a/src/apricottrestle_standins/platform/chaos.py
+++ b/src/apricottrestle_standins/platform/chaos.py
@@ -18,6 +18,7 @@
     "store_silent",
     "store_slow",
     "store_forgets",
+    "store_restored",
     "entries_lapse",
     "new_config",
     "drain_upstream",
@@ -161,6 +162,31 @@
     async def store_forgets(self) -> None:
         self._fleet.log.compact()
 
+    async def store_restored(self) -> None:
+        """The store loses seconds; what is lost is written again, unordered."""
+        if self._fleet.log.down:
+            return
+        lost = await self._fleet.restore_store(
+            self._rng.uniform(0.5, 8.0), self._duration_s / 3
+        )
+        if lost.configs:
+            self._fleet.log.publish(self._fleet.config)
+        upstream_ids = sorted({record[0] for record in lost.list_records})
+        self._rng.shuffle(upstream_ids)
+        for upstream_id in upstream_ids:
+            await asyncio.sleep(self._rng.uniform(0.0, 0.2))
+            upstream = next(
+                listed
+                for listed in self._fleet.by_address.values()
+                if listed.upstream_id == upstream_id
+            )
+            self._fleet.log.append_upstream_change(
+                upstream_id,
+                self._fleet.list_entry(
+                    upstream, draining=upstream.draining_since is not None
+                ),
+            )
+
     async def entries_lapse(self) -> None:
         """Entries expire during a store outage and return after it."""
         outage = asyncio.ensure_future(
@@ -212,7 +238,9 @@
         )
 
     def _has_store_fault(self) -> bool:
-        return any(row.store.fault for row in self._fleet.gateways.values())
+        return self._fleet.log.down or any(
+            row.store.fault for row in self._fleet.gateways.values()
+        )
 
     async def cut_gateways(self) -> None:
         """Partitions two gateways from each other."""
--- a/src/apricottrestle_standins/platform/store_http.py
+++ b/src/apricottrestle_standins/platform/store_http.py
@@ -1,8 +1,13 @@
-"""The platform's store over HTTP: keyed topics, long polls and faults."""
+"""The platform's store over HTTP: keyed topics, long polls and faults.
+
+The store can come back from a copy: it loses what was written since, gives the
+offsets out again, and numbers the new history in a header of each response.
+"""
 
 import asyncio
 import base64
 import struct
+import time
 from typing import Any, Final
 
 import msgspec
@@ -10,7 +15,9 @@
 
 from apricottrestle import http_server
 
+MAX_PAGE_ITEMS: Final = 500
 SLOW_RESPONSE_S: Final = 0.4
+HISTORY_HEADER: Final = "Store-Era"
 
 
 class Topic:
@@ -27,6 +34,8 @@
         self.records: list[tuple[str, bytes]] = []
         self.first = 0
         self.newest: dict[str, tuple[int, bytes]] = {}
+        # Time, key and value of all records, also those not retained.
+        self._written: list[tuple[float, str, bytes]] = []
 
     @property
     def end(self) -> int:
@@ -40,6 +49,24 @@
             key: Key of the record.
             value: Value; empty for a removal.
         """
+        self._written.append((time.monotonic(), key, value))
+        return self._append(key, value)
+
+    def restore(self, lost_s: float) -> list[tuple[str, bytes]]:
+        """Removes the records of the last seconds, and returns them."""
+        copied_at = time.monotonic() - lost_s
+        written, self._written = self._written, []
+        lost = [record[1:] for record in written if record[0] > copied_at]
+        first, self.first = self.first, 0
+        self.records, self.newest = [], {}
+        for record in written[: len(written) - len(lost)]:
+            self._written.append(record)
+            self._append(*record[1:])
+        self.first = min(first, self.end)
+        del self.records[: self.first]
+        return lost
+
+    def _append(self, key: str, value: bytes) -> int:
         offset = self.end
         self.records.append((key, value))
         if value:
@@ -62,11 +89,15 @@
             closes the connection without a response), "silent" (responds after
             30 s only), or "".
         calls: Number of calls received.
+        history: Number of the history; grows when records are lost.
+        page_items: Largest number of items in a page of newest records.
     """
 
     def __init__(self) -> None:
         """Creates an empty store without a fault."""
         self.fault = ""
+        self.history = 1
+        self.page_items = MAX_PAGE_ITEMS
         self.calls = 0
         self._topics: dict[str, Topic] = {}
         self._changed = asyncio.Event()
@@ -82,6 +113,19 @@
         self.notify()
         return offset
 
+    def restore(self, lost_s: float) -> dict[str, list[tuple[str, bytes]]]:
+        """Comes back from a copy that is `lost_s` older, in a new history.
+
+        Returns:
+            The lost records of each topic.
+        """
+        self.history += 1
+        lost = {
+            name: topic.restore(lost_s) for name, topic in self._topics.items()
+        }
+        self.notify()
+        return lost
+
     def notify(self) -> None:
         """Wakes up the long polls."""
         self._changed.set()
@@ -102,6 +146,7 @@
 
     async def prepare(self) -> None:
         self._store.calls += 1
+        self.set_header(HISTORY_HEADER, str(self._store.history))
         fault = self._store.fault
         if fault == "busy":
             self.set_status(503)
@@ -125,17 +170,25 @@
 class _NewestHandler(_Handler):
     def get(self) -> None:
         topic = self._topic()
-        items = [
-            {
-                "key": key,
-                "value": base64.b64encode(value).decode(),
-                "offset": offset,
-            }
-            for key, (offset, value) in topic.newest.items()
-        ]
+        after = self.get_query_argument("after", "")
+        keys = sorted(key for key in topic.newest if key > after)
+        items = []
+        for key in keys[: self._store.page_items]:
+            offset, value = topic.newest[key]
+            items.append(
+                {
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                    "offset": offset,
+                }
+            )
         self._respond(
             msgspec.json.encode(
-                {"items": items, "has_more": False, "end": topic.end}
+                {
+                    "items": items,
+                    "has_more": len(keys) > len(items),
+                    "end": topic.end,
+                }
             )
         )
 
@@ -147,9 +200,13 @@
         wait_s = int(self.get_query_argument("wait_ms", "0")) / 1000
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
-        while start >= topic.end and loop.time() < deadline:
+        history = self._store.history
+        while start == topic.end and loop.time() < deadline:
             await self._store.wait_for_change(deadline - loop.time())
-        if start < topic.first:
+        if history != self._store.history:
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        if not topic.first <= start <= topic.end:
             self.set_status(410)
             self._respond(msgspec.json.encode({"first": topic.first}))
             return
--- a/src/apricottrestle_standins/platform/virtual_store.py
+++ b/src/apricottrestle_standins/platform/virtual_store.py
@@ -1,7 +1,11 @@
-"""The platform's store in virtual time, with faults."""
+"""The platform's store in virtual time, with faults.
+
+Its history can be cut: the store then comes back from a copy some seconds old,
+and gives the offsets of the lost records to new ones.
+"""
 
 import asyncio
-from typing import Final
+from typing import Any, Final, NamedTuple
 
 from apricottrestle import errors
 from apricottrestle.gateway import (
@@ -15,6 +19,21 @@
 SILENCE_TIMEOUT_S: Final = 2.5
 
 
+ListRecord = tuple[str, upstream_list.UpstreamEntry | None]
+
+
+class Lost(NamedTuple):
+    """What others than gateways wrote and a return from a copy lost.
+
+    Attributes:
+        configs: Versions of the configuration, in order.
+        list_records: Changes of the upstream list, in order.
+    """
+
+    configs: list[fleet_config.FleetConfig]
+    list_records: list[ListRecord]
+
+
 class SharedLog:
     """The records of the store, which all clients share.
 
@@ -25,31 +44,71 @@
         gateways: Entries of the gateways by instance id.
         crashes: Saved crashes of engines by their ids.
         calls: Number of calls, failed ones included.
+        history: Number of the history; grows when records are lost.
+        down: Whether all calls fail.
     """
 
     def __init__(self) -> None:
         """Creates an empty store."""
+        self.down = False
         self.configs: list[fleet_config.FleetConfig] = []
-        self.list_records: list[
-            tuple[str, upstream_list.UpstreamEntry | None]
-        ] = []
+        self.list_records: list[ListRecord] = []
         self.first = 0
         self.gateways: dict[str, store.GatewayEntry] = {}
         self.crashes: dict[str, crash_evidence.CrashReport] = {}
         self.calls = 0
+        self.history = 1
+        self._config_times: list[float] = []
+        self._list_times: list[float] = []
+        # Time, table, key and value of what gateways wrote; None deletes.
+        self._own_writes: list[tuple[float, dict[str, Any], str, Any]] = []
         self._changed = asyncio.Event()
 
     def publish(self, config: fleet_config.FleetConfig) -> None:
         """Appends a version of the configuration."""
         self.configs.append(config)
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._config_times.append(_now())
+        self._notify()
 
     def append_upstream_change(
         self, upstream_id: str, entry: upstream_list.UpstreamEntry | None
     ) -> None:
         """Appends a new entry of an upstream, or its removal."""
         self.list_records.append((upstream_id, entry))
+        self._list_times.append(_now())
+
+    def write_own(self, table: dict[str, Any], key: str, value: Any) -> None:
+        """Stores a value that a gateway writes; None deletes the key."""
+        self._own_writes.append((_now(), table, key, value))
+        self._apply_own(table, key, value)
+
+    def restore(self, lost_s: float) -> Lost:
+        """Comes back from a copy that is `lost_s` older, in a new history."""
+        copied_at = _now() - lost_s
+        self.history += 1
+        configs = _cut(self.configs, self._config_times, copied_at)
+        records = _cut(self.list_records, self._list_times, copied_at)
+        self._own_writes = [
+            write for write in self._own_writes if write[0] <= copied_at
+        ]
+        self.gateways.clear()
+        self.crashes.clear()
+        for _, table, key, value in self._own_writes:
+            self._apply_own(table, key, value)
+        self.first = min(self.first, len(self.list_records))
+        self._notify()
+        return Lost(configs, records)
+
+    def _apply_own(self, table: dict[str, Any], key: str, value: Any) -> None:
+        if value is None:
+            table.pop(key, None)
+        else:
+            table[key] = value
+
+    def _notify(self) -> None:
+        """Wakes up the long polls."""
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     def compact(self) -> None:
         """Removes the history; the newest record of each key stays."""
@@ -64,6 +123,18 @@
             return
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _cut(records: list[Any], times: list[float], copied_at: float) -> list[Any]:
+    """Removes the records after a time, and returns them."""
+    kept = sum(written_at <= copied_at for written_at in times)
+    lost = records[kept:]
+    del records[kept:], times[kept:]
+    return lost
+
+
 class VirtualStore(store.FleetStore):
     """A gateway's client of the store.
 
@@ -90,9 +161,13 @@
     ) -> store.ConfigRead:
         """See FleetStore.wait_for_config."""
         await self._simulate_response()
+        history = self._log.history
+        self._check_offset(position, 0, len(self._log.configs))
         if position >= len(self._log.configs):
             await self._log.wait_for_config_change(wait_s)
-        if self.fault:
+        if self._log.history != history:
+            raise errors.PlatformError("reset", step="read", peer="store")
+        if self.fault or self._log.down:
             await self._simulate_response()
         configs = self._log.configs
         newest = configs[-1] if len(configs) > position else None
@@ -112,15 +187,16 @@
     async def read_upstream_changes(self, position: int) -> store.UpstreamsRead:
         """See FleetStore.read_upstream_changes."""
         await self._simulate_response()
-        if position < self._log.first:
-            raise store.HistoryLostError("410", step="read", peer="store")
+        self._check_offset(
+            position, self._log.first, len(self._log.list_records)
+        )
         records = self._log.list_records[position:]
         return store.UpstreamsRead(records, position + len(records))
 
     async def announce(self, row: store.GatewayEntry) -> None:
         """See FleetStore.announce."""
         await self._simulate_response()
-        self._log.gateways[row.instance_id] = row
+        self._log.write_own(self._log.gateways, row.instance_id, row)
 
     async def read_gateways(self) -> list[store.GatewayEntry]:
         """See FleetStore.read_gateways."""
@@ -135,16 +211,21 @@
     async def save_crash(self, report: crash_evidence.CrashReport) -> None:
         """See FleetStore.save_crash."""
         await self._simulate_response()
-        self._log.crashes[report.crash_id] = report
+        self._log.write_own(self._log.crashes, report.crash_id, report)
 
     async def delete_crash(self, crash_id: str) -> None:
         """See FleetStore.delete_crash."""
         await self._simulate_response()
-        self._log.crashes.pop(crash_id, None)
+        self._log.write_own(self._log.crashes, crash_id, None)
 
     def close(self) -> None:
         """See FleetStore.close."""
 
+    def _check_offset(self, offset: int, first: int, end: int) -> None:
+        """Fails a read from an offset that the store doesn't have."""
+        if not first <= offset <= end:
+            raise store.HistoryLostError("410", step="read", peer="store")
+
     async def _simulate_response(self) -> None:
         self._log.calls += 1
         if self.fault == "silent":
@@ -152,5 +233,5 @@
         await asyncio.sleep(
             self.slow_s if self.fault == "slow" else RESPONSE_TIME_S
         )
-        if self.fault in ("refuse", "silent"):
+        if self.fault in ("refuse", "silent") or self._log.down:
             raise errors.PlatformError("no response", step="read", peer="store")
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -293,6 +293,24 @@
             upstream.started_at_ms,
         )
 
+    async def restore_store(
+        self, lost_s: float, outage_s: float
+    ) -> virtual_store.Lost:
+        """Takes the store away, and brings it back from an older copy.
+
+        Args:
+            lost_s: Age of the copy when the store goes away.
+            outage_s: Time for which all calls fail.
+
+        Returns:
+            What the operator and the upstreams have to write again.
+        """
+        self.log.down = True
+        await asyncio.sleep(outage_s)
+        lost = self.log.restore(lost_s + outage_s)
+        self.log.down = False
+        return lost
+
     def _config(self, version: int) -> fleet_config.FleetConfig:
         parameters = self.engines[0].parameters
         model = fleet_config.EngineCostModel(
