Decode and log the number of the store's history

Cause: no log line could show to which history an answer of the store belongs, or from which position it was read, so that the three hypotheses of the restored store could not be told apart.

Change: the adapter decodes the number from each response; a position is a history and an offset. A line "store history" tells of the first answer of a history and of answers of an earlier one, with the position of the read. A number that is malformed fails the call, since its position would be unknown. No decision depends on it yet: positions are still compared by their offsets.

--- a/src/apricottrestle/gateway/peer_messages.py
+++ b/src/apricottrestle/gateway/peer_messages.py
@@ -14,6 +14,7 @@
     engine_claims,
     engine_load,
     fleet_config,
+    store,
     upstream_limits,
     upstream_list,
 )
@@ -155,8 +156,8 @@
     """
 
     sender: Sender
-    since: int
-    position: int
+    since: store.Position
+    position: store.Position
     changes: list[tuple[str, upstream_list.UpstreamEntry | None]]
 
 
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -245,7 +245,7 @@
         )
 
     def share_upstreams(
-        self, since: int, upstreams_read: store.UpstreamsRead
+        self, since: store.Position, upstreams_read: store.UpstreamsRead
     ) -> None:
         """See ReaderGroup.share_upstreams."""
         if self._link is not None:
--- a/src/apricottrestle/gateway/store.py
+++ b/src/apricottrestle/gateway/store.py
@@ -1,7 +1,8 @@
 """Interface to the platform's store of configuration and fleet membership.
 
-Implemented by the platform adapter. A position marks a place in the store's log
-of records; callers may only rely on a later one being larger.
+Implemented by the platform adapter. The store may come back from an older copy.
+A new history then begins: what was written since the copy is lost, and its
+offsets are given to other records.
 """
 
 import abc
@@ -22,6 +23,20 @@
     """
 
 
+class Position(NamedTuple):
+    """A place in the store's log of records.
+
+    Offsets of two histories can't be compared.
+
+    Attributes:
+        history: Number of the store's history; grows with each one.
+        offset: Number of the next record in that history.
+    """
+
+    history: int
+    offset: int
+
+
 class ConfigRead(NamedTuple):
     """Result of a read of the configuration.
 
@@ -31,7 +46,7 @@
     """
 
     config: fleet_config.FleetConfig | None
-    position: int
+    position: Position
 
 
 class UpstreamsRead(NamedTuple):
@@ -44,7 +59,7 @@
     """
 
     changes: list[tuple[str, upstream_list.UpstreamEntry | None]]
-    position: int
+    position: Position
 
 
 class GatewayEntry(NamedTuple):
@@ -73,7 +88,9 @@
         """Returns the newest configuration."""
 
     @abc.abstractmethod
-    async def wait_for_config(self, position: int, wait_s: float) -> ConfigRead:
+    async def wait_for_config(
+        self, position: Position, wait_s: float
+    ) -> ConfigRead:
         """Waits for a newer configuration (long poll).
 
         Args:
@@ -89,7 +106,7 @@
         """Returns the whole upstream list."""
 
     @abc.abstractmethod
-    async def read_upstream_changes(self, position: int) -> UpstreamsRead:
+    async def read_upstream_changes(self, position: Position) -> UpstreamsRead:
         """Returns the changes after a position, without waiting.
 
         Raises:
--- a/src/apricottrestle/gateway/store_sync.py
+++ b/src/apricottrestle/gateway/store_sync.py
@@ -18,6 +18,7 @@
     fleet_state,
     store,
     store_duty,
+    store_history,
     upstream_list,
 )
 
@@ -83,7 +84,7 @@
 
     @abc.abstractmethod
     def share_upstreams(
-        self, since: int, upstreams_read: store.UpstreamsRead
+        self, since: store.Position, upstreams_read: store.UpstreamsRead
     ) -> None:
         """Sends upstream list changes to the other gateways.
 
@@ -124,7 +125,8 @@
         self._readers = readers
         self._rng = rng
         self._tasks: list[asyncio.Task[None]] = []
-        self._list_position: int | None = None
+        self._history = store_history.HistoryTracker()
+        self._list_position: store.Position | None = None
         self._list_updated_at = 0.0
         self.reaches_store = False
 
@@ -151,7 +153,10 @@
             task.cancel()
 
     def apply_shared_read(
-        self, since: int, upstreams_read: store.UpstreamsRead, source: str
+        self,
+        since: store.Position,
+        upstreams_read: store.UpstreamsRead,
+        source: str,
     ) -> None:
         """Applies upstream list changes that another gateway has read.
 
@@ -163,13 +168,13 @@
         position = self._list_position
         if (
             position is None
-            or position < since
-            or upstreams_read.position < position
+            or position.offset < since.offset
+            or upstreams_read.position.offset < position.offset
         ):
             # Records between the positions are missing, or all are known. This
             # gateway's next poll fetches missing ones.
             return
-        unseen = upstreams_read.changes[position - since :]
+        unseen = upstreams_read.changes[position.offset - since.offset :]
         self._apply_records(
             unseen, upstreams_read.position, source, is_full=False
         )
@@ -184,13 +189,14 @@
 
     async def _sync_config(self) -> None:
         backoff = _StoreBackoff("configuration", self._rng)
-        position: int | None = None
+        position: store.Position | None = None
         while True:
             if position is not None and not store_duty.is_config_reader(
                 self._rank()
             ):
                 await asyncio.sleep(RANK_CHECK_INTERVAL_S)
                 continue
+            at_call = self._history.current
             try:
                 if position is None:
                     config_read = await self._store.read_config()
@@ -208,6 +214,7 @@
                 continue
             backoff.succeeded()
             self._set_reaches_store(True)
+            self._note_answer(config_read.position, at_call, position)
             position = config_read.position
             if config_read.config is not None:
                 self._state.adopt_config(
@@ -219,6 +226,7 @@
         while True:
             await self._wait_for_list_poll()
             position = self._list_position
+            at_call = self._history.current
             try:
                 if position is None:
                     upstreams_read = await self._store.read_upstreams()
@@ -236,6 +244,7 @@
                 continue
             backoff.succeeded()
             self._set_reaches_store(True)
+            self._note_answer(upstreams_read.position, at_call, position)
             if position is None:
                 self._apply_records(
                     upstreams_read.changes,
@@ -245,7 +254,9 @@
                 )
             else:
                 self._readers.share_upstreams(position, upstreams_read)
-                skipped = (self._list_position or position) - position
+                skipped = (self._list_position or position).offset - (
+                    position.offset
+                )
                 self._apply_records(
                     upstreams_read.changes[skipped:],
                     upstreams_read.position,
@@ -253,6 +264,27 @@
                     is_full=False,
                 )
 
+    def _note_answer(
+        self,
+        answered: store.Position,
+        at_call: int,
+        position: store.Position | None,
+    ) -> None:
+        """Logs an answer that isn't of the present history."""
+        before = self._history.current
+        kind = self._history.note_answer(answered.history, at_call)
+        if kind != "present":
+            logs.decision(
+                _LOG,
+                "store history",
+                history=answered.history,
+                before=before,
+                read_from=position,
+                end=answered.offset,
+                source=fleet_state.STORE_SOURCE,
+                outcome=kind,
+            )
+
     async def _wait_for_list_poll(self) -> None:
         """Waits until the upstream list is old enough for this rank to poll."""
         while self._list_position is not None:
@@ -266,7 +298,7 @@
     def _apply_records(
         self,
         records: list[tuple[str, upstream_list.UpstreamEntry | None]],
-        position: int,
+        position: store.Position,
         source: str,
         *,
         is_full: bool,
@@ -278,7 +310,7 @@
             changes = members.replace(entries, now)
         else:
             changes = members.apply(records, now)
-        self._list_position = max(position, self._list_position or 0)
+        self._list_position = max(position, self._list_position or position)
         self._list_updated_at = now
         self._state.apply_upstreams(changes, source)
 
@@ -313,7 +345,7 @@
 
 
 def _log_lost_history(
-    what: str, position: int | None, exc: errors.PlatformError
+    what: str, position: store.Position | None, exc: errors.PlatformError
 ) -> None:
     logs.decision(
         _LOG, "history lost", what=what, position=position, reason=str(exc)
--- a/src/apricottrestle/platform/names.py
+++ b/src/apricottrestle/platform/names.py
@@ -28,6 +28,10 @@
 RESERVATION_PATH: Final = "/-/order"
 REPORT_PATH: Final = "/-/report"
 
+STORE_HISTORY: Final = "Store-Era"
+"""Response header of the store: number of its history, which grows when the
+store comes back from an older copy."""
+
 LOG_READ_PATH: Final = "/-/log-read"
 LOG_NEWEST_PATH: Final = "/-/log-newest"
 LOG_APPEND_PATH: Final = "/-/log-append"
--- a/src/apricottrestle/platform/store_client.py
+++ b/src/apricottrestle/platform/store_client.py
@@ -12,6 +12,7 @@
 from typing import Final, NamedTuple, TypeVar
 
 import msgspec
+from tornado import httpclient
 
 from apricottrestle import errors, metrics, platform_http
 from apricottrestle.gateway import crash_evidence, store, upstream_list
@@ -49,6 +50,13 @@
     has_more: bool = False
 
 
+class _Answer(NamedTuple):
+    """Body of a response, and the number of the store's history."""
+
+    body: bytes
+    history: int
+
+
 class KeyedRecord(NamedTuple):
     """A record of a keyed topic; a value of None deletes the key."""
 
@@ -113,7 +121,7 @@
         return self._select_newest_config(records, end)
 
     async def wait_for_config(
-        self, position: int, wait_s: float
+        self, position: store.Position, wait_s: float
     ) -> store.ConfigRead:
         """See FleetStore.wait_for_config."""
         records, end = await self._read_from(
@@ -126,7 +134,9 @@
         records, end = await self._read_newest(names.UPSTREAMS_TOPIC)
         return store.UpstreamsRead(_decode_upstreams(records), end)
 
-    async def read_upstream_changes(self, position: int) -> store.UpstreamsRead:
+    async def read_upstream_changes(
+        self, position: store.Position
+    ) -> store.UpstreamsRead:
         """See FleetStore.read_upstream_changes."""
         records, end = await self._read_from(
             names.UPSTREAMS_TOPIC, position, 0.0
@@ -211,15 +221,15 @@
         body: bytes | None = None,
         appends: bool = False,
         timeout_s: float | None = None,
-    ) -> bytes:
+    ) -> _Answer:
         """Makes one call and records its latency.
 
-        See PlatformHttpClient.call.
+        See PlatformHttpClient.fetch.
         """
         started = time.monotonic()
         outcome = "failed"
         try:
-            response = await self._http.call(
+            response = await self._http.fetch(
                 method,
                 path,
                 step,
@@ -232,9 +242,11 @@
             metrics.STORE_SECONDS.labels(step, outcome).observe(
                 time.monotonic() - started
             )
-        return response
+        return _Answer(response.body, _parse_history(response))
 
-    async def _read_newest(self, topic: str) -> tuple[list[KeyedRecord], int]:
+    async def _read_newest(
+        self, topic: str
+    ) -> tuple[list[KeyedRecord], store.Position]:
         """Returns the newest record of each key, and the position to read from.
 
         The pages aren't one snapshot. Later reads therefore start at the end
@@ -242,41 +254,41 @@
         were read is missed; some records are read twice.
         """
         records: list[KeyedRecord] = []
-        first_end: int | None = None
+        start: store.Position | None = None
         after = ""
         while True:
             query = {"topic": topic, "part": "0"}
             if after:
                 query["after"] = after
-            body = await self._call(
+            answer = await self._call(
                 "GET",
                 f"{names.LOG_NEWEST_PATH}?{urllib.parse.urlencode(query)}",
                 "read",
             )
             page = platform_http.decode_response(
-                body, _NewestPage, "read", _PEER
+                answer.body, _NewestPage, "read", _PEER
             )
-            if first_end is None:
-                first_end = page.end
+            if start is None:
+                start = store.Position(answer.history, page.end)
             records += [_decode_item(item) for item in page.items]
             if not page.has_more or not page.items:
-                return records, first_end
+                return records, start
             after = page.items[-1].key
 
     async def _read_from(
-        self, topic: str, position: int, wait_s: float
-    ) -> tuple[list[KeyedRecord], int]:
+        self, topic: str, position: store.Position, wait_s: float
+    ) -> tuple[list[KeyedRecord], store.Position]:
         query = urllib.parse.urlencode(
             {
                 "topic": topic,
                 "part": 0,
-                "from": position,
+                "from": position.offset,
                 "max_kb": READ_MAX_KB,
                 "wait_ms": int(wait_s * 1000),
             }
         )
         try:
-            body = await self._call(
+            answer = await self._call(
                 "GET",
                 f"{names.LOG_READ_PATH}?{query}",
                 "read",
@@ -288,13 +300,15 @@
                     exc.message, step="read", peer=_PEER
                 ) from exc
             raise
-        if len(body) < _OFFSETS_HEADER.size:
+        if len(answer.body) < _OFFSETS_HEADER.size:
             raise _malformed_response("missing offsets")
-        records = list(decode_records(body))
-        return records, position + len(records)
+        records = list(decode_records(answer.body))
+        return records, store.Position(
+            answer.history, position.offset + len(records)
+        )
 
     def _select_newest_config(
-        self, records: list[KeyedRecord], position: int
+        self, records: list[KeyedRecord], position: store.Position
     ) -> store.ConfigRead:
         newest = None
         for record in records:
@@ -313,6 +327,19 @@
         return store.ConfigRead(newest, position)
 
 
+def _parse_history(response: httpclient.HTTPResponse) -> int:
+    """Returns the number of the store's history; 0 if the store has none.
+
+    Raises:
+        PlatformError: The number is malformed, so that it isn't known to which
+            history the response belongs.
+    """
+    text = response.headers.get(names.STORE_HISTORY, "0")
+    if not (text.isascii() and text.isdigit()):
+        raise _malformed_response(f"number of the history: {text[:40]!r}")
+    return int(text)
+
+
 def _decode_item(item: _Item) -> KeyedRecord:
     if item.value is None:
         return KeyedRecord(item.key, None)
--- a/src/apricottrestle/platform_http.py
+++ b/src/apricottrestle/platform_http.py
@@ -61,6 +61,30 @@
     ) -> bytes:
         """Makes one call and returns the body of a 2xx response.
 
+        See `fetch`.
+        """
+        response = await self.fetch(
+            method,
+            path,
+            step,
+            body=body,
+            appends=appends,
+            timeout_s=timeout_s,
+        )
+        return response.body
+
+    async def fetch(
+        self,
+        method: str,
+        path: str,
+        step: str,
+        *,
+        body: bytes | None = None,
+        appends: bool = False,
+        timeout_s: float | None = None,
+    ) -> httpclient.HTTPResponse:
+        """Makes one call and returns the 2xx response.
+
         Args:
             method: HTTP method.
             path: Path and query.
@@ -93,7 +117,7 @@
                 exc, step, appends and _may_have_been_sent(exc)
             ) from exc
         self._raise_for_status(response, step, appends)
-        return response.body
+        return response
 
     def close(self) -> None:
         """Closes the connections; later calls open new ones."""
--- a/src/apricottrestle_standins/platform/virtual_store.py
+++ b/src/apricottrestle_standins/platform/virtual_store.py
@@ -154,24 +154,26 @@
         """See FleetStore.read_config."""
         await self._simulate_response()
         configs = self._log.configs
-        return store.ConfigRead(configs[-1] if configs else None, len(configs))
+        return store.ConfigRead(
+            configs[-1] if configs else None, self._position(len(configs))
+        )
 
     async def wait_for_config(
-        self, position: int, wait_s: float
+        self, position: store.Position, wait_s: float
     ) -> store.ConfigRead:
         """See FleetStore.wait_for_config."""
         await self._simulate_response()
         history = self._log.history
-        self._check_offset(position, 0, len(self._log.configs))
-        if position >= len(self._log.configs):
+        self._check_offset(position.offset, 0, len(self._log.configs))
+        if position.offset >= len(self._log.configs):
             await self._log.wait_for_config_change(wait_s)
         if self._log.history != history:
             raise errors.PlatformError("reset", step="read", peer="store")
         if self.fault or self._log.down:
             await self._simulate_response()
         configs = self._log.configs
-        newest = configs[-1] if len(configs) > position else None
-        return store.ConfigRead(newest, len(configs))
+        newest = configs[-1] if len(configs) > position.offset else None
+        return store.ConfigRead(newest, self._position(len(configs)))
 
     async def read_upstreams(self) -> store.UpstreamsRead:
         """See FleetStore.read_upstreams."""
@@ -182,16 +184,22 @@
             for upstream_id, entry in newest.items()
             if entry is not None
         ]
-        return store.UpstreamsRead(listed, len(self._log.list_records))
+        return store.UpstreamsRead(
+            listed, self._position(len(self._log.list_records))
+        )
 
-    async def read_upstream_changes(self, position: int) -> store.UpstreamsRead:
+    async def read_upstream_changes(
+        self, position: store.Position
+    ) -> store.UpstreamsRead:
         """See FleetStore.read_upstream_changes."""
         await self._simulate_response()
         self._check_offset(
-            position, self._log.first, len(self._log.list_records)
+            position.offset, self._log.first, len(self._log.list_records)
+        )
+        records = self._log.list_records[position.offset :]
+        return store.UpstreamsRead(
+            records, self._position(len(self._log.list_records))
         )
-        records = self._log.list_records[position:]
-        return store.UpstreamsRead(records, position + len(records))
 
     async def announce(self, row: store.GatewayEntry) -> None:
         """See FleetStore.announce."""
@@ -221,6 +229,9 @@
     def close(self) -> None:
         """See FleetStore.close."""
 
+    def _position(self, offset: int) -> store.Position:
+        return store.Position(self._log.history, offset)
+
     def _check_offset(self, offset: int, first: int, end: int) -> None:
         """Fails a read from an offset that the store doesn't have."""
         if not first <= offset <= end:
