Read positions of the store only within the history that they belong to

What callers would see: a version of the configuration that is never in force on some gateways, or requests to an upstream that drains.

Cause: a position was a bare offset. After the store came back from a copy and its offsets had been given out again, a reader that had been away got no 410 and skipped the records before its offset. Changes that a peer had read were cut at an offset of the other history in the same way, the pages of one listing could come from two histories, and an answer of the lost history could arrive last. Class of fault: values of two sequences compared as if they were of one.

Ruled out: versions from peers (compared by version, not by position), and lists that a starting gateway takes from a peer (it reads the store's list as soon as it can).

Change: a position is used only if its history is the present one; otherwise the whole state is read again. The gateway that reads the list of a new history sends the others the difference to the old list, which applies only at the same position, so that not each of hundreds of gateways reads it. A gateway that the store turns away takes a peer's list if its own stays older for a second.

--- a/src/apricottrestle/gateway/peer_messages.py
+++ b/src/apricottrestle/gateway/peer_messages.py
@@ -36,6 +36,8 @@
         stop_order: Position in the sequence of stops; 0 if the sender isn't
             stopping.
         crash_digest: Hash of all crashes of engines that the sender knows.
+        list_position: Position up to which the sender has read the upstream
+            list, or None before the first read.
     """
 
     instance_id: str
@@ -47,6 +49,7 @@
     ready: bool = False
     stop_order: int = 0
     crash_digest: int = 0
+    list_position: store.Position | None = None
 
 
 class StartedRun(msgspec.Struct, array_like=True, frozen=True):
@@ -120,6 +123,7 @@
         crashes: All crashes of engines that the sender knows, if the receiver
             knows others or none.
         limits: All limits of upstreams that the sender knows.
+        lapsed: Ids of the upstreams whose entry has lapsed.
     """
 
     sender: Sender
@@ -129,6 +133,7 @@
     started: list[StartedRun]
     crashes: list[crash_evidence.CrashReport] = []
     limits: list[upstream_limits.LimitReport] = []
+    lapsed: list[str] = []
 
 
 class ConfigUpdate(msgspec.Struct, array_like=True, tag="config", frozen=True):
@@ -151,7 +156,8 @@
     Attributes:
         sender: The sender.
         since: Position after which the changes were read.
-        position: Position up to which the changes were read.
+        position: Position up to which the changes were read; in another
+            history, the changes are the difference between the two lists.
         changes: Upstream ids with their new entries; None for a removed entry.
     """
 
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -67,6 +67,11 @@
 """Time in which a configuration that peers have reaches this gateway by relays;
 after that the gateway asks for it."""
 
+LIST_BEHIND_S: Final = 1.0
+"""Time for which the upstream list of a gateway that can't reach the store may
+be older than a peer's before it asks for that one: two intervals in which peers
+send what they read."""
+
 RELAY_CHECK_S: Final = 0.5
 """Time after which a gateway that didn't distribute a configuration sends it to
 the peers that still lack it; they report their version in each heartbeat."""
@@ -124,6 +129,7 @@
         self._store_sync: store_sync.StoreSync | None = None
         self._last_catch_up_at = 0.0
         self._behind_since: float | None = None
+        self._list_behind_since: float | None = None
         self._started_at = 0.0
         self._send_tasks: set[asyncio.Task[None]] = set()
         core.state.watch_config(self._on_config)
@@ -361,6 +367,7 @@
             self._ready(),
             self.stop_order,
             self._core.crashes.evidence.digest,
+            self._store_sync.list_position if self._store_sync else None,
         )
 
     def tick(self) -> None:
@@ -401,7 +408,9 @@
             peer for peer in self._peers.alive() if peer.ready_since is not None
         ]
         if ready_peers:
-            self._catch_up_from(self._rng.choice(ready_peers).address, now)
+            self._catch_up_from(
+                self._rng.choice(ready_peers).address, now, wants_lists=True
+            )
 
     # Messages from peers.
 
@@ -427,6 +436,32 @@
             case peer_messages.UpstreamUpdate():
                 self._on_upstreams(message)
         self._request_unknown_crashes(sender, now)
+        self._request_newer_list(sender, now)
+
+    def _request_newer_list(
+        self, sender: peer_messages.Sender, now: float
+    ) -> None:
+        """Asks for the upstream list of a peer that could read more of it.
+
+        Guards a gateway that the store turns away against changes that were
+        lost, or that follow a history which it doesn't know.
+        """
+        if self._store_sync is None or sender.list_position is None:
+            return
+        self._store_sync.note_peer_history(
+            sender.list_position.history, sender.instance_id
+        )
+        own = self._store_sync.list_position
+        if not self._core.state.has_upstream_list or (
+            own is not None and own >= sender.list_position
+        ):
+            return
+        if self._store_sync.reaches_store:
+            self._list_behind_since = None
+        elif self._list_behind_since is None:
+            self._list_behind_since = now
+        elif now >= self._list_behind_since + LIST_BEHIND_S:
+            self._catch_up_from(sender.address, now, wants_lists=True)
 
     def _request_unknown_crashes(
         self, sender: peer_messages.Sender, now: float
@@ -479,7 +514,7 @@
                 for peer in self._peers.alive()
                 if peer.config_version > state.config_version
             ]
-            self._catch_up_from(self._rng.choice(newer), now)
+            self._catch_up_from(self._rng.choice(newer), now, wants_lists=False)
 
     def _on_upstreams(self, update: peer_messages.UpstreamUpdate) -> None:
         if self._store_sync is not None:
@@ -534,6 +569,22 @@
                 self._core.state.members.merge_peer_entries(welcome.upstreams),
                 source,
             )
+        elif (
+            self._store_sync is not None
+            and welcome.upstreams
+            and welcome.sender.list_position is not None
+            and not self._store_sync.reaches_store
+        ):
+            self._store_sync.apply_peer_list(
+                [
+                    entry
+                    for entry in welcome.upstreams
+                    if entry.upstream_id not in welcome.lapsed
+                ],
+                welcome.sender.list_position,
+                source,
+            )
+            self._list_behind_since = None
         for address in welcome.gateways:
             self._connect(address)
         if welcome.crashes:
@@ -627,11 +678,13 @@
             address, peer_messages.Hello(self._sender(), wants_lists)
         )
 
-    def _catch_up_from(self, address: str, now: float) -> None:
+    def _catch_up_from(
+        self, address: str, now: float, *, wants_lists: bool
+    ) -> None:
         """Requests newer state from a peer, at most once per interval."""
         if now >= self._last_catch_up_at + CATCH_UP_INTERVAL_S:
             self._last_catch_up_at = now
-            self._send_hello(address, wants_lists=not self._core.state.ready)
+            self._send_hello(address, wants_lists=wants_lists)
 
     def _send_welcome(
         self, sender: peer_messages.Sender, *, wants_lists: bool
@@ -671,6 +724,7 @@
                 if sender.crash_digest != self._core.crashes.evidence.digest
                 else [],
                 self._core.limits.reports(now),
+                state.members.lapsed() if wants_lists else [],
             ),
         )
 
--- a/src/apricottrestle/gateway/store.py
+++ b/src/apricottrestle/gateway/store.py
@@ -17,9 +17,10 @@
 
 
 class HistoryLostError(errors.PlatformError):
-    """The store no longer has the records after a position.
+    """The store doesn't have the records after a position.
 
-    The caller must read the whole state again.
+    They were removed, or belong to a history that has ended. The caller must
+    read the whole state again.
     """
 
 
--- a/src/apricottrestle/gateway/store_sync.py
+++ b/src/apricottrestle/gateway/store_sync.py
@@ -152,6 +152,11 @@
         for task in self._tasks:
             task.cancel()
 
+    @property
+    def list_position(self) -> store.Position | None:
+        """Position up to which the upstream list has been read."""
+        return self._list_position
+
     def apply_shared_read(
         self,
         since: store.Position,
@@ -162,23 +167,71 @@
 
         Args:
             since: Position after which the changes were read.
-            upstreams_read: The changes, one for each record.
+            upstreams_read: The changes: one for each record, or the difference
+                between the lists of two histories.
             source: Instance id of the gateway, for the log.
         """
+        self.note_peer_history(upstreams_read.position.history, source)
         position = self._list_position
-        if (
-            position is None
-            or position.offset < since.offset
-            or upstreams_read.position.offset < position.offset
+        if position is None or since.history != position.history:
+            # This gateway's next poll reads the whole list.
+            return
+        changes = upstreams_read.changes
+        if upstreams_read.position.history == since.history:
+            if (
+                position.offset < since.offset
+                or upstreams_read.position.offset < position.offset
+            ):
+                # Records between the positions are missing, or all are known.
+                # This gateway's next poll fetches missing ones.
+                return
+            changes = changes[position.offset - since.offset :]
+        elif (
+            position != since
+            or upstreams_read.position.history < self._history.current
         ):
-            # Records between the positions are missing, or all are known. This
-            # gateway's next poll fetches missing ones.
             return
-        unseen = upstreams_read.changes[position.offset - since.offset :]
         self._apply_records(
-            unseen, upstreams_read.position, source, is_full=False
+            changes, upstreams_read.position, source, is_full=False
         )
 
+    def apply_peer_list(
+        self,
+        entries: list[upstream_list.UpstreamEntry],
+        position: store.Position,
+        source: str,
+    ) -> None:
+        """Applies the whole list of a peer if it is newer than the own one.
+
+        Args:
+            entries: Entries that the peer has read from the store.
+            position: Position up to which it has read the list.
+            source: Instance id of the peer, for the log.
+        """
+        self.note_peer_history(position.history, source)
+        if self._list_position is None or position > self._list_position:
+            self._apply_records(
+                [(entry.upstream_id, entry) for entry in entries],
+                position,
+                source,
+                is_full=True,
+            )
+
+    def note_peer_history(self, number: int, source: str) -> None:
+        """Records the number of the store's history that a peer knows."""
+        before = self._history.current
+        if self._history.note_peer(number):
+            logs.decision(
+                _LOG,
+                "store history",
+                history=number,
+                before=before,
+                read_from=self._list_position,
+                end=None,
+                source=source,
+                outcome="new",
+            )
+
     def _set_reaches_store(self, reaches_store: bool) -> None:
         if reaches_store != self.reaches_store:
             self.reaches_store = reaches_store
@@ -196,6 +249,8 @@
             ):
                 await asyncio.sleep(RANK_CHECK_INTERVAL_S)
                 continue
+            if position is not None and self._has_ended(position):
+                position = None
             at_call = self._history.current
             try:
                 if position is None:
@@ -214,7 +269,9 @@
                 continue
             backoff.succeeded()
             self._set_reaches_store(True)
-            self._note_answer(config_read.position, at_call, position)
+            if not self._is_in_time(config_read.position, at_call, position):
+                position = None
+                continue
             position = config_read.position
             if config_read.config is not None:
                 self._state.adopt_config(
@@ -225,7 +282,9 @@
         backoff = _StoreBackoff("upstream list", self._rng)
         while True:
             await self._wait_for_list_poll()
-            position = self._list_position
+            position = known = self._list_position
+            if position is not None and self._has_ended(position):
+                position = None
             at_call = self._history.current
             try:
                 if position is None:
@@ -244,33 +303,62 @@
                 continue
             backoff.succeeded()
             self._set_reaches_store(True)
-            self._note_answer(upstreams_read.position, at_call, position)
+            if not self._is_in_time(upstreams_read.position, at_call, position):
+                continue
+            own = self._list_position
+            if position is None and own is not None and own != known:
+                # A peer's update came while this gateway was reading.
+                if own >= upstreams_read.position:
+                    continue
+                known = own
             if position is None:
+                self._share_new_history(known, upstreams_read)
                 self._apply_records(
                     upstreams_read.changes,
                     upstreams_read.position,
-                    "store",
+                    fleet_state.STORE_SOURCE,
                     is_full=True,
                 )
             else:
                 self._readers.share_upstreams(position, upstreams_read)
-                skipped = (self._list_position or position).offset - (
-                    position.offset
-                )
-                self._apply_records(
-                    upstreams_read.changes[skipped:],
-                    upstreams_read.position,
-                    "store",
-                    is_full=False,
+                self.apply_shared_read(
+                    position, upstreams_read, fleet_state.STORE_SOURCE
                 )
 
-    def _note_answer(
+    def _share_new_history(
+        self, known: store.Position | None, upstreams_read: store.UpstreamsRead
+    ) -> None:
+        """Sends the differences between the lists of two histories.
+
+        They are few, while the whole list of a large fleet would have to be
+        read by each gateway.
+        """
+        if known is None or known.history == upstreams_read.position.history:
+            return
+        changes = self._state.members.differences(
+            entry for _, entry in upstreams_read.changes if entry is not None
+        )
+        self._readers.share_upstreams(
+            known, upstreams_read._replace(changes=changes)
+        )
+
+    def _has_ended(self, position: store.Position) -> bool:
+        """Returns whether a position is of an earlier history."""
+        return position.history != self._history.current
+
+    def _is_in_time(
         self,
         answered: store.Position,
         at_call: int,
         position: store.Position | None,
-    ) -> None:
-        """Logs an answer that isn't of the present history."""
+    ) -> bool:
+        """Returns whether an answer is of the present history, or a new one.
+
+        Args:
+            answered: Position in the answer.
+            at_call: Number of the present history when the call began.
+            position: Position of the read, for the log.
+        """
         before = self._history.current
         kind = self._history.note_answer(answered.history, at_call)
         if kind != "present":
@@ -284,6 +372,7 @@
                 source=fleet_state.STORE_SOURCE,
                 outcome=kind,
             )
+        return kind != "late"
 
     async def _wait_for_list_poll(self) -> None:
         """Waits until the upstream list is old enough for this rank to poll."""
@@ -310,7 +399,7 @@
             changes = members.replace(entries, now)
         else:
             changes = members.apply(records, now)
-        self._list_position = max(position, self._list_position or position)
+        self._list_position = position
         self._list_updated_at = now
         self._state.apply_upstreams(changes, source)
 
--- a/src/apricottrestle/gateway/upstream_list.py
+++ b/src/apricottrestle/gateway/upstream_list.py
@@ -127,6 +127,32 @@
             )
         )
 
+    def differences(
+        self, entries: Iterable[UpstreamEntry]
+    ) -> list[tuple[str, UpstreamEntry | None]]:
+        """Returns the updates that lead from this table to a listing."""
+        listed = {entry.upstream_id: entry for entry in entries}
+        updates: list[tuple[str, UpstreamEntry | None]] = [
+            (upstream_id, entry)
+            for upstream_id, entry in listed.items()
+            if upstream_id not in self._members
+            or self._members[upstream_id].entry != entry
+        ]
+        updates += [
+            (upstream_id, None)
+            for upstream_id in self._members
+            if upstream_id not in listed
+        ]
+        return updates
+
+    def lapsed(self) -> list[str]:
+        """Returns the ids of the upstreams whose entry has lapsed."""
+        return [
+            upstream_id
+            for upstream_id, member in self._members.items()
+            if member.state == "lapsed"
+        ]
+
     def replace(
         self, entries: Iterable[UpstreamEntry], now: float
     ) -> list[Change]:
--- a/src/apricottrestle/platform/store_client.py
+++ b/src/apricottrestle/platform/store_client.py
@@ -252,6 +252,9 @@
         The pages aren't one snapshot. Later reads therefore start at the end
         position in the first page, so that no record written while the pages
         were read is missed; some records are read twice.
+
+        Raises:
+            HistoryLostError: A new history began between two pages.
         """
         records: list[KeyedRecord] = []
         start: store.Position | None = None
@@ -270,6 +273,7 @@
             )
             if start is None:
                 start = store.Position(answer.history, page.end)
+            _require_history(answer, start)
             records += [_decode_item(item) for item in page.items]
             if not page.has_more or not page.items:
                 return records, start
@@ -300,12 +304,11 @@
                     exc.message, step="read", peer=_PEER
                 ) from exc
             raise
+        _require_history(answer, position)
         if len(answer.body) < _OFFSETS_HEADER.size:
             raise _malformed_response("missing offsets")
         records = list(decode_records(answer.body))
-        return records, store.Position(
-            answer.history, position.offset + len(records)
-        )
+        return records, position._replace(offset=position.offset + len(records))
 
     def _select_newest_config(
         self, records: list[KeyedRecord], position: store.Position
@@ -327,6 +330,20 @@
         return store.ConfigRead(newest, position)
 
 
+def _require_history(answer: _Answer, position: store.Position) -> None:
+    """Checks that an answer belongs to the history of a position.
+
+    Raises:
+        HistoryLostError: It belongs to another one.
+    """
+    if answer.history != position.history:
+        raise store.HistoryLostError(
+            f"history {answer.history} in place of {position.history}",
+            step="read",
+            peer=_PEER,
+        )
+
+
 def _parse_history(response: httpclient.HTTPResponse) -> int:
     """Returns the number of the store's history; 0 if the store has none.
 
--- a/src/apricottrestle_standins/platform/store_http.py
+++ b/src/apricottrestle_standins/platform/store_http.py
@@ -8,6 +8,7 @@
 import base64
 import struct
 import time
+from collections.abc import Callable
 from typing import Any, Final
 
 import msgspec
@@ -91,6 +92,9 @@
         calls: Number of calls received.
         history: Number of the history; grows when records are lost.
         page_items: Largest number of items in a page of newest records.
+        history_text: Value of the header; None leaves it out, "auto" is the
+            number of the history.
+        before_answer: Called before each call is answered.
     """
 
     def __init__(self) -> None:
@@ -98,6 +102,8 @@
         self.fault = ""
         self.history = 1
         self.page_items = MAX_PAGE_ITEMS
+        self.history_text: str | None = "auto"
+        self.before_answer: Callable[[], None] = lambda: None
         self.calls = 0
         self._topics: dict[str, Topic] = {}
         self._changed = asyncio.Event()
@@ -146,7 +152,13 @@
 
     async def prepare(self) -> None:
         self._store.calls += 1
-        self.set_header(HISTORY_HEADER, str(self._store.history))
+        self._store.before_answer()
+        text = self._store.history_text
+        if text is not None:
+            self.set_header(
+                HISTORY_HEADER,
+                str(self._store.history) if text == "auto" else text,
+            )
         fault = self._store.fault
         if fault == "busy":
             self.set_status(503)
--- a/src/apricottrestle_standins/platform/virtual_store.py
+++ b/src/apricottrestle_standins/platform/virtual_store.py
@@ -164,7 +164,7 @@
         """See FleetStore.wait_for_config."""
         await self._simulate_response()
         history = self._log.history
-        self._check_offset(position.offset, 0, len(self._log.configs))
+        self._check_position(position, 0, len(self._log.configs))
         if position.offset >= len(self._log.configs):
             await self._log.wait_for_config_change(wait_s)
         if self._log.history != history:
@@ -193,8 +193,8 @@
     ) -> store.UpstreamsRead:
         """See FleetStore.read_upstream_changes."""
         await self._simulate_response()
-        self._check_offset(
-            position.offset, self._log.first, len(self._log.list_records)
+        self._check_position(
+            position, self._log.first, len(self._log.list_records)
         )
         records = self._log.list_records[position.offset :]
         return store.UpstreamsRead(
@@ -232,9 +232,14 @@
     def _position(self, offset: int) -> store.Position:
         return store.Position(self._log.history, offset)
 
-    def _check_offset(self, offset: int, first: int, end: int) -> None:
-        """Fails a read from an offset that the store doesn't have."""
-        if not first <= offset <= end:
+    def _check_position(
+        self, position: store.Position, first: int, end: int
+    ) -> None:
+        """Fails a read from a position that the store doesn't have."""
+        if (
+            position.history != self._log.history
+            or not first <= position.offset <= end
+        ):
             raise store.HistoryLostError("410", step="read", peer="store")
 
     async def _simulate_response(self) -> None:
