Hold back upstreams that left before the store came back from a copy

What callers would see: requests sent to an upstream that had drained and left, and failed there; or an upstream that registered just before the return and got no requests although it served.

Cause: the listing after a return replaced the list as if it were newer. An upstream whose removal was lost was listed as ready again, because removed upstreams are forgotten at once. One that the copy lacked was gone at once if the outage was shorter than 1.5 s. Class of fault: an older state that is believed because it arrived later.

Change: departures are remembered by id and start for a minute. In the listing of a new history such an upstream is held back until a later record of it is read, or until the store would have removed an entry that isn't renewed. Each return starts the grace period in which upstreams register again. A line "upstream list of a new history" names those held back and lapsed. The reader keeps its position when it is told that history is lost, so that it still knows that the list which it reads next is a copy.

--- a/src/apricottrestle/gateway/fleet_state.py
+++ b/src/apricottrestle/gateway/fleet_state.py
@@ -32,14 +32,16 @@
             store or a peer.
     """
 
-    def __init__(self, on_change: OnUpstream) -> None:
+    def __init__(self, on_change: OnUpstream, lease_s: float) -> None:
         """Creates a state without a configuration and upstreams.
 
         Args:
             on_change: Called for each change of an upstream's state.
+            lease_s: Time without renewal after which the store removes the
+                entry of an upstream.
         """
         self.compiled: accept.CompiledConfig | None = None
-        self.members = upstream_list.Membership()
+        self.members = upstream_list.Membership(lease_s)
         self.has_upstream_list = False
         self._on_change = on_change
         self._on_config: list[OnConfig] = []
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -224,7 +224,9 @@
         incarnation: str,
     ) -> None:
         """Creates a gateway without configuration and upstreams."""
-        self.state = fleet_state.FleetState(self._on_upstream_change)
+        self.state = fleet_state.FleetState(
+            self._on_upstream_change, cfg.upstream_lease_s
+        )
         self.load = engine_load.EngineLoad()
         self.slowdowns = engine_pace.EngineSlowdowns()
         self.claims = engine_claims.EngineClaims()
--- a/src/apricottrestle/gateway/settings.py
+++ b/src/apricottrestle/gateway/settings.py
@@ -23,6 +23,8 @@
         memory_free_s: Time within which engine memory that is reserved but no
             longer used must be released.
         reservation_max_s: Longest time for which an engine reserves memory.
+        upstream_lease_s: Time without renewal after which the store removes the
+            entry of an upstream.
     """
 
     instance_id: str
@@ -39,3 +41,4 @@
     retry_slack: float
     memory_free_s: float
     reservation_max_s: float
+    upstream_lease_s: float = 3.6
--- a/src/apricottrestle/gateway/store_sync.py
+++ b/src/apricottrestle/gateway/store_sync.py
@@ -127,6 +127,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._history = store_history.HistoryTracker()
         self._list_position: store.Position | None = None
+        self._must_read_whole_list = True
         self._list_updated_at = 0.0
         self.reaches_store = False
 
@@ -231,6 +232,12 @@
                 source=source,
                 outcome="new",
             )
+            self._begin_history(before)
+
+    def _begin_history(self, before: int) -> None:
+        """Takes account of a return of the store from an older copy."""
+        if before != store_history.UNKNOWN:
+            self._state.members.begin_history(clock.now())
 
     def _set_reaches_store(self, reaches_store: bool) -> None:
         if reaches_store != self.reaches_store:
@@ -283,7 +290,9 @@
         while True:
             await self._wait_for_list_poll()
             position = known = self._list_position
-            if position is not None and self._has_ended(position):
+            if self._must_read_whole_list or (
+                position is not None and self._has_ended(position)
+            ):
                 position = None
             at_call = self._history.current
             try:
@@ -295,7 +304,7 @@
                     )
             except store.HistoryLostError as exc:
                 _log_lost_history("upstream list", position, exc)
-                self._list_position = None
+                self._must_read_whole_list = True
                 continue
             except errors.PlatformError as exc:
                 self._set_reaches_store(False)
@@ -372,11 +381,13 @@
                 source=fleet_state.STORE_SOURCE,
                 outcome=kind,
             )
+        if kind == "new":
+            self._begin_history(before)
         return kind != "late"
 
     async def _wait_for_list_poll(self) -> None:
         """Waits until the upstream list is old enough for this rank to poll."""
-        while self._list_position is not None:
+        while not self._must_read_whole_list:
             max_age_s = store_duty.list_max_age_s(self._rank())
             left_s = self._list_updated_at + max_age_s - clock.now()
             self._expire_upstreams()
@@ -394,12 +405,25 @@
     ) -> None:
         members = self._state.members
         now = clock.now()
+        known = self._list_position
+        copied = known is not None and known.history != position.history
         if is_full:
             entries = [entry for _, entry in records if entry is not None]
-            changes = members.replace(entries, now)
+            changes = members.replace(entries, now, copied=copied)
         else:
-            changes = members.apply(records, now)
+            changes = members.apply(records, now, copied=copied)
+        if copied:
+            logs.decision(
+                _LOG,
+                "upstream list of a new history",
+                position=position,
+                before=known,
+                source=source,
+                held_back=members.held_back(),
+                lapsed=members.lapsed(),
+            )
         self._list_position = position
+        self._must_read_whole_list = False
         self._list_updated_at = now
         self._state.apply_upstreams(changes, source)
 
--- a/src/apricottrestle/gateway/upstream_list.py
+++ b/src/apricottrestle/gateway/upstream_list.py
@@ -5,6 +5,10 @@
 in the state "lapsed" and stay usable for a grace period after the outage, in
 which they can renew their entries.
 
+A store that comes back from an older copy may list upstreams that have left
+since. They are held back until a later record of theirs is read, or until the
+store would have removed the entry of an upstream that doesn't renew it.
+
 Invariant: an upstream that is draining, or whose entry was removed while the
 store was available, isn't usable until an entry of a later start is read.
 """
@@ -22,6 +26,18 @@
 """Time after a store outage in which running upstreams renew their entries, as
 specified by the platform."""
 
+DEPARTED_KEPT_S: Final = 60.0
+"""Time for which the departure of an upstream is remembered: more than the age
+of any copy that the store comes back from."""
+
+MAX_DEPARTED: Final = 20_000
+"""Departed upstreams remembered at most: all of the largest fleet, and as many
+again."""
+
+HELD_BACK_MARGIN_S: Final = 0.5
+"""Time by which a listed upstream is held back for longer than its lease: the
+delay until its removal has been read."""
+
 State = Literal["ready", "draining", "lapsed", "gone"]
 
 
@@ -85,15 +101,43 @@
         self.lapses_at = 0.0
 
 
+class _Departed(NamedTuple):
+    """An upstream that has left.
+
+    Attributes:
+        started_at_ms: Start time of the process that left.
+        until: Monotonic time until which the departure is remembered.
+    """
+
+    started_at_ms: int
+    until: float
+
+
+class _HeldBack(NamedTuple):
+    """A listed upstream that had left before the store came back.
+
+    Attributes:
+        entry: Its entry in the copy.
+        until: Monotonic time at which it is used if it is still listed.
+    """
+
+    entry: UpstreamEntry
+    until: float
+
+
 class Membership:
     """Table of the upstreams with their states.
 
     Attributes:
         version: Version of the table; grows with each change.
+        lease_s: Time without renewal after which the store removes an entry.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, lease_s: float) -> None:
         """Creates an empty table, before the first answer of the store."""
+        self.lease_s = lease_s
+        self._departed: dict[str, _Departed] = {}
+        self._held_back: dict[str, _HeldBack] = {}
         self._members: dict[str, _Member] = {}
         self._store_answered_at: float | None = None
         self._grace_ends_at = 0.0
@@ -145,6 +189,10 @@
         ]
         return updates
 
+    def held_back(self) -> list[str]:
+        """Returns the ids of the upstreams that are listed but had left."""
+        return list(self._held_back)
+
     def lapsed(self) -> list[str]:
         """Returns the ids of the upstreams whose entry has lapsed."""
         return [
@@ -153,13 +201,40 @@
             if member.state == "lapsed"
         ]
 
+    def begin_history(self, now: float) -> None:
+        """Starts a grace period, since the store has come back from a copy.
+
+        Upstreams that have registered since the copy are missing in it.
+        """
+        self._grace_ends_at = now + LAPSED_GRACE_S
+
     def replace(
-        self, entries: Iterable[UpstreamEntry], now: float
+        self,
+        entries: Iterable[UpstreamEntry],
+        now: float,
+        *,
+        copied: bool = False,
     ) -> list[Change]:
-        """Applies a complete listing, read from the store at `now`."""
+        """Applies a complete listing, read from the store at `now`.
+
+        Args:
+            entries: The listing.
+            now: Monotonic time in seconds.
+            copied: Whether the store has just come back from a copy, so that
+                entries may be older than what is known.
+        """
         self._note_store_answer(now)
         listed = {entry.upstream_id: entry for entry in entries}
-        changes = [self._upsert(entry) for entry in listed.values()]
+        self._held_back = {
+            upstream_id: held
+            for upstream_id, held in self._held_back.items()
+            if upstream_id in listed
+        }
+        changes = [
+            self._upsert(entry)
+            for entry in listed.values()
+            if not self._hold_back(entry, now, copied=copied)
+        ]
         changes += [
             self._remove(upstream_id, now, "not listed")
             for upstream_id in list(self._members)
@@ -171,16 +246,23 @@
         self,
         updates: Iterable[tuple[str, UpstreamEntry | None]],
         now: float,
+        *,
+        copied: bool = False,
     ) -> list[Change]:
         """Applies updates, read from the store at `now`.
 
         Args:
             updates: Upstream ids with their entries; None for a removed entry.
             now: Monotonic time in seconds.
+            copied: See `replace`; the updates lead to the listing of the copy.
         """
         self._note_store_answer(now)
         changes = []
         for upstream_id, entry in updates:
+            if not copied:
+                self._held_back.pop(upstream_id, None)
+            if entry is not None and self._hold_back(entry, now, copied=copied):
+                continue
             if entry is None:
                 changes.append(self._remove(upstream_id, now, "entry removed"))
             else:
@@ -203,11 +285,23 @@
         return self._commit(changes)
 
     def expire(self, now: float) -> list[Change]:
-        """Removes lapsed upstreams whose grace period has ended."""
+        """Removes lapsed upstreams whose grace period has ended.
+
+        Also uses upstreams that were held back for long enough.
+        """
         changes: list[Change | None] = []
+        for upstream_id, held in list(self._held_back.items()):
+            if now >= held.until:
+                del self._held_back[upstream_id]
+                self._departed.pop(upstream_id, None)
+                changes.append(self._upsert(held.entry))
+        for upstream_id, departed in list(self._departed.items()):
+            if now < departed.until:
+                break
+            del self._departed[upstream_id]
         for upstream_id, member in list(self._members.items()):
             if member.state == "lapsed" and now >= member.lapses_at:
-                del self._members[upstream_id]
+                self._depart(upstream_id, now)
                 changes.append(
                     Change(upstream_id, "lapsed", "gone", False, "not renewed")
                 )
@@ -255,9 +349,41 @@
             member.state = "lapsed"
             member.lapses_at = self._grace_ends_at
             return Change(upstream_id, before, "lapsed", False, reason)
-        del self._members[upstream_id]
+        self._depart(upstream_id, now)
         return Change(upstream_id, before, "gone", False, reason)
 
+    def _depart(self, upstream_id: str, now: float) -> None:
+        """Removes an upstream, and remembers its departure."""
+        entry = self._members.pop(upstream_id).entry
+        # Moves it to the end, so that the oldest departures come first.
+        self._departed.pop(upstream_id, None)
+        self._departed[upstream_id] = _Departed(
+            entry.started_at_ms, now + DEPARTED_KEPT_S
+        )
+        if len(self._departed) > MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
+
+    def _hold_back(
+        self, entry: UpstreamEntry, now: float, *, copied: bool
+    ) -> bool:
+        """Returns whether an entry is held back because its upstream has left.
+
+        A later record is no copy; it shows that the upstream is running.
+        """
+        held = self._held_back.get(entry.upstream_id)
+        departed = self._departed.get(entry.upstream_id)
+        if held is None and (
+            not copied
+            or departed is None
+            or entry.started_at_ms > departed.started_at_ms
+        ):
+            return False
+        until = now + self.lease_s + HELD_BACK_MARGIN_S
+        if held is not None and not copied:
+            until = held.until
+        self._held_back[entry.upstream_id] = _HeldBack(entry, until)
+        return True
+
     def _commit(self, changes: Iterable[Change | None]) -> list[Change]:
         applied = [change for change in changes if change is not None]
         if applied:
--- a/src/apricottrestle/platform/settings_file.py
+++ b/src/apricottrestle/platform/settings_file.py
@@ -36,6 +36,10 @@
     address: str
 
 
+LEASE_HEARTBEATS: Final = 3
+"""Heartbeats that an upstream may miss before the store removes its entry."""
+
+
 class _Settings(msgspec.Struct):
     node: str
     ip: str
@@ -47,6 +51,8 @@
     # Addresses of gateways; only the IPs are used. Some may be outdated or
     # unreachable.
     seeds: list[str] = []
+    # Interval at which upstreams renew their entries in the store.
+    heartbeat_ms: float = 1200.0
 
 
 def load(path: str | None = None) -> tuple[settings.GatewaySettings, str]:
@@ -135,4 +141,5 @@
         decoded.bounds.budget_slack,
         decoded.bounds.free_ms * _S_PER_MS,
         decoded.bounds.hold_max_ms * _S_PER_MS,
+        LEASE_HEARTBEATS * decoded.heartbeat_ms * _S_PER_MS,
     )
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -9,11 +9,12 @@
 
 READY = gateway_parts.entry("up-1")
 DRAINING = READY._replace(draining=True)
+LEASE_S = 3.6
 RESTARTED = READY._replace(started_at_ms=2)
 
 
 def _known(now: float = 0.0) -> upstream_list.Membership:
-    members = upstream_list.Membership()
+    members = upstream_list.Membership(LEASE_S)
     members.replace([READY], now)
     return members
 
@@ -128,3 +129,99 @@
         members.expire(now)
         if draining:
             assert _ids(members) == []
+
+
+HELD_S = LEASE_S + upstream_list.HELD_BACK_MARGIN_S
+
+
+@pytest.mark.parametrize(
+    ("after_s", "records", "usable"),
+    [
+        pytest.param(HELD_S - 0.01, [], [], id="held back"),
+        pytest.param(HELD_S + 0.01, [], ["up-1"], id="still listed"),
+        pytest.param(0.1, [READY], ["up-1"], id="written again"),
+        pytest.param(0.1, [DRAINING], [], id="drains again"),
+        pytest.param(HELD_S, [None], [], id="removed again"),
+        pytest.param(HELD_S, [DRAINING], [], id="drains, still listed"),
+        pytest.param(0.1, [RESTARTED], ["up-1"], id="restarted"),
+    ],
+)
+def test_upstream_that_left_is_held_back_after_a_return(
+    after_s: float,
+    records: list[upstream_list.UpstreamEntry | None],
+    usable: list[str],
+) -> None:
+    """Guards against using an upstream that only a copy still lists."""
+    members = _known()
+    members.apply([("up-1", DRAINING)], 0.1)
+    members.apply([("up-1", None)], 0.2)
+    members.begin_history(0.3)
+    members.replace([READY], 0.3, copied=True)
+    assert _ids(members) == []
+    members.apply([("up-1", record) for record in records], 0.4)
+    members.expire(0.3 + after_s)
+    assert _ids(members) == usable
+
+
+@pytest.mark.parametrize(
+    ("left_s_ago", "listed", "usable"),
+    [
+        (1.0, READY, []),
+        (1.0, RESTARTED, ["up-1"]),
+        (upstream_list.DEPARTED_KEPT_S, READY, ["up-1"]),
+    ],
+)
+def test_departures_are_remembered_by_start_and_for_a_while(
+    left_s_ago: float, listed: upstream_list.UpstreamEntry, usable: list[str]
+) -> None:
+    """Guards against holding back a new process, and against old memories."""
+    members = _known()
+    members.apply([("up-1", None)], 0.2)
+    members.expire(0.2 + left_s_ago)
+    members.replace([listed], 0.2 + left_s_ago, copied=True)
+    assert _ids(members) == usable
+
+
+def test_remembered_departures_are_bounded() -> None:
+    """Guards against a table that grows with each upstream that ever left."""
+    members = _known()
+    for number in range(upstream_list.MAX_DEPARTED + 5):
+        name = f"up-{number + 2}"
+        members.apply([(name, gateway_parts.entry(name))], 0.1)
+        members.apply([(name, None)], 0.1)
+    listing = [
+        gateway_parts.entry(f"up-{number + 2}")
+        for number in (0, upstream_list.MAX_DEPARTED + 4)
+    ]
+    members.replace(listing, 0.2, copied=True)
+    assert _ids(members) == ["up-2"]
+
+
+def test_second_return_holds_back_for_longer() -> None:
+    """Guards against a second copy that ends the wait after the first."""
+    members = _known()
+    members.apply([("up-1", None)], 0.2)
+    members.replace([READY], 1.0, copied=True)
+    members.replace([READY], 4.0, copied=True)
+    members.expire(1.0 + HELD_S)
+    assert _ids(members) == []
+    members.expire(4.0 + HELD_S)
+    assert _ids(members) == ["up-1"]
+
+
+@pytest.mark.parametrize("state", ["listed", "differs", "missing", "new"])
+def test_differences_lead_to_the_listing(state: str) -> None:
+    """Guards against peers whose list differs from the reader's."""
+    other = gateway_parts.entry("up-2")
+    listing = {
+        "listed": [READY],
+        "differs": [DRAINING],
+        "missing": [],
+        "new": [READY, other],
+    }[state]
+    reader, peer = _known(), _known()
+    changes = reader.differences(listing)
+    assert bool(changes) is (state != "listed")
+    reader.replace(listing, 0.5, copied=True)
+    peer.apply(changes, 0.5, copied=True)
+    assert reader.entries() == peer.entries()
--- a/tests/test_store_history.py
+++ b/tests/test_store_history.py
@@ -20,7 +20,6 @@
 from apricottrestle_standins.platform import store_http, virtual_store
 from tests import async_helpers, gateway_parts
 
-
 TWO_NEW = ["new", "new"]
 
 
@@ -246,7 +245,7 @@
     updates: list[_Update], usable: list[str], position: store.Position
 ) -> None:
     """Guards against list changes of two histories that are mixed."""
-    state = fleet_state.FleetState(lambda _change: None)
+    state = fleet_state.FleetState(lambda _change: None, 3.6)
     sync = store_sync.StoreSync(
         virtual_store.VirtualStore(virtual_store.SharedLog()),
         state,
@@ -277,7 +276,7 @@
     position: store.Position, applied: bool
 ) -> None:
     """Guards against a peer's older list that undoes what was read since."""
-    state = fleet_state.FleetState(lambda _change: None)
+    state = fleet_state.FleetState(lambda _change: None, 3.6)
     sync = store_sync.StoreSync(
         virtual_store.VirtualStore(virtual_store.SharedLog()),
         state,
