Write again what gateways keep in the store after it comes back from a copy

What callers would see: after a return and a restart, gateways that don't find each other and overload the engines that they share, and prompts that crash engines again although they had been found.

Cause: a gateway announced itself once, and a crash that had been saved counted as saved for good. Both records may be among those that the copy lacks. Class of fault: an acknowledgement that is believed beyond the history which gave it.

Change: each new history makes a gateway announce itself again, spread over a second, and read all gateways; the crashes are read again, and what the store lacks is written. A write that crosses the return doesn't count as saved. The history in the response to the announcement is noted, too, so that gateways that don't poll learn of it.

--- a/src/apricottrestle/gateway/assembly.py
+++ b/src/apricottrestle/gateway/assembly.py
@@ -67,6 +67,7 @@
                 and self.peers.rank(reaches_store=True) == 0
             ),
         )
+        self.store_sync.watch_history(self.crash_store.reload)
         self._stack = contextlib.ExitStack()
 
     @property
--- a/src/apricottrestle/gateway/crash_store.py
+++ b/src/apricottrestle/gateway/crash_store.py
@@ -3,7 +3,8 @@
 A verdict has to outlive the gateways that found it: after all have failed, the
 next ones would otherwise lose engines again until they have found it anew. One
 gateway writes for the fleet, the first by `store_duty`; another one that takes
-over may write the same records again.
+over may write the same records again, and so may each after the store has come
+back from an older copy.
 """
 
 import asyncio
@@ -52,13 +53,25 @@
         self._is_writer = is_writer
         self._saved: dict[str, crash_evidence.CrashReport] = {}
         self._retry_at = 0.0
+        self._load_count = 0
         self._load_task: asyncio.Task[None] | None = None
         self._write_task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Starts to read what earlier gateways have saved."""
+        self._load_count += 1
         self._load_task = asyncio.ensure_future(self._load())
 
+    def reload(self) -> None:
+        """Reads again what is saved, since the store came back from a copy.
+
+        What it lacks is then written again. A write that is under way may be
+        among what was lost.
+        """
+        if self._load_task is not None:
+            self._load_task.cancel()
+            self.start()
+
     def stop(self) -> None:
         """Cancels all calls."""
         for task in (self._load_task, self._write_task):
@@ -119,13 +132,18 @@
         unsaved: list[crash_evidence.CrashReport],
         outdated: list[str],
     ) -> None:
+        load_count = self._load_count
         try:
             for report in unsaved:
                 saved = report._replace(age_s=0.0)
                 await self._store.save_crash(saved)
+                if self._load_count != load_count:
+                    return
                 self._saved[report.crash_id] = saved
             for crash_id in outdated:
                 await self._store.delete_crash(crash_id)
+                if self._load_count != load_count:
+                    return
                 del self._saved[crash_id]
         except errors.PlatformError as exc:
             self._retry_at = clock.now() + RETRY_S
--- a/src/apricottrestle/gateway/store.py
+++ b/src/apricottrestle/gateway/store.py
@@ -115,8 +115,12 @@
         """
 
     @abc.abstractmethod
-    async def announce(self, entry: GatewayEntry) -> None:
-        """Writes this gateway's entry, so that its peers find it."""
+    async def announce(self, entry: GatewayEntry) -> int:
+        """Writes this gateway's entry, so that its peers find it.
+
+        Returns:
+            Number of the history that has the entry.
+        """
 
     @abc.abstractmethod
     async def read_gateways(self) -> list[GatewayEntry]:
--- a/src/apricottrestle/gateway/store_sync.py
+++ b/src/apricottrestle/gateway/store_sync.py
@@ -34,6 +34,10 @@
 """Pauses after failed calls double from the least to the longest. The longest
 bounds the delay until the store's recovery is detected."""
 
+ANNOUNCE_SPREAD_S: Final = 1.0
+"""Time over which the gateways announce themselves again after a return of the
+store, so that they stay below its limit of writes."""
+
 _LOG: Final = logging.getLogger(__name__)
 
 
@@ -126,6 +130,8 @@
         self._rng = rng
         self._tasks: list[asyncio.Task[None]] = []
         self._history = store_history.HistoryTracker()
+        self._on_new_history: list[Callable[[], None]] = []
+        self._history_began = asyncio.Event()
         self._list_position: store.Position | None = None
         self._must_read_whole_list = True
         self._list_updated_at = 0.0
@@ -158,6 +164,10 @@
         """Position up to which the upstream list has been read."""
         return self._list_position
 
+    def watch_history(self, callback: Callable[[], None]) -> None:
+        """Registers a callback for each return of the store from a copy."""
+        self._on_new_history.append(callback)
+
     def apply_shared_read(
         self,
         since: store.Position,
@@ -236,8 +246,12 @@
 
     def _begin_history(self, before: int) -> None:
         """Takes account of a return of the store from an older copy."""
-        if before != store_history.UNKNOWN:
-            self._state.members.begin_history(clock.now())
+        if before == store_history.UNKNOWN:
+            return
+        self._state.members.begin_history(clock.now())
+        self._history_began.set()
+        for callback in self._on_new_history:
+            callback()
 
     def _set_reaches_store(self, reaches_store: bool) -> None:
         if reaches_store != self.reaches_store:
@@ -439,22 +453,35 @@
         """Writes this gateway's entry to the store, then reads all entries.
 
         If two gateways start together, at least the one that writes later
-        reads the other's entry.
+        reads the other's entry. Both calls are made again in each history,
+        which may lack the entry.
         """
         backoff = _StoreBackoff("gateways", self._rng)
-        announced = False
+        written_in = store_history.UNKNOWN
+        is_written = False
         while True:
             try:
-                if not announced:
-                    await self._store.announce(entry)
-                    announced = True
+                if not is_written:
+                    written_in = await self._store.announce(entry)
+                    is_written = True
                 entries = await self._store.read_gateways()
             except errors.PlatformError as exc:
                 await backoff.back_off(exc)
                 continue
             backoff.succeeded()
+            logs.decision(
+                _LOG,
+                "gateway announced",
+                history=written_in,
+                gateways=len(entries),
+            )
             on_gateways(entries)
-            return
+            self.note_peer_history(written_in, fleet_state.STORE_SOURCE)
+            while written_in == self._history.current:
+                self._history_began.clear()
+                await self._history_began.wait()
+            await asyncio.sleep(self._rng.uniform(0.0, ANNOUNCE_SPREAD_S))
+            is_written = False
 
 
 def _log_lost_history(
--- a/src/apricottrestle/platform/store_client.py
+++ b/src/apricottrestle/platform/store_client.py
@@ -143,9 +143,9 @@
         )
         return store.UpstreamsRead(_decode_upstreams(records), end)
 
-    async def announce(self, entry: store.GatewayEntry) -> None:
+    async def announce(self, entry: store.GatewayEntry) -> int:
         """See FleetStore.announce."""
-        await self._append(
+        return await self._append(
             names.GATEWAYS_TOPIC,
             entry.instance_id,
             msgspec.json.encode(entry),
@@ -177,16 +177,21 @@
 
     async def _append(
         self, topic: str, key: str, value: bytes, step: str
-    ) -> None:
-        """Appends a record to a keyed topic; an empty value deletes the key."""
+    ) -> int:
+        """Appends a record to a keyed topic; an empty value deletes the key.
+
+        Returns:
+            Number of the history that has the record.
+        """
         query = urllib.parse.urlencode({"topic": topic, "part": 0})
-        await self._call(
+        answer = await self._call(
             "POST",
             f"{names.LOG_APPEND_PATH}?{query}",
             step,
             body=encode_record(key, value),
             appends=True,
         )
+        return answer.history
 
     async def _read_own(self, topic: str, kind: type[_Record]) -> list[_Record]:
         """Returns the records of a topic that only gateways write to."""
--- a/src/apricottrestle_standins/platform/virtual_store.py
+++ b/src/apricottrestle_standins/platform/virtual_store.py
@@ -201,10 +201,11 @@
             records, self._position(len(self._log.list_records))
         )
 
-    async def announce(self, row: store.GatewayEntry) -> None:
+    async def announce(self, entry: store.GatewayEntry) -> int:
         """See FleetStore.announce."""
         await self._simulate_response()
-        self._log.write_own(self._log.gateways, row.instance_id, row)
+        self._log.write_own(self._log.gateways, entry.instance_id, entry)
+        return self._log.history
 
     async def read_gateways(self) -> list[store.GatewayEntry]:
         """See FleetStore.read_gateways."""
