Order configurations by their place in the store, not by version alone

What callers would see: routes and keys of a lost version, while the operator has given its number to other contents and these have been acknowledged.

Cause: a configuration with the number of the one in force was dropped without a log line, whatever it said. Class of fault: an identifier that is taken for the thing, after the sequence that gave it out has begun again.

Ruled out: versions that are older in the copy (never adopted, rows pass before the change), also for gateways that start meanwhile and learn from a peer.

Change: the stamp of a configuration is its version, then the history and offset of its record; the greater stamp is current, at the store and between peers. The log names both places. In one read the later of two equal versions wins. After a return the version in force is read, and relayed once, with its new place.

--- a/src/apricottrestle/gateway/fleet_config.py
+++ b/src/apricottrestle/gateway/fleet_config.py
@@ -132,6 +132,27 @@
     idle_timeout_s: float
 
 
+class ConfigStamp(NamedTuple):
+    """Order of configurations; the greater one is newer.
+
+    The operator may give the number of a lost version to other contents, so
+    that the place in the store decides between two of the same number.
+
+    Attributes:
+        version: Version number.
+        history: Number of the store's history in which it was read.
+        offset: Offset of its record in that history.
+    """
+
+    version: int
+    history: int
+    offset: int
+
+
+NO_CONFIG: Final = ConfigStamp(-1, 0, 0)
+"""Stamp before the first configuration."""
+
+
 class FleetConfig(NamedTuple):
     """A version of the configuration.
 
@@ -141,6 +162,8 @@
         services: Services by name.
         limits: Limits on callers.
         teams_by_key: Team of each API key, or None if callers need no key.
+        history: Number of the store's history in which it was read.
+        offset: Offset of its record in that history.
     """
 
     version: int
@@ -148,6 +171,13 @@
     services: dict[str, Service]
     limits: CallerLimits
     teams_by_key: dict[str, Team] | None
+    history: int = 0
+    offset: int = 0
+
+    @property
+    def stamp(self) -> ConfigStamp:
+        """Its place in the order of configurations."""
+        return ConfigStamp(self.version, self.history, self.offset)
 
 
 class RouteTable:
--- a/src/apricottrestle/gateway/fleet_state.py
+++ b/src/apricottrestle/gateway/fleet_state.py
@@ -1,7 +1,8 @@
 """Current configuration and upstream membership of a gateway.
 
 Invariant: the version of the current configuration never decreases, whatever
-the source of an update.
+the source of an update. Of two with the same version, the one that was written
+to the store later is current.
 """
 
 import logging
@@ -52,6 +53,13 @@
         """Version of the current configuration; -1 if there is none."""
         return self.compiled.config.version if self.compiled else -1
 
+    @property
+    def config_stamp(self) -> fleet_config.ConfigStamp:
+        """Stamp of the current configuration."""
+        if self.compiled is None:
+            return fleet_config.NO_CONFIG
+        return self.compiled.config.stamp
+
     @property
     def ready(self) -> bool:
         """Whether requests can be routed."""
@@ -74,14 +82,16 @@
             Whether the configuration became current.
         """
         before = self.config_version
-        if config.version == before:
+        if config.stamp == self.config_stamp:
             return False
-        is_newer = config.version > before
+        is_newer = config.stamp > self.config_stamp
         logs.decision(
             _LOG,
             "configuration",
             version=config.version,
             before=before,
+            written_at=config.stamp[1:],
+            before_written_at=self.config_stamp[1:],
             source=source,
             outcome="adopted" if is_newer else "kept",
             routes=len(config.routes),
--- a/src/apricottrestle/gateway/peer_messages.py
+++ b/src/apricottrestle/gateway/peer_messages.py
@@ -38,6 +38,9 @@
         crash_digest: Hash of all crashes of engines that the sender knows.
         list_position: Position up to which the sender has read the upstream
             list, or None before the first read.
+        config_history: Number of the store's history in which the configuration
+            was read.
+        config_offset: Offset of its record in that history.
     """
 
     instance_id: str
@@ -50,6 +53,15 @@
     stop_order: int = 0
     crash_digest: int = 0
     list_position: store.Position | None = None
+    config_history: int = 0
+    config_offset: int = 0
+
+    @property
+    def config_stamp(self) -> fleet_config.ConfigStamp:
+        """Stamp of the configuration in force at the sender."""
+        return fleet_config.ConfigStamp(
+            self.config_version, self.config_history, self.config_offset
+        )
 
 
 class StartedRun(msgspec.Struct, array_like=True, frozen=True):
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -368,6 +368,8 @@
             self.stop_order,
             self._core.crashes.evidence.digest,
             self._store_sync.list_position if self._store_sync else None,
+            self._core.state.config_stamp.history,
+            self._core.state.config_stamp.offset,
         )
 
     def tick(self) -> None:
@@ -487,7 +489,7 @@
             now,
             reaches_store=sender.reaches_store and not sender.stopping,
             stop_order=sender.stop_order,
-            config_version=sender.config_version,
+            config_stamp=sender.config_stamp,
             ready=sender.ready,
         )
         if ended_incarnation is not None:
@@ -504,7 +506,7 @@
             if not self._connect(sender.address):
                 self._answer_hello(sender, wants_lists=False)
         state = self._core.state
-        if not state.ready or sender.config_version <= state.config_version:
+        if not state.ready or sender.config_stamp <= state.config_stamp:
             return
         if self._behind_since is None:
             self._behind_since = now
@@ -512,7 +514,7 @@
             newer = [
                 peer.address
                 for peer in self._peers.alive()
-                if peer.config_version > state.config_version
+                if peer.config_stamp > state.config_stamp
             ]
             self._catch_up_from(self._rng.choice(newer), now, wants_lists=False)
 
@@ -702,8 +704,8 @@
         now = clock.now()
         state = self._core.state
         may_send_config = wants_lists or sender.config_version >= 0
-        sends_config = may_send_config and sender.config_version < (
-            state.config_version
+        sends_config = may_send_config and sender.config_stamp < (
+            state.config_stamp
         )
         return self._link.send(
             sender.address,
@@ -756,7 +758,7 @@
             [
                 peer.address
                 for peer in self._peers.alive()
-                if peer.config_version < config.version
+                if peer.config_stamp < config.stamp
             ],
         )
 
--- a/src/apricottrestle/gateway/peers.py
+++ b/src/apricottrestle/gateway/peers.py
@@ -6,6 +6,8 @@
 
 from typing import Final, NamedTuple
 
+from apricottrestle.gateway import fleet_config
+
 HEARTBEAT_INTERVAL_S: Final = 0.4
 """Interval of heartbeats without changes; changes are sent at once."""
 
@@ -31,7 +33,7 @@
         reaches_store: Whether its last call to the store was answered, as it
             reported.
         stop_order: Position in the sequence of stops; 0 if it isn't stopping.
-        config_version: Version of its configuration, as it last reported.
+        config_stamp: Stamp of its configuration, as it last reported.
         ready_since: Monotonic time since which it has reported that it can
             serve requests, or None if it can't.
     """
@@ -43,7 +45,7 @@
     alive: bool
     reaches_store: bool
     stop_order: int = 0
-    config_version: int = -1
+    config_stamp: fleet_config.ConfigStamp = fleet_config.NO_CONFIG
     ready_since: float | None = None
 
 
@@ -63,7 +65,7 @@
         *,
         reaches_store: bool = True,
         stop_order: int = 0,
-        config_version: int = -1,
+        config_stamp: fleet_config.ConfigStamp = fleet_config.NO_CONFIG,
         ready: bool = False,
     ) -> tuple[bool, str | None]:
         """Records the arrival of a message from a peer.
@@ -90,7 +92,7 @@
             True,
             reaches_store,
             stop_order,
-            config_version,
+            config_stamp,
             ready_since,
         )
         if previous is None:
--- a/src/apricottrestle/platform/store_client.py
+++ b/src/apricottrestle/platform/store_client.py
@@ -62,11 +62,16 @@
 
     key: str
     value: bytes | None
+    offset: int
 
 
-def decode_records(body: bytes) -> Iterator[KeyedRecord]:
+def decode_records(body: bytes, offset: int) -> Iterator[KeyedRecord]:
     """Yields the records in the response to a read of a keyed topic.
 
+    Args:
+        body: The response.
+        offset: Offset of its first record.
+
     Invalid UTF-8 in a key is decoded to replacement characters; such a key
     matches none that the gateway uses.
 
@@ -85,7 +90,8 @@
         position += size
         end = 1 + content[0]
         key = content[1:end].decode("utf-8", "replace")
-        yield KeyedRecord(key, content[end:] or None)
+        yield KeyedRecord(key, content[end:] or None, offset)
+        offset += 1
 
 
 def encode_record(key: str, value: bytes) -> bytes:
@@ -312,7 +318,7 @@
         _require_history(answer, position)
         if len(answer.body) < _OFFSETS_HEADER.size:
             raise _malformed_response("missing offsets")
-        records = list(decode_records(answer.body))
+        records = list(decode_records(answer.body, position.offset))
         return records, position._replace(offset=position.offset + len(records))
 
     def _select_newest_config(
@@ -323,14 +329,16 @@
             if record.key != names.CONFIG_KEY or record.value is None:
                 continue
             try:
-                config = codec.decode_config(record.value)
+                config = codec.decode_config(record.value)._replace(
+                    history=position.history, offset=record.offset
+                )
             except errors.PlatformError as exc:
                 _LOG.error(
                     "ignored a malformed configuration in the store",
                     extra={"reason": str(exc)},
                 )
                 continue
-            if newest is None or config.version > newest.version:
+            if newest is None or config.stamp > newest.stamp:
                 newest = config
         return store.ConfigRead(newest, position)
 
@@ -364,9 +372,9 @@
 
 def _decode_item(item: _Item) -> KeyedRecord:
     if item.value is None:
-        return KeyedRecord(item.key, None)
+        return KeyedRecord(item.key, None, item.offset)
     try:
-        return KeyedRecord(item.key, base64.b64decode(item.value))
+        return KeyedRecord(item.key, base64.b64decode(item.value), item.offset)
     except ValueError as exc:
         raise _malformed_response(
             f"value of key {item.key} is not base64"
--- a/src/apricottrestle_standins/platform/virtual_store.py
+++ b/src/apricottrestle_standins/platform/virtual_store.py
@@ -153,10 +153,7 @@
     async def read_config(self) -> store.ConfigRead:
         """See FleetStore.read_config."""
         await self._simulate_response()
-        configs = self._log.configs
-        return store.ConfigRead(
-            configs[-1] if configs else None, self._position(len(configs))
-        )
+        return self._newest_config(0)
 
     async def wait_for_config(
         self, position: store.Position, wait_s: float
@@ -171,8 +168,16 @@
             raise errors.PlatformError("reset", step="read", peer="store")
         if self.fault or self._log.down:
             await self._simulate_response()
+        return self._newest_config(position.offset)
+
+    def _newest_config(self, offset: int) -> store.ConfigRead:
+        """Returns the newest configuration after an offset."""
         configs = self._log.configs
-        newest = configs[-1] if len(configs) > position.offset else None
+        newest = None
+        if len(configs) > offset:
+            newest = configs[-1]._replace(
+                history=self._log.history, offset=len(configs) - 1
+            )
         return store.ConfigRead(newest, self._position(len(configs)))
 
     async def read_upstreams(self) -> store.UpstreamsRead:
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -162,10 +162,10 @@
         store_client.encode_record("bé", b""),
         store_client.encode_record("c", b"\x00" * 300),
     )
-    assert list(store_client.decode_records(body)) == [
-        ("a", b"1"),
-        ("bé", None),
-        ("c", b"\x00" * 300),
+    assert list(store_client.decode_records(body, 7)) == [
+        store_client.KeyedRecord("a", b"1", 7),
+        store_client.KeyedRecord("bé", None, 8),
+        store_client.KeyedRecord("c", b"\x00" * 300, 9),
     ]
 
 
@@ -180,7 +180,7 @@
 def test_truncated_records_are_platform_errors(body: bytes) -> None:
     """Guards against a position that advances past a truncated response."""
     with pytest.raises(errors.PlatformError):
-        list(store_client.decode_records(body))
+        list(store_client.decode_records(body, 0))
 
 
 def test_caller_cannot_set_what_the_gateway_sets() -> None:
--- a/tests/test_store_history.py
+++ b/tests/test_store_history.py
@@ -10,6 +10,7 @@
 
 from apricottrestle import errors
 from apricottrestle.gateway import (
+    fleet_config,
     fleet_state,
     store,
     store_history,
@@ -293,6 +294,84 @@
     assert (state.members.get("up-2") is not None) is applied
 
 
+def _config(version: int, routes: int) -> dict[str, Any]:
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"route-{number}",
+                "host": "fleet.example",
+                "path_prefix": f"/{number}/",
+                "kind": "safe",
+                "timeout_ms": 1000,
+                "target_latency_ms": 200,
+                "service": "plain",
+                "max_attempts": 1,
+            }
+            for number in range(routes)
+        ],
+        "services": [],
+        "limits": {
+            "max_header_bytes": 1000,
+            "max_body_bytes": 1000,
+            "header_timeout_ms": 1000,
+            "idle_timeout_ms": 1000,
+        },
+    }
+
+
+@pytest.mark.parametrize(
+    ("written", "routes"),
+    [
+        pytest.param([_config(3, 1), _config(3, 2)], 2, id="written later"),
+        pytest.param([_config(4, 1), _config(3, 2)], 1, id="higher version"),
+        pytest.param([_config(3, 1), {"version": 4}], 1, id="malformed"),
+    ],
+)
+def test_of_two_contents_of_a_version_the_later_one_is_read(
+    written: list[dict[str, Any]], routes: int
+) -> None:
+    """Guards against contents that the operator has replaced."""
+
+    async def body(served: _Store, client: store_client.StoreClient) -> None:
+        start = (await client.read_config()).position
+        for value in written:
+            served.topics.put("keyed.op", "config", value)
+        config = (await client.wait_for_config(start, 0.0)).config
+        assert config is not None
+        assert len(config.routes) == routes
+        assert config.history == 1
+
+    _with_client(body)
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "adopted"),
+    [
+        ((2, 1, 5), (3, 1, 6), True),
+        ((3, 1, 5), (2, 2, 3), False),
+        ((3, 1, 5), (3, 2, 3), True),
+        ((3, 2, 3), (3, 1, 5), False),
+        ((3, 2, 3), (3, 2, 4), True),
+        ((3, 2, 3), (3, 2, 3), False),
+    ],
+)
+def test_later_place_in_the_store_decides_between_equal_versions(
+    before: tuple[int, int, int], after: tuple[int, int, int], adopted: bool
+) -> None:
+    """Guards against older contents from the copy or from a peer."""
+    state = fleet_state.FleetState(lambda _change: None, 3.6)
+    base = gateway_parts.config()
+
+    def config(stamp: tuple[int, int, int]) -> fleet_config.FleetConfig:
+        version, history, offset = stamp
+        return base._replace(version=version, history=history, offset=offset)
+
+    assert state.adopt_config(config(before), "store")
+    assert state.adopt_config(config(after), "peer") is adopted
+    assert state.config_stamp == (after if adopted else before)
+
+
 def test_positions_survive_the_encoding_of_messages() -> None:
     """Guards against positions that peers decode as something else."""
     frame = msgspec.msgpack.encode(P2_1)
