Continue a stream only with a stream, never with another answer

What callers saw in tests: a stream that had begun and broken off got the second upstream's answer in its middle, at times as a second response head, or ended as if it were complete.

Cause: after a retry, each status but 429 and 5xx passed for a success, and its head and body were written although the response had begun. A page of another content type with status 200 was split at its empty lines and forwarded as events. Class of fault: a state of the caller's connection that the success path didn't ask for.

Change: once part of a response has been forwarded, an answer is valid only if it has status 200 and the media type of the part, or says that the attempt failed.

--- a/src/apricottrestle/gateway/calls.py
+++ b/src/apricottrestle/gateway/calls.py
@@ -186,6 +186,14 @@
     framed: bool = True
     limit: NamedLimit | None = None
 
+    @property
+    def media_type(self) -> str:
+        """Type of the body in lower case, without parameters; may be empty."""
+        for name, value in self.headers:
+            if name.lower() == "content-type":
+                return value.partition(";")[0].strip().lower()
+        return ""
+
 
 EndKind = Literal["complete", "not_sent", "broken", "timeout", "cancelled"]
 """How a transfer ended.
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -60,6 +60,9 @@
 MAX_PLAIN_BODY_BYTES: Final = 16 * 1024 * 1024
 """Largest non-stream response; it is buffered until it is complete."""
 
+_HTTP_OK: Final = 200
+_HTTP_TOO_MANY_REQUESTS: Final = 429
+_HTTP_SERVER_ERROR: Final = 500
 _LOG: Final = logging.getLogger(__name__)
 
 
@@ -102,6 +105,7 @@
         self._buffered_bytes = 0
         self._event_count = 0
         self._response_is_valid = False
+        self._begun_type = ""
         self._first_event_at: float | None = None
         self._last_event_at = 0.0
         self._longest_gap_s = 0.0
@@ -256,8 +260,20 @@
         ):
             self._log_dropped_response("answer without a valid signature", head)
             return False
+        if self._history.response_started and not self._may_follow_begun(head):
+            self._log_dropped_response("answer doesn't continue a stream", head)
+            return False
         return True
 
+    def _may_follow_begun(self, head: calls.ResponseHead) -> bool:
+        """Returns whether an answer may follow one that the caller has in part.
+
+        It continues the stream, or fails so that another attempt may.
+        """
+        if head.status == _HTTP_OK:
+            return head.media_type == self._begun_type
+        return _is_failure(head)
+
     def _cancel_invalid_response(self) -> None:
         """Cancels an upstream call whose response must not be forwarded."""
         self._response_is_valid = False
@@ -321,6 +337,7 @@
         gap_s = now - self._last_event_at
         if not self._history.response_started:
             self._history = self._history._replace(response_started=True)
+            self._begun_type = head.media_type
             self._responder.begin(head.status, head.headers)
             self._first_event_at = now
             metrics.FIRST_TOKEN_SECONDS.labels(
@@ -449,7 +466,7 @@
             return retry_policy.AttemptResult.LOST
         if head.not_run:
             return retry_policy.AttemptResult.NOT_RUN
-        if head.status >= 500 or head.status == 429:
+        if _is_failure(head):
             return retry_policy.AttemptResult.FAILED
         if self.is_stream and self._event_splitter.has_partial_event:
             return retry_policy.AttemptResult.LOST
@@ -680,6 +697,15 @@
     return min(size.expected_output_tokens, size.max_output_tokens)
 
 
+def _is_failure(head: calls.ResponseHead) -> bool:
+    """Returns whether a status or a header says that the request failed."""
+    return (
+        head.not_run
+        or head.status >= _HTTP_SERVER_ERROR
+        or head.status == _HTTP_TOO_MANY_REQUESTS
+    )
+
+
 def _elapsed_s(at: float | None, start: float) -> float | None:
     return None if at is None else round(at - start, 4)
 
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -699,3 +699,70 @@
 
     caller = virtual_time.run(main())
     assert (caller.status, caller.retry_after_s) == (502, None)
+
+
+BEGUN = Response("broken", HEAD, _events(1, 2))
+PAGE = b"<html>\n\nwrong\n\n</html>\n\n"
+AS_EVENTS = (("Content-Type", "text/event-stream"),)
+AS_PAGE = (("Content-Type", "text/html"),)
+
+
+@pytest.mark.parametrize(
+    ("head", "data"),
+    [
+        pytest.param(HEAD._replace(status=status), data, id=f"{status}-{name}")
+        for status in (201, 204, 206, 301, 304, 400, 401, 403, 404, 409, 413)
+        for name, data in (("body", b"no"), ("events", PAGE), ("empty", b""))
+        if status not in (204, 304) or not data
+    ]
+    + [
+        pytest.param(HEAD._replace(status=status, signed=signed), PAGE,
+                     id=f"{status}-{'signed' if signed else 'unsigned'}")
+        for status in (404, 429, 500, 502, 503)
+        for signed in (True, False)
+    ]
+    + [
+        pytest.param(HEAD._replace(headers=AS_PAGE), PAGE, id="200 page"),
+        pytest.param(HEAD._replace(headers=()), PAGE, id="200 of no type"),
+        pytest.param(REFUSED.head, b"", id="refusal"),
+        pytest.param(REFUSED.head, PAGE, id="refusal with a page"),
+    ],
+)  # fmt: skip
+@pytest.mark.parametrize("end", ["complete", "broken"])
+@pytest.mark.parametrize("third", [False, True])
+def test_only_a_stream_continues_a_stream(
+    head: calls.ResponseHead, data: bytes, end: calls.EndKind, third: bool
+) -> None:
+    """Guards against an error of a second upstream in the middle of a stream.
+
+    The caller gets the events so far and a closed connection, or the rest of
+    the stream from a third upstream.
+    """
+    begun = Response("broken", HEAD._replace(headers=AS_EVENTS), _events(1, 2))
+    rest = Response("complete", begun.head, _events(3, 4))
+    route = gateway_parts.STREAM._replace(max_attempts=2 + third)
+    host = _Host()
+    responses = [begun, Response(end, head, data)] + [rest] * third
+    caller = virtual_time.run(_run_exchange(route, responses, host))
+    assert caller.status == 200
+    assert caller.body == _events(1, 4 if third else 2)
+    assert caller.endings == ["complete" if third else "closed"]
+    assert host.buffered_bytes == 0
+
+
+@pytest.mark.parametrize("event_type", ["text/event-stream; charset=utf-8", ""])
+def test_stream_of_the_same_type_continues_a_stream(event_type: str) -> None:
+    """Guards against a continuation that is dropped for its parameters."""
+    first = HEAD._replace(headers=AS_EVENTS if event_type else ())
+    second = HEAD._replace(
+        headers=(("content-type", event_type),) if event_type else ()
+    )
+    responses = [
+        Response("broken", first, _events(1, 2)),
+        Response("complete", second, _events(3, 4)),
+    ]
+    caller = virtual_time.run(
+        _run_exchange(gateway_parts.STREAM, responses, _Host())
+    )
+    assert caller.body == _events(1, 4)
+    assert caller.endings == ["complete"]
