Believe an answer only where it can't belong to an earlier call

What callers could see: "not run, try again" (503) for a request that an upstream was running, after a faulty upstream had written an earlier refusal once more on a kept connection. Unsafe requests were safe from it: each has a connection of its own.

Cause: the id that an answer names is the caller's, so all attempts of one request bear the same. A second attempt at the same upstream could use the connection of the first and took the late refusal for its answer. Answers without an id, and the answers to reservations, releases and probes, which never have one, were believed on any connection. Class of fault: an answer matched to its call by an identifier that several calls share, or by none.

Change: an attempt at an upstream that this request has tried before opens a connection, as unsafe requests do; the flag is now called by that. On a kept connection an answer must name its request. Reservations, releases and probes open a connection and don't keep it, so that no later call inherits an answer.

--- a/src/apricottrestle/gateway/calls.py
+++ b/src/apricottrestle/gateway/calls.py
@@ -135,7 +135,9 @@
         helpers: Engines that prefill parts of the prompt, as "ip:port" or
             "ip:port/reservation".
         resume_after: Id of the last event already forwarded, or None.
-        at_most_once: Whether the transport must not retransmit the request.
+        new_connection: Whether to open a connection for this call: the
+            transport can't retransmit the request then, and no answer of an
+            earlier call can arrive on it.
     """
 
     req: CallerRequest
@@ -146,7 +148,7 @@
     priority: int
     helpers: tuple[str, ...]
     resume_after: str | None
-    at_most_once: bool
+    new_connection: bool
 
 
 class NamedLimit(NamedTuple):
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -106,6 +106,7 @@
         self._event_count = 0
         self._response_is_valid = False
         self._begun_type = ""
+        self._has_new_connection = False
         self._first_event_at: float | None = None
         self._last_event_at = 0.0
         self._longest_gap_s = 0.0
@@ -189,6 +190,11 @@
         self._event_splitter = event_stream.EventSplitter()
         self._clear_body()
         self._response_is_valid = False
+        # An answer to an earlier attempt at this upstream bears the same id.
+        self._has_new_connection = (
+            not self.accepted.route.repeatable
+            or attempt.upstream_id in self.tried_upstreams
+        )
         self.tried_upstreams.append(attempt.upstream_id)
         team = self.accepted.team
         call = calls.UpstreamCall(
@@ -200,7 +206,7 @@
             priority,
             helpers,
             self.last_event_id,
-            not self.accepted.route.repeatable,
+            self._has_new_connection,
         )
         if self.is_stream:
             self._arm_first_event_timer(attempt)
@@ -246,7 +252,8 @@
         """Returns whether the response is for this request and authentic.
 
         A successful response must name the request, carry the upstream's
-        signature and have an unencoded body.
+        signature and have an unencoded body. On a connection that has served
+        other calls, each response must name the request.
         """
         if (
             head.request_id is not None
@@ -254,6 +261,9 @@
         ):
             self._log_dropped_response("answer of another request", head)
             return False
+        if head.request_id is None and not self._has_new_connection:
+            self._log_dropped_response("answer without an id", head)
+            return False
         is_success = 200 <= head.status < 300
         if is_success and (
             not head.signed or head.encoded or head.request_id is None
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -1,8 +1,8 @@
 """HTTP client for upstreams: callers' requests and memory reservations.
 
 Invariants: each sink's `on_end` is called exactly once. A call with
-`at_most_once` uses a new connection, because libcurl silently repeats a request
-if its reused connection fails before the response.
+`new_connection` opens one, because libcurl silently repeats a request if its
+reused connection fails before the response.
 """
 
 import asyncio
@@ -129,6 +129,12 @@
     return 0
 
 
+def _use_own_connection(curl: Any) -> None:
+    """Gives a call whose answer names no request a connection of its own."""
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+
+
 class _HttpTransfer(calls.Transfer):
     """One call; passes its response to a sink."""
 
@@ -185,7 +191,7 @@
         curl.setopt(pycurl.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
         curl.setopt(pycurl.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
         curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-        if self._call.at_most_once:
+        if self._call.new_connection:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
 
     def _on_header_line(self, line: bytes) -> int | None:
@@ -365,6 +371,7 @@
             request_timeout=PROBE_TIMEOUT_S,
             follow_redirects=False,
             decompress_response=False,
+            prepare_curl_callback=_use_own_connection,
         )
         try:
             response = await self._client.fetch(req, raise_error=False)
@@ -414,6 +421,7 @@
             request_timeout=RESERVATION_TIMEOUT_S,
             follow_redirects=False,
             decompress_response=False,
+            prepare_curl_callback=_use_own_connection,
         )
         try:
             # Raises if there is no response, whatever `raise_error` is.
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -85,6 +85,7 @@
         self.begun = 0
         self.suspects: list[crash_evidence.Suspect | None] = []
         self.probe_result: calls.ProbeResult = "running"
+        self.places_at_one = False
         self._has_budget = has_budget
 
     def start_call(
@@ -95,7 +96,7 @@
         return self.transfers[-1]
 
     def place_request(self, request: exchange.Exchange) -> None:
-        number = len(self.calls_started) + 1
+        number = 1 if self.places_at_one else len(self.calls_started) + 1
         request.send_to(
             exchange_host.Attempt(
                 f"up-{number}", f"127.0.0.1:{number}", "r", 0.0, 0.1
@@ -365,7 +366,7 @@
 
 def test_unsafe_calls_forbid_retransmission() -> None:
     """Guards against retransmission of unsafe requests by the transport."""
-    for route, at_most_once in (
+    for route, new_connection in (
         (gateway_parts.UNSAFE, True),
         (gateway_parts.STREAM._replace(resumable=False), True),
         (gateway_parts.SAFE, False),
@@ -373,7 +374,7 @@
     ):
         host = _Host()
         virtual_time.run(_run_exchange(route, [], host))
-        assert host.calls_started[0].at_most_once == at_most_once
+        assert host.calls_started[0].new_connection == new_connection
 
 
 def test_caller_disconnect_cancels_upstream_call() -> None:
@@ -766,3 +767,40 @@
     )
     assert caller.body == _events(1, 4)
     assert caller.endings == ["complete"]
+
+
+@pytest.mark.parametrize("same", [True, False])
+def test_second_attempt_at_an_upstream_has_its_own_connection(
+    same: bool,
+) -> None:
+    """Guards against an answer to an earlier attempt of the same request.
+
+    Both attempts bear the id of the caller's request.
+    """
+    host = _Host()
+    host.places_at_one = same
+    virtual_time.run(_run_exchange(gateway_parts.SAFE, [REFUSED, WHOLE], host))
+    assert [call.new_connection for call in host.calls_started] == [False, same]
+
+
+NAMELESS = Response(
+    "complete",
+    HEAD._replace(status=503, signed=False, not_run=True, request_id=None),
+)
+
+
+@pytest.mark.parametrize(
+    ("route", "responses", "status"),
+    [
+        (gateway_parts.SAFE, [NAMELESS, NAMELESS], 502),
+        (gateway_parts.SAFE, [NAMELESS, WHOLE], 200),
+        (gateway_parts.SAFE, [NAMELESS, REFUSED], 502),
+        (gateway_parts.UNSAFE, [NAMELESS], 503),
+    ],
+)
+def test_answer_without_an_id_proves_something_on_a_new_connection_only(
+    route: fleet_config.Route, responses: list[Response], status: int
+) -> None:
+    """Guards against the answer of another call on a kept connection."""
+    caller = virtual_time.run(_run_exchange(route, responses, _Host()))
+    assert caller.status == status
--- a/tests/test_platform_upstream_client.py
+++ b/tests/test_platform_upstream_client.py
@@ -228,7 +228,7 @@
 
 
 @async_helpers.async_test
-async def test_at_most_once_call_is_not_resent_on_a_broken_connection() -> None:
+async def test_call_on_a_new_connection_is_not_resent_when_it_breaks() -> None:
     """Guards against a second run: libcurl resends on reused connections."""
     count = 0
 
@@ -246,7 +246,7 @@
         client = upstream_client.HttpUpstreamClient()
         for expected in ("complete", "broken"):
             sink = _Sink()
-            client.send(_call(upstream.address, at_most_once=True), sink)
+            client.send(_call(upstream.address, new_connection=True), sink)
             await async_helpers.wait_until(
                 functools.partial(getattr, sink, "ends")
             )
@@ -370,3 +370,123 @@
         address = upstream.address
     client = upstream_client.HttpUpstreamClient()
     assert await client.probe("up-1", address, 5) == "ended"
+
+
+_REFUSAL = (
+    "HTTP/1.1 503 X\r\nApricottrestle-Attempt-Id: {}\r\n"
+    "Apricottrestle-Not-Executed: full\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("new_connection", [True, False])
+@async_helpers.async_test
+async def test_refusal_that_is_written_again_answers_no_second_attempt(
+    new_connection: bool,
+) -> None:
+    """Guards against "not run" for a request that the upstream is running.
+
+    The second attempt of a request has the id of the first. Without a new
+    connection the refusal of the first answers the second; the exchange
+    therefore asks for one.
+    """
+
+    async def script(
+        received: scripted_upstream.Received, conn: scripted_upstream.Connection
+    ) -> None:
+        request_id = received.headers["apricottrestle-attempt-id"]
+        refusal = _REFUSAL.format(request_id).encode()
+        if len(upstream.received) == 1:
+            conn.write(refusal)
+            return
+        if conn is upstream.connections[0]:
+            conn.write(refusal)
+            await asyncio.sleep(0.05)
+        conn.write(scripted_upstream.signed_response(received, b"body"))
+
+    sinks = []
+    async with scripted_upstream.running(script) as upstream:
+        client = upstream_client.HttpUpstreamClient()
+        for is_second in (False, True):
+            sink = _Sink()
+            client.send(
+                _call(
+                    upstream.address,
+                    new_connection=new_connection and is_second,
+                ),
+                sink,
+            )
+            await async_helpers.wait_until(
+                functools.partial(getattr, sink, "ends")
+            )
+            sinks.append(sink.head)
+            await asyncio.sleep(0.02)
+    first, second = sinks
+    assert first is not None
+    assert second is not None
+    assert first.not_run
+    assert second.not_run is not new_connection
+
+
+@async_helpers.async_test
+async def test_calls_without_an_id_share_no_connection() -> None:
+    """Guards against late answers that pass for those of other calls.
+
+    Nothing in the answer to a reservation or a probe names its call.
+    """
+
+    async def script(
+        received: scripted_upstream.Received, conn: scripted_upstream.Connection
+    ) -> None:
+        conn.write(scripted_upstream.signed_response(received, b"{}"))
+
+    async with scripted_upstream.running(script) as upstream:
+        client = upstream_client.HttpUpstreamClient()
+        reservation = calls.Reservation(
+            "r-1", upstream.address, "up-1", 1000, 1.0
+        )
+        counts = []
+        for _ in range(2):
+            sink = _Sink()
+            client.send(_call(upstream.address), sink)
+            await async_helpers.wait_until(
+                functools.partial(getattr, sink, "ends")
+            )
+            assert await client.reserve(reservation)
+            assert await client.probe("up-1", upstream.address, 5) == "running"
+            await client.release(reservation)
+            counts.append(len(upstream.connections))
+        await async_helpers.wait_until(
+            lambda: sum(c.closed.is_set() for c in upstream.connections) == 6
+        )
+    # The request's connection is kept; each of the other calls has its own.
+    assert counts == [4, 7]
+
+
+_WHOLE_HEAD = scripted_upstream.signed_response(
+    scripted_upstream.Received("", {"apricottrestle-attempt-id": "r"}, b""),
+    b"body",
+    headers="Content-Type: text/event-stream\r\n",
+)
+
+
+@pytest.mark.parametrize("resets", [False, True])
+@pytest.mark.parametrize(
+    "cut", range(1, len(_WHOLE_HEAD)), ids=lambda cut: f"{cut} bytes"
+)
+@async_helpers.async_test
+async def test_answer_cut_at_any_byte_is_broken(cut: int, resets: bool) -> None:
+    """Guards against a cut head or body that passes for a whole answer."""
+
+    async def script(
+        _received: scripted_upstream.Received,
+        conn: scripted_upstream.Connection,
+    ) -> None:
+        conn.write(_WHOLE_HEAD[:cut])
+        if resets:
+            await asyncio.sleep(0.01)
+            conn.reset()
+        conn.writer.close()
+
+    sink, _ = await _run(script)
+    assert sink.ends == ["broken"]
+    assert sink.head is None or sink.data != b"body"
