Take a success without length and body for a broken answer

What callers would see: a 200 with an empty body, framed as whole, from an upstream that stopped and closed its connection just after the head.

Cause: an answer without a length or chunks ends with its connection, and an empty one passed for complete on plain routes; only streams without an event were doubted. Class of fault: an end that is taken for completeness because nothing speaks against it.

Ruled out: heads cut within, at every byte and by close or reset, and bodies shorter than their length: all end as broken (test_answer_cut_at_any_byte_is_broken). A body without a length that is cut after its first byte by an orderly close can't be told from a whole one; that is what the platform's protocol allows and stays open.

Change: such an answer is lost: repeated where the request may be, else 502.

--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -480,16 +480,21 @@
             return retry_policy.AttemptResult.FAILED
         if self.is_stream and self._event_splitter.has_partial_event:
             return retry_policy.AttemptResult.LOST
-        if (
-            self.is_stream
-            and head.status == 200
-            and not head.framed
-            and not self._event_count
-            and self.last_event_id is None
-        ):
+        if self._ends_before_its_body(head):
             return retry_policy.AttemptResult.LOST
         return None
 
+    def _ends_before_its_body(self, head: calls.ResponseHead) -> bool:
+        """Returns whether nothing came after a head that names no length.
+
+        A stream that is resumed after its last event has nothing to add.
+        """
+        if head.status != _HTTP_OK or head.framed:
+            return False
+        if self.is_stream:
+            return not self._event_count and self.last_event_id is None
+        return not self._body_bytes
+
     def _complete_response(self, head: calls.ResponseHead | None) -> None:
         assert head is not None
         if self.is_stream and head.status == 200:
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -804,3 +804,22 @@
     """Guards against the answer of another call on a kept connection."""
     caller = virtual_time.run(_run_exchange(route, responses, _Host()))
     assert caller.status == status
+
+
+@pytest.mark.parametrize(
+    ("route", "status"),
+    [(gateway_parts.SAFE, 200), (gateway_parts.UNSAFE, 502)],
+)
+def test_answer_without_length_and_body_is_lost(
+    route: fleet_config.Route, status: int
+) -> None:
+    """Guards against an empty success of an upstream that stopped answering.
+
+    Its connection closed after the head, which announced no length.
+    """
+    cut = Response("complete", HEAD._replace(framed=False))
+    caller = virtual_time.run(
+        _run_exchange(route, [cut, WHOLE][: route.max_attempts], _Host())
+    )
+    assert caller.status == status
+    assert caller.body in (b"body", b"")
