--- a/src/apricottrestle_standins/platform/soak.py
+++ b/src/apricottrestle_standins/platform/soak.py
@@ -76,6 +76,23 @@
 """Runs with upstreams that name a limit: the limit, its start and end, and the
 faults that come beside."""
 
+RETURNS: Final = 2
+RETURN_LOST_S: Final = (0.5, 5.0)
+RETURN_PAUSE_S: Final = 0.2
+RETURN_FAULTS: Final = (
+    "drain",
+    "new_config",
+    "kill",
+    "pause",
+    "term",
+    "cut_store",
+    "store_silent",
+    "store_restored",
+)
+"""Runs with a store that comes back from an older copy: returns at least, age
+of the copy, longest pause between two records that are written again, and the
+faults that come beside."""
+
 SETTLE_S: Final = 3.0
 """Time after a disturbance in which a gateway may act on old state, by the
 platform's rules."""
@@ -419,6 +436,24 @@
         for topic in ("keyed.op", "keyed.servers"):
             self.store.topic(topic).compact()
 
+    async def _store_restored(self, duration_s: float) -> None:
+        """The store loses seconds; what is lost is written again, unordered."""
+        self.store.fault = "busy"
+        await asyncio.sleep(duration_s)
+        lost_s = duration_s + self._rng.uniform(*RETURN_LOST_S)
+        lost = self.store.restore(lost_s)
+        self.store.fault = ""
+        for name in ("keyed.op", "keyed.servers"):
+            topic = self.store.topic(name)
+            copied = dict(topic.newest)
+            values = list(dict(lost.get(name, [])).items())
+            self._rng.shuffle(values)
+            for key, value in values:
+                if topic.newest.get(key) == copied.get(key):
+                    topic.append(key, value)
+                    self.store.notify()
+                await asyncio.sleep(self._rng.uniform(0.0, RETURN_PAUSE_S))
+
     async def _store_busy(self, duration_s: float) -> None:
         await self._set_store_fault("busy", duration_s)
 
@@ -646,6 +681,35 @@
     return problems
 
 
+async def run_return_seed(seed: int, directory: pathlib.Path) -> list[str]:
+    """Does a run with returns of the store; returns its problems."""
+    rng = random.Random(seed + 1)
+    fleet = Fleet(directory, rng)
+    faults = generate_faults(seed, TRAFFIC_S, RETURN_FAULTS)
+    faults += [
+        Fault(
+            rng.uniform(0.5, TRAFFIC_S * 0.8),
+            "store_restored",
+            rng.uniform(0.0, 1.5),
+        )
+        for _ in range(RETURNS)
+    ]
+    async with fleet.running():
+        await asyncio.gather(
+            fleet.inject(sorted(faults)), fleet.send_requests(TRAFFIC_S)
+        )
+        await fleet.wait_all_ready()
+        await fleet.check_configuration()
+    fleet.run_ledger.runs = [
+        run for run in fleet.run_ledger.runs if run.request_id != PROBE_ID
+    ]
+    problems = fleet.problems + ledger.find_violations(fleet.run_ledger)
+    problems += _check_served(fleet.run_ledger, planned=False)
+    if fleet.store.history == 1:
+        problems.append("the store did not come back from a copy")
+    return problems
+
+
 async def run_limit_seed(seed: int, directory: pathlib.Path) -> list[str]:
     """Does a run with upstreams that name a limit; returns its problems.
 
@@ -733,6 +797,11 @@
         action="store_true",
         help="runs with upstreams that name a limit of requests",
     )
+    parser.add_argument(
+        "--returns",
+        action="store_true",
+        help="runs with a store that comes back from an older copy",
+    )
     args = parser.parse_args()
     run, length_s = run_seed, TRAFFIC_S
     kinds: tuple[str, ...] = ()
@@ -740,6 +809,8 @@
         run, length_s, kinds = run_prompt_seed, PROMPT_TRAFFIC_S, PROMPT_FAULTS
     elif args.limits:
         run, length_s, kinds = run_limit_seed, PROMPT_TRAFFIC_S, LIMIT_FAULTS
+    elif args.returns:
+        run, kinds = run_return_seed, RETURN_FAULTS
     failed = 0
     for seed in range(args.first, args.first + args.seeds):
         with tempfile.TemporaryDirectory() as temp:
--- a/tests/test_soak_days.py
+++ b/tests/test_soak_days.py
@@ -55,3 +55,14 @@
     Gateways are killed and paused meanwhile.
     """
     assert asyncio.run(soak.run_limit_seed(seed, tmp_path)) == []
+
+
+@pytest.mark.parametrize("seed", [0, 1])
+def test_soak_run_with_returns_of_the_store(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    """Guards against state of a history of the store that has ended.
+
+    Gateways are killed, paused, stopped and cut off from the store meanwhile.
+    """
+    assert asyncio.run(soak.run_return_seed(seed, tmp_path)) == []
