Check the configuration of the soak's returns after the settle time

Their log: the store fell silent for 1.6 s up to the end of the run; each gateway's read of the configuration was under way, and was given up after 2.5 s, 0.1 s before the check.

Ruled out: the returns; both were taken within 0.5 s (lines 'store history').

Change: the check comes after the time that the platform's rules give a gateway after a disturbance of the store, as the other checks of the soak do.

--- a/src/apricottrestle_standins/platform/soak.py
+++ b/src/apricottrestle_standins/platform/soak.py
@@ -699,6 +699,8 @@
             fleet.inject(sorted(faults)), fleet.send_requests(TRAFFIC_S)
         )
         await fleet.wait_all_ready()
+        # A read that the store left without an answer may still be open.
+        await asyncio.sleep(SETTLE_S)
         await fleet.check_configuration()
     fleet.run_ledger.runs = [
         run for run in fleet.run_ledger.runs if run.request_id != PROBE_ID
