Take requests late in a stop only if their time limit ends before it

Cause: a stopping gateway that stays in rotation accepted what it expected to serve in time: an estimate, from callers' estimates of their answers' length, with a factor of 1.5. Class of fault: an estimate that decides that work ends before a hard limit. docs/platform.md lists the other places.

Ruled out: the largest answer that the caller allows (no stream fits), and a greater factor (a wrong estimate still cuts).

Change: from 2.8 s after the signal, a request is accepted only if its own time limit ends before the grace period does; otherwise it is refused as not run.

--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -80,7 +80,8 @@
 
 STOPPING_SERVICE_FACTOR: Final = 1.5
 """Factor on the minimum service time of a request that a stopping gateway must
-be able to serve: other requests in the same engine passes delay its events."""
+be able to serve: other requests in the same engine passes delay its events, and
+callers' estimates of the answer's length are often too short."""
 
 PLAIN_SERVICE_S: Final = 0.3
 """Time that a stopping gateway allows for a request to a plain service; several
@@ -213,6 +214,9 @@
         listener: Receives changes of this gateway's load.
         stopping: Whether new requests are refused because of a shutdown.
         serve_until: Monotonic time at which a shutdown ends all requests.
+        estimate_until: Monotonic time until which a stopping gateway accepts
+            requests by an estimate of their duration. Later ones, whose end it
+            must not cut off, need a time limit that ends before the shutdown.
         active: Exchanges under way.
     """
 
@@ -245,6 +249,7 @@
         self.listener = RunListener()
         self.stopping = False
         self.serve_until = math.inf
+        self.estimate_until = math.inf
         self.active: set[exchange.Exchange] = set()
         self._held: list[tuple[calls.CallerRequest, calls.Responder]] = []
         self._hold_until = -math.inf
@@ -450,6 +455,8 @@
         """Returns whether a request can be served before a shutdown ends."""
         if math.isinf(self.serve_until):
             return True
+        if clock.now() > self.estimate_until:
+            return accepted.deadline <= self.serve_until
         model = accepted.service.engine
         service_s = PLAIN_SERVICE_S
         if model is not None and req.size is not None:
--- a/src/apricottrestle/gateway/graceful_stop.py
+++ b/src/apricottrestle/gateway/graceful_stop.py
@@ -1,8 +1,8 @@
 """Graceful shutdown of a gateway within its grace period.
 
 Invariants: a request that has been accepted is not cut before the end of the
-grace period. A stopping gateway accepts only requests that it can serve within
-that period.
+grace period, and none is cut that was accepted later than ESTIMATE_S after the
+signal.
 """
 
 import abc
@@ -18,6 +18,11 @@
 rotation. The load balancer needs two readiness checks, a second apart, to stop
 sending new connections."""
 
+ESTIMATE_S: Final = 2.8
+"""Time after the signal for which requests are accepted by an estimate of when
+they end. An estimate may be wrong, and the platform allows a request to be cut
+only if it was sent at most three seconds after the signal."""
+
 FINAL_FLUSH_S: Final = 0.4
 """End of the grace period that is reserved for flushing the last responses."""
 
@@ -73,6 +78,7 @@
         started_at = clock.now()
         ends_at = started_at + self._grace_s - FINAL_FLUSH_S
         self._core.serve_until = ends_at
+        self._core.estimate_until = started_at + ESTIMATE_S
         self._listener.stopping = True
         self._peers.begin_stop(ends_at - ACCEPT_AFTER_LEAVING_S)
         logs.decision(
