Log how long after its stop signal a gateway leaves the rotation

The line `rotation` gave the grace period that is left, so that the time since the signal, which the platform counts, had to be computed from two lines and a setting. The incident's other inputs (order of stops, peers in rotation) were there.

--- a/src/apricottrestle/gateway/graceful_stop.py
+++ b/src/apricottrestle/gateway/graceful_stop.py
@@ -90,7 +90,7 @@
             peers=self._peers.gateway_count() - 1,
             stays_in_rotation=self._peers.in_rotation,
         )
-        await self._leave_rotation(ends_at)
+        await self._leave_rotation(started_at, ends_at)
         self._core.stopping = True
         self._peers.end_accepting()
         self._listener.stop_listening()
@@ -100,7 +100,7 @@
             self._listener.close_idle()
         await asyncio.sleep(FINAL_FLUSH_S / 2)
 
-    async def _leave_rotation(self, ends_at: float) -> None:
+    async def _leave_rotation(self, started_at: float, ends_at: float) -> None:
         """Waits until the load balancer sends no more connections.
 
         While too few other gateways are in rotation, this one stays; see
@@ -118,6 +118,7 @@
                     outcome="stays" if in_rotation else "leaves",
                     peers_in_rotation=self._peers.peers_in_rotation(),
                     stop_order=self._peers.stop_order,
+                    since_stop_s=round(now - started_at, 3),
                     grace_left_s=round(ends_at - now, 3),
                 )
             if in_rotation:
