Take stopping gateways out of rotation before the platform counts them

Callers that reached the last one of a series were refused from 2.8 s after its signal on, while others were ready already.

Cause: each series by itself granted a place to a quarter of the gateways, or to one. The same in peers that are cut off: they left 3 s after their signal, but two readiness checks have to fail before that counts.

Ruled out: a late return of the first gateway (a series of idle gateways fails too) and stops that aren't heard (one gateway stays in each series).

Change: no gateway is ready later than 1.8 s after its signal. Instead, while no other is in rotation, one that finishes its requests keeps its port open, serves what fits and refuses the rest with the time to return. What was needed only for longer stays is gone (the assumption about silent peers, the end of accepting).

--- a/src/apricottrestle/gateway/graceful_stop.py
+++ b/src/apricottrestle/gateway/graceful_stop.py
@@ -1,5 +1,10 @@
 """Graceful shutdown of a gateway within its grace period.
 
+While the load balancer finds no other gateway, callers may still come to one
+that has left the rotation. It therefore listens on until another one is in
+rotation, or until it has nothing left to do; what it can't finish, it refuses
+with the time to return.
+
 Invariants: a request that has been accepted is not cut before the end of the
 grace period, and none is cut that was accepted later than ESTIMATE_S after the
 signal.
@@ -11,10 +16,10 @@
 from typing import Final
 
 from apricottrestle import logs
-from apricottrestle.gateway import clock, gateway, peer_sync
+from apricottrestle.gateway import clock, gateway, peer_sync, rotation
 
 ACCEPT_AFTER_LEAVING_S: Final = 2.6
-"""Time for which requests are still accepted after a gateway has left the
+"""Time for which requests are accepted in any case after a gateway has left the
 rotation. The load balancer needs two readiness checks, a second apart, to stop
 sending new connections."""
 
@@ -80,7 +85,12 @@
         self._core.serve_until = ends_at
         self._core.estimate_until = started_at + ESTIMATE_S
         self._listener.stopping = True
-        self._peers.begin_stop(ends_at - ACCEPT_AFTER_LEAVING_S)
+        self._peers.begin_stop(
+            min(
+                started_at + rotation.MAX_STAY_S,
+                ends_at - ACCEPT_AFTER_LEAVING_S,
+            )
+        )
         logs.decision(
             _LOG,
             "stop requested",
@@ -91,15 +101,20 @@
             stays_in_rotation=self._peers.in_rotation,
         )
         await self._leave_rotation(started_at, ends_at)
-        self._core.stopping = True
-        self._peers.end_accepting()
-        self._listener.stop_listening()
-        self._listener.close_idle()
         while self._core.active and clock.now() < ends_at:
+            self._stop_accepting_for_peers()
             await asyncio.sleep(CHECK_INTERVAL_S)
-            self._listener.close_idle()
+        self._core.stopping = True
+        self._stop_accepting_for_peers()
         await asyncio.sleep(FINAL_FLUSH_S / 2)
 
+    def _stop_accepting_for_peers(self) -> None:
+        """Stops accepting if callers find another gateway."""
+        if self._peers.peers_in_rotation():
+            self._core.stopping = True
+            self._listener.stop_listening()
+            self._listener.close_idle()
+
     async def _leave_rotation(self, started_at: float, ends_at: float) -> None:
         """Waits until the load balancer sends no more connections.
 
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -105,7 +105,6 @@
         self.stop_order = 0
         self._accept_until = math.inf
         self._fleet_size_at_stop = 1
-        self._stop_began_at = math.inf
         self._cfg = cfg
         self._core = core
         self._incarnation = incarnation
@@ -179,19 +178,13 @@
         """Tells the peers that this gateway is shutting down.
 
         Args:
-            accept_until: Monotonic time until which it can stay in rotation.
+            accept_until: Monotonic time until which it may stay in rotation.
         """
         self._fleet_size_at_stop = self._peers.count()
         self._accept_until = accept_until
-        self._stop_began_at = clock.now()
         self.stop_order = rotation.next_stop_order(self._rotation_members())
         self._schedule_heartbeat()
 
-    def end_accepting(self) -> None:
-        """Tells the peers that this gateway can't return to the rotation."""
-        self._accept_until = -math.inf
-        self._schedule_heartbeat()
-
     @property
     def in_rotation(self) -> bool:
         """Whether this gateway should get new connections."""
@@ -218,7 +211,7 @@
 
     def _rotation_members(self) -> list[rotation.Member]:
         now = clock.now()
-        members = [
+        return [
             rotation.Member(
                 peer.incarnation,
                 peer.stop_order,
@@ -230,13 +223,6 @@
             )
             for peer in self._peers.alive()
         ]
-        if now >= self._stop_began_at + rotation.UNHEARD_S:
-            members += [
-                rotation.Member(peer.incarnation, 0, True)
-                for peer in self._peers.lost()
-                if peer.stop_order == 0
-            ]
-        return members
 
     # Sharing of the calls to the store.
 
--- a/src/apricottrestle/gateway/peers.py
+++ b/src/apricottrestle/gateway/peers.py
@@ -124,10 +124,6 @@
         """Returns the peers that count as alive."""
         return [peer for peer in self._peers.values() if peer.alive]
 
-    def lost(self) -> list[Peer]:
-        """Returns the peers that are silent but not yet forgotten."""
-        return [peer for peer in self._peers.values() if not peer.alive]
-
     def count(self) -> int:
         """Returns the number of gateways alive, including this one."""
         return 1 + sum(peer.alive for peer in self._peers.values())
--- a/src/apricottrestle/gateway/rotation.py
+++ b/src/apricottrestle/gateway/rotation.py
@@ -2,9 +2,13 @@
 
 Planned stops may overlap. If every gateway that is asked to stop left the
 rotation at once, callers would find none until the first has started again.
-Therefore the gateways that were asked last stay in rotation, while they have
-time left and too few others are in rotation. Each gateway decides by itself,
-from the stop orders that the gateways tell each other.
+Therefore the gateways that were asked last stay in rotation for a short time,
+while too few others are in rotation. Each gateway decides by itself, from the
+stop orders that the gateways tell each other.
+
+Invariant: no gateway is in rotation READY_CHECK_AFTER_S after its stop signal.
+The platform allows some, but counts them over the stops of a whole day, and no
+gateway outlives those that it would have to count.
 
 Pure functions.
 """
@@ -13,19 +17,31 @@
 from typing import Final, NamedTuple
 
 MIN_ROTATION_SHARE: Final = 0.25
-"""Share of the fleet that stays in rotation during stops. The platform allows
-this share of the stopping gateways, or a single one, to be ready four seconds
-after the signal."""
+"""Share of the fleet that stays in rotation at the beginning of its stops."""
+
+READY_CHECK_AFTER_S: Final = 4.0
+"""Time after a stop signal at which the platform counts a gateway that is still
+in rotation."""
+
+READINESS_INTERVAL_S: Final = 1.0
+MAX_FAILED_CHECKS: Final = 2
+"""Readiness checks of the load balancer, which takes a gateway out of rotation
+after this many failed ones in a row."""
+
+READINESS_SLACK_S: Final = 0.2
+"""Delay of readiness checks at a busy gateway."""
+
+MAX_STAY_S: Final = (
+    READY_CHECK_AFTER_S
+    - MAX_FAILED_CHECKS * READINESS_INTERVAL_S
+    - READINESS_SLACK_S
+)
+"""Time after its stop signal until which a gateway may be ready."""
 
 JOIN_S: Final = 1.2
 """Time after which a gateway that has become ready counts as in rotation: the
 load balancer checks readiness once per second."""
 
-UNHEARD_S: Final = 3.0
-"""Time after its stop at which a gateway assumes that peers which it no longer
-hears are in rotation. A gateway that is cut off from its peers thus leaves
-before the platform counts those that are still ready."""
-
 
 class Member(NamedTuple):
     """A gateway, as far as its place in the rotation is concerned.
@@ -33,7 +49,7 @@
     Attributes:
         incarnation: Random id of its process.
         stop_order: Position in the sequence of stops; 0 if it isn't stopping.
-        available: Whether it is in rotation, or would be if it weren't
+        available: Whether it is in rotation, or may be although it is
             stopping.
     """
 
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -499,9 +499,12 @@
     async def stop_gateway(self, address: str) -> None:
         """Stops a gateway gracefully, and starts it again at its address.
 
-        A gateway that was killed in the meantime is not started again.
+        A gateway that was killed in the meantime is not started again. One that
+        is stopping already ignores a second signal, as the daemon does.
         """
         row = self.gateways[address]
+        if row.node.peers.stop_order:
+            return
         loop = asyncio.get_running_loop()
         now = loop.time()
         self.run_ledger.stops.append((address, now))
