Ignore a reload until a starting gateway can handle it

A changed settings file may be announced at any moment.

Cause: the handler of SIGHUP is installed after the servers have started, 0.45 s after exec; until then the signal ends the process. Its callers' connections are not yet accepted, but a gateway is missing for another start.

Change: the signal is ignored before the imports. The settings are read later, and a change between that and the handler is seen by the periodic check. The first milliseconds of the interpreter remain.

--- a/src/apricottrestle/platform/__main__.py
+++ b/src/apricottrestle/platform/__main__.py
@@ -3,11 +3,16 @@
 Exit codes: 0 after a requested stop, 2 for invalid settings.
 """
 
+import signal
 import sys
 
-from apricottrestle import errors, logs
-from apricottrestle.gateway import daemon
-from apricottrestle.platform import (
+# The imports take most of the start. A reload meanwhile must not end the
+# process; the settings are read later anyway.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from apricottrestle import errors, logs  # noqa: E402
+from apricottrestle.gateway import daemon  # noqa: E402
+from apricottrestle.platform import (  # noqa: E402
     caller_server,
     settings_file,
     store_client,
