Stop requests that crash each upstream that runs them

Cause: only the shared parts of prompts were evidence. A request whose parts are all shared with sound ones has none that is its own, so that each sound answer cleared it. Requests to plain services gave no evidence.

Ruled out by the log: evidence that doesn't meet (each crash was reported to the other gateways within milliseconds), and crashes late in an answer (no event had come; rows for it exist).

Change: a digest of method, host, target, key and body is one more part of each request in the same table. A whole answer clears it. It counts for plain calls and late in an answer too, and a retry asks for the verdict before it is placed. The suspects that a crash keeps are chosen in an order that is the same at all gateways; before, those that had come first stayed, and digests could differ.

--- a/src/apricottrestle/gateway/crash_evidence.py
+++ b/src/apricottrestle/gateway/crash_evidence.py
@@ -1,10 +1,12 @@
-"""Finds the parts of prompts that crash engines, from the crashes themselves.
+"""Finds the requests that crash upstreams, from the crashes themselves.
 
-A prompt that crashes an engine ends all requests that run there, and engines
-also crash for other reasons. A crash is therefore evidence against each request
-whose answer was about to begin, and a part of a prompt is sound once an answer
-to a prompt with it has got past its beginning. The verdicts explain the
-crashes by as few parts as possible.
+A request that crashes an upstream ends all that run there, and upstreams also
+crash for other reasons. A crash is therefore evidence against each request
+whose answer was about to begin, by its parts: the shared parts of its prompt,
+and a part of its own, which is the same when the request comes again. A shared
+part is sound once an answer to a prompt with it has got past its beginning, a
+request once it has been answered in full. The verdicts explain the crashes by
+as few parts as possible.
 
 Records of crashes are merged by set union, so that messages between gateways
 may arrive twice, late or in any order.
@@ -21,13 +23,13 @@
 from typing import Final, NamedTuple
 
 from apricottrestle import hashing
+from apricottrestle.gateway import calls
 
 MAX_CRASHES: Final = 256
 """Records kept; a large fleet loses a few engines in an hour."""
 
-MAX_SUSPECTS: Final = 16
-"""Requests recorded for a crash; an engine runs fewer at a time, and of those
-few are at the beginning of their answer."""
+MAX_SUSPECTS: Final = 32
+"""Requests recorded for a crash; upstreams run and queue fewer at a time."""
 
 RECORD_TTL_S: Final = 3_600.0
 """Time for which a crash counts that supports no verdict."""
@@ -43,8 +45,13 @@
 """Weight of a crash against a request whose answer had just begun."""
 
 NOT_BEGUN_WEIGHT: Final = 0.5
-"""Weight of a crash against a request without an answer: the engine may have
-been about to write it, or still have had it in its queue."""
+"""Weight of a crash against shared parts of a request without an answer: the
+engine may have been about to write it, or still have had it in its queue. Also
+against a request whose answer had got past its beginning."""
+
+REQUEST_PREFIX: Final = "request:"
+"""Start of the part that stands for a whole request. Parts that callers name
+don't contain its last character."""
 
 VERDICT_WEIGHT: Final = 3.0
 """Weight of the crashes that prove a part to be bad, if no others happen."""
@@ -60,16 +67,41 @@
 """Time around the crashes of a part in which other crashes count as nearby."""
 
 
+def request_part(req: calls.CallerRequest) -> str:
+    """Returns the part that is the same whenever a caller repeats a request."""
+    return REQUEST_PREFIX + hashing.content_digest(
+        (req.method, req.host, req.target, req.api_key), req.body
+    )
+
+
+def parts_of(req: calls.CallerRequest) -> tuple[str, ...]:
+    """Returns all parts of a request, its own one last."""
+    return (*req.shared_parts, request_part(req))
+
+
 class Suspect(NamedTuple):
-    """A request that an engine ran when it crashed.
+    """A request that an upstream ran when it crashed.
 
     Attributes:
-        parts: Ids of the prompt's shared parts.
-        begun: Whether the head of the answer had arrived.
+        parts: Its parts; only its own one if its answer had got past its
+            beginning.
+        begun: Whether the crash may have come with the beginning of the answer:
+            the head of a stream had arrived, or it was a plain call.
+        past_beginning: Whether the answer had got past its beginning.
     """
 
     parts: tuple[str, ...]
     begun: bool
+    past_beginning: bool = False
+
+    def weight(self, part: str) -> float:
+        """Returns the weight of the crash against one of the parts."""
+        if self.past_beginning:
+            return NOT_BEGUN_WEIGHT
+        # One request is unlikely to have been in a queue at each crash.
+        if self.begun or part.startswith(REQUEST_PREFIX):
+            return BEGUN_WEIGHT
+        return NOT_BEGUN_WEIGHT
 
 
 class CrashReport(NamedTuple):
@@ -104,7 +136,10 @@
 
 
 class _Crash:
-    """A crash in the table; `suspects` and `sound` only grow."""
+    """A crash in the table.
+
+    `sound` only grows, and `suspects` up to MAX_SUSPECTS.
+    """
 
     __slots__ = ("at", "crash_id", "sound", "suspects")
 
@@ -118,10 +153,11 @@
         """Returns the weight of the crash against each part."""
         weights: dict[str, float] = {}
         for suspect in self.suspects:
-            weight = BEGUN_WEIGHT if suspect.begun else NOT_BEGUN_WEIGHT
             for part in suspect.parts:
                 if part not in self.sound:
-                    weights[part] = max(weights.get(part, 0.0), weight)
+                    weights[part] = max(
+                        weights.get(part, 0.0), suspect.weight(part)
+                    )
         return weights
 
     def state(self) -> tuple[str, list[Suspect], list[str]]:
@@ -163,16 +199,19 @@
             is_new = True
         else:
             is_new = False
-        size = len(crash.suspects) + len(crash.sound)
-        room = MAX_SUSPECTS - len(crash.suspects)
-        unseen = [
-            suspect
-            for suspect in report.suspects
-            if suspect not in crash.suspects
-        ]
-        # Requests whose answer had begun are the more likely cause.
-        unseen.sort(key=lambda suspect: not suspect.begun)
-        crash.suspects.update(unseen[: max(room, 0)])
+        before = crash.state()
+        # Gateways that know the same choose the same; requests whose answer had
+        # just begun are the more likely cause.
+        crash.suspects = set(
+            sorted(
+                crash.suspects.union(report.suspects),
+                key=lambda suspect: (
+                    suspect.past_beginning,
+                    not suspect.begun,
+                    suspect,
+                ),
+            )[:MAX_SUSPECTS]
+        )
         known_parts = {
             part for suspect in crash.suspects for part in suspect.parts
         }
@@ -182,13 +221,13 @@
             for part in known_parts
             if self._sound_at.get(part, -1e9) >= crash.at - SOUND_BEFORE_S
         )
-        if not is_new and len(crash.suspects) + len(crash.sound) == size:
+        if not is_new and crash.state() == before:
             return False
         self._update(now)
         return True
 
     def record_sound(self, parts: Iterable[str], now: float) -> list[str]:
-        """Records that an answer to a prompt has got past its beginning.
+        """Records an answer that shows that parts don't crash upstreams.
 
         Returns:
             Ids of the crashes against which this exonerates a part.
--- a/src/apricottrestle/gateway/crash_guard.py
+++ b/src/apricottrestle/gateway/crash_guard.py
@@ -1,7 +1,7 @@
-"""Confirms crashes of engines and stops the prompts that cause them.
+"""Confirms crashes of upstreams and stops the requests that cause them.
 
-A broken connection alone doesn't show that its engine has crashed, so the
-engine is asked, or its entry in the upstream list awaited. Confirmed crashes go
+A broken connection alone doesn't show that its upstream has crashed, so that is
+asked, or its entry in the upstream list awaited. Confirmed crashes go
 to the table of evidence and, through the callbacks, to the peers.
 
 Invariant: a crash is recorded only if the process of the engine has ended.
@@ -30,11 +30,11 @@
 
 
 class _Pending:
-    """Requests whose connection to a process of an engine broke.
+    """Requests whose connection to a process of an upstream broke.
 
     Attributes:
-        upstream_id: The engine.
-        suspects: Requests at or before the beginning of their answer.
+        upstream_id: The upstream.
+        suspects: The requests.
         since: Monotonic time of the first broken connection.
         confirmed_by: How the end of the process was confirmed, or empty.
     """
@@ -78,13 +78,18 @@
         """Returns the verdict that a request falls under, or None."""
         if not self.evidence.verdicts:
             return None
-        return self.evidence.verdict_on(req.shared_parts)
+        return self.evidence.verdict_on(crash_evidence.parts_of(req))
 
     def answer_begun(self, req: calls.CallerRequest) -> None:
         """Records that an answer has got past its beginning."""
-        if not req.shared_parts:
-            return
-        exonerated = self.evidence.record_sound(req.shared_parts, clock.now())
+        self._record_sound(req.shared_parts)
+
+    def answered(self, req: calls.CallerRequest) -> None:
+        """Records that a request has been answered in full."""
+        self._record_sound([crash_evidence.request_part(req)])
+
+    def _record_sound(self, parts: Collection[str]) -> None:
+        exonerated = self.evidence.record_sound(parts, clock.now())
         if exonerated:
             self._update_verdicts()
             self.on_changed(exonerated)
@@ -94,15 +99,15 @@
         upstream_id: str,
         address: str,
         started_at_ms: int,
-        suspect: crash_evidence.Suspect | None,
+        suspect: crash_evidence.Suspect,
     ) -> None:
-        """Records that the connection of an attempt to an engine broke.
+        """Records that the connection of an attempt to an upstream broke.
 
         Args:
-            upstream_id: The engine.
+            upstream_id: The upstream.
             address: Its address, as "ip:port".
             started_at_ms: Start time of its process, as listed.
-            suspect: The request if its answer was at most about to begin.
+            suspect: The request.
         """
         now = clock.now()
         crash_id = f"{upstream_id}/{started_at_ms}"
@@ -116,8 +121,7 @@
             )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        if suspect is not None:
-            pending.suspects.add(suspect)
+        pending.suspects.add(suspect)
         if pending.confirmed_by:
             self._report(crash_id, pending)
 
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -448,22 +448,34 @@
         result: retry_policy.AttemptResult | None,
         head: calls.ResponseHead | None,
     ) -> None:
-        """Reports whether a model's answer got past its beginning."""
-        if self.req.size is None:
-            return
-        is_beginning = self._event_count < BEGINNING_EVENTS
-        has_begun = head is not None and head.status == 200
+        """Reports what the end of an attempt tells of crashes."""
+        is_beginning = self.is_beginning
+        has_begun = head is not None and head.status == _HTTP_OK
         if result is None:
-            # A short answer; one without a length may be cut.
-            if is_beginning and has_begun and head is not None and head.framed:
+            # An answer without a length may be cut; the engine of a stream has
+            # been asked whether it still runs.
+            if head is not None and has_begun and head.framed and is_beginning:
                 self._host.on_answer_begun(self)
+            if (
+                head is not None
+                and has_begun
+                and (head.framed or self.is_stream)
+            ):
+                self._host.on_answered(self)
         elif result is retry_policy.AttemptResult.LOST and end in (
             "broken",
             "complete",
         ):
-            suspect = crash_evidence.Suspect(self.req.shared_parts, has_begun)
             self._host.on_connection_lost(
-                self, attempt, suspect if is_beginning else None
+                self,
+                attempt,
+                crash_evidence.Suspect(
+                    crash_evidence.parts_of(self.req)
+                    if is_beginning
+                    else (crash_evidence.request_part(self.req),),
+                    has_begun or not self.is_stream,
+                    not is_beginning,
+                ),
             )
 
     def _attempt_result(
--- a/src/apricottrestle/gateway/exchange_host.py
+++ b/src/apricottrestle/gateway/exchange_host.py
@@ -87,20 +87,23 @@
     def on_answer_begun(self, request: "exchange.Exchange") -> None:
         """Called when an engine's answer has got past its beginning."""
 
+    @abc.abstractmethod
+    def on_answered(self, request: "exchange.Exchange") -> None:
+        """Called when an upstream has answered a request in full."""
+
     @abc.abstractmethod
     def on_connection_lost(
         self,
         request: "exchange.Exchange",
         attempt: Attempt,
-        suspect: crash_evidence.Suspect | None,
+        suspect: crash_evidence.Suspect,
     ) -> None:
-        """Called when an engine closed the connection before the answer's end.
+        """Called when an upstream closed a connection inside its answer.
 
         Args:
             request: The exchange.
             attempt: The attempt.
-            suspect: The request if its answer hadn't got past its beginning, so
-                that it may have crashed the engine.
+            suspect: The request, as evidence if the upstream has crashed.
         """
 
     @abc.abstractmethod
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -379,9 +379,7 @@
             req, decision
         ):
             return self._refuse_stopping(req)
-        if isinstance(decision, accept.Accepted) and self._is_bad_prompt(
-            req, decision.service
-        ):
+        if isinstance(decision, accept.Accepted) and self._is_bad_prompt(req):
             return accept.Refused(
                 accept.UNAVAILABLE, BAD_PROMPT, BAD_PROMPT_RETRY_AFTER_S
             )
@@ -393,14 +391,9 @@
     def _on_crashes_changed(self, crash_ids: list[str]) -> None:
         self.listener.crashes_changed(crash_ids)
 
-    def _is_bad_prompt(
-        self, req: calls.CallerRequest, service: fleet_config.Service
-    ) -> bool:
-        """Returns whether a prompt has parts that crash engines."""
-        return (
-            service.engine is not None
-            and self.crashes.verdict_on(req) is not None
-        )
+    def _is_bad_prompt(self, req: calls.CallerRequest) -> bool:
+        """Returns whether a request crashes upstreams, or a part of it."""
+        return self.crashes.verdict_on(req) is not None
 
     def _describe_verdict(self, req: calls.CallerRequest) -> dict[str, object]:
         """Returns the evidence against a prompt, for the log."""
@@ -416,7 +409,7 @@
         prompts are sound.
         """
         for request in list(self.active):
-            if not self._is_bad_prompt(request.req, request.accepted.service):
+            if not self._is_bad_prompt(request.req):
                 continue
             if request in self._waiting:
                 self._refuse_bad_prompt(request)
@@ -494,6 +487,11 @@
 
     def place_request(self, request: exchange.Exchange) -> None:
         """See ExchangeHost.place_request."""
+        if request.tried_upstreams and self._is_bad_prompt(request.req):
+            request.refuse(
+                accept.UNAVAILABLE, BAD_PROMPT, BAD_PROMPT_RETRY_AFTER_S
+            )
+            return
         if request.accepted.service.engine is None or request.req.size is None:
             self._place_plain_request(request)
             return
@@ -600,11 +598,15 @@
         """See ExchangeHost.on_answer_begun."""
         self.crashes.answer_begun(request.req)
 
+    def on_answered(self, request: exchange.Exchange) -> None:
+        """See ExchangeHost.on_answered."""
+        self.crashes.answered(request.req)
+
     def on_connection_lost(
         self,
         request: exchange.Exchange,
         attempt: exchange_host.Attempt,
-        suspect: crash_evidence.Suspect | None,
+        suspect: crash_evidence.Suspect,
     ) -> None:
         """See ExchangeHost.on_connection_lost."""
         self.crashes.connection_lost(
@@ -908,7 +910,7 @@
         service = request.accepted.service
         model = service.engine
         assert model is not None
-        if self._is_bad_prompt(request.req, service):
+        if self._is_bad_prompt(request.req):
             self._refuse_bad_prompt(request)
             return
         needs = request.engine_needs(now)
--- a/src/apricottrestle/hashing.py
+++ b/src/apricottrestle/hashing.py
@@ -31,6 +31,13 @@
     return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(value))
 
 
+def content_digest(fields: Sequence[str | None], content: bytes) -> str:
+    """Returns the 128-bit hash of short fields and a content, in hex."""
+    digest = xxhash.xxh3_128(msgspec.msgpack.encode(fields))
+    digest.update(content)
+    return digest.hexdigest()
+
+
 def rendezvous_score(key: str, member: str) -> int:
     """Returns the 64-bit rendezvous hash of a key and a member."""
     return xxhash.xxh3_64_intdigest(f"{key}\x00{member}".encode())
--- a/tests/test_gateway_crash_guard.py
+++ b/tests/test_gateway_crash_guard.py
@@ -63,7 +63,7 @@
         for number in range(3):
             name = f"engine-{number}"
             guard.connection_lost(name, "x", 7, BAD)
-            guard.connection_lost(name, "x", 7, None)
+            guard.connection_lost(name, "x", 7, BAD)
             await asyncio.sleep(1.0)
             if not is_listed:
                 guard.upstream_ended(name)
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -70,6 +70,13 @@
             )
 
 
+PARTS = ("first", "bad")
+OWN_PART = crash_evidence.request_part(gateway_parts.request())
+AT_HEAD = crash_evidence.Suspect((*PARTS, OWN_PART), True)
+WAITING = crash_evidence.Suspect((*PARTS, OWN_PART), False)
+PAST_BEGINNING = crash_evidence.Suspect((OWN_PART,), True, True)
+
+
 class _Host(exchange_host.ExchangeHost):
     """Places attempt n at the upstream up-n."""
 
@@ -83,7 +90,8 @@
         self.results: list[retry_policy.AttemptResult | None] = []
         self.outcomes: list[str] = []
         self.begun = 0
-        self.suspects: list[crash_evidence.Suspect | None] = []
+        self.answered = 0
+        self.suspects: list[crash_evidence.Suspect] = []
         self.probe_result: calls.ProbeResult = "running"
         self.places_at_one = False
         self._has_budget = has_budget
@@ -137,11 +145,14 @@
     def on_answer_begun(self, request: exchange.Exchange) -> None:
         self.begun += 1
 
+    def on_answered(self, request: exchange.Exchange) -> None:
+        self.answered += 1
+
     def on_connection_lost(
         self,
         request: exchange.Exchange,
         attempt: exchange_host.Attempt,
-        suspect: crash_evidence.Suspect | None,
+        suspect: crash_evidence.Suspect,
     ) -> None:
         self.suspects.append(suspect)
 
@@ -642,39 +653,59 @@
 
 
 @pytest.mark.parametrize(
-    ("response", "suspects", "begun"),
+    ("response", "suspects", "begun", "answered"),
     [
-        (Response("complete", HEAD, _events(1, 2)), [], 1),
-        (Response("complete", HEAD, _events(1, 9)), [], 1),
-        (Response("broken", HEAD, _events(1, 9)), [None], 1),
-        (Response("broken", HEAD, _events(1, 2)), [True], 0),
-        (Response("broken", HEAD), [True], 0),
-        (Response("broken"), [False], 0),
-        (Response("complete", UNFRAMED), [True], 0),
-        (Response("complete", UNFRAMED, _events(1, 2)), [], 0),
-        (Response("complete", UNFRAMED, b"id: 1"), [True], 0),
-        (Response("not_sent"), [], 0),
-        (Response("timeout", HEAD), [], 0),
-        (REFUSED, [], 0),
+        (Response("complete", HEAD, _events(1, 2)), [], 1, 1),
+        (Response("complete", HEAD, _events(1, 9)), [], 1, 1),
+        (Response("broken", HEAD, _events(1, 9)), [PAST_BEGINNING], 1, 0),
+        (Response("broken", HEAD, _events(1, 2)), [AT_HEAD], 0, 0),
+        (Response("broken", HEAD), [AT_HEAD], 0, 0),
+        (Response("broken"), [WAITING], 0, 0),
+        (Response("complete", UNFRAMED), [AT_HEAD], 0, 0),
+        (Response("complete", UNFRAMED, _events(1, 2)), [], 0, 1),
+        (Response("complete", UNFRAMED, b"id: 1"), [AT_HEAD], 0, 0),
+        (Response("not_sent"), [], 0, 0),
+        (Response("timeout", HEAD), [], 0, 0),
+        (REFUSED, [], 0, 0),
     ],
 )
 def test_progress_of_an_answer_is_reported(
-    response: Response, suspects: list[bool | None], begun: int
+    response: Response,
+    suspects: list[crash_evidence.Suspect],
+    begun: int,
+    answered: int,
 ) -> None:
-    """Guards against sound prompts as suspects, and bad ones as sound.
+    """Guards against sound requests as suspects, and bad ones as sound.
 
-    A suspect is reported with whether its answer had begun.
+    A suspect is reported with how far its answer had got.
     """
     host = _Host(has_budget=False)
     route = gateway_parts.STREAM._replace(max_attempts=1)
-    parts = ("first", "bad")
+    virtual_time.run(_run_exchange(route, [response], host, shared_parts=PARTS))
+    assert host.suspects == suspects
+    assert (host.begun, host.answered) == (begun, answered)
 
-    virtual_time.run(_run_exchange(route, [response], host, shared_parts=parts))
-    assert host.suspects == [
-        crash_evidence.Suspect(parts, begun) if begun is not None else None
-        for begun in suspects
-    ]
-    assert host.begun == begun
+
+@pytest.mark.parametrize(
+    ("response", "suspects", "answered"),
+    [
+        (Response("complete", HEAD, b"whole"), 0, 1),
+        (Response("broken"), 1, 0),
+        (Response("broken", HEAD, b"part"), 1, 0),
+        (Response("timeout"), 0, 0),
+        (REFUSED, 0, 0),
+    ],
+)
+def test_plain_call_that_ends_with_its_upstream_is_a_suspect(
+    response: Response, suspects: int, answered: int
+) -> None:
+    """Guards against plain upstreams that one call ends one after the other."""
+    host = _Host(has_budget=False)
+    route = gateway_parts.UNSAFE._replace(max_attempts=1)
+    virtual_time.run(_run_exchange(route, [response], host, size=None))
+    assert len(host.suspects) == suspects
+    assert all(suspect.begun for suspect in host.suspects)
+    assert (host.begun, host.answered) == (answered, answered)
 
 
 def test_refused_request_in_flight_is_not_reported_as_not_run() -> None:
--- a/tests/test_world_crashing_requests.py
+++ b/tests/test_world_crashing_requests.py
@@ -5,6 +5,7 @@
 prompt, and run on the upstreams that it ends.
 """
 
+import asyncio
 import random
 from collections.abc import Awaitable, Callable
 from typing import Final, Literal, NamedTuple
@@ -28,6 +29,7 @@
 TEAM: Final = 1
 SHARED: Final = "shared"
 LOAD: Final = 0.4
+REPEATED_EVENTS: Final = 20
 
 Faults = Callable[[world.World], Awaitable[None]]
 
@@ -129,13 +131,13 @@
     )
     arrivals += prompts(3.0, 0.0, case.parts and (SHARED,), b"")
     for body in case.bodies:
-        deadly = prompts(case.per_s, FIRST_S, case.parts, body)
+        deadly = [
+            arrival._replace(events=arrival.events and REPEATED_EVENTS)
+            for arrival in prompts(case.per_s, FIRST_S, case.parts, body)
+        ]
         arrivals += deadly
         if case.steady:
-            arrivals += [
-                arrival._replace(body=b"steady", events=20)
-                for arrival in deadly
-            ]
+            arrivals += [arrival._replace(body=b"steady") for arrival in deadly]
     for part in case.bad_parts:
         arrivals += prompts(2.0, FIRST_S, (SHARED, part), b"")
     return sorted(arrivals, key=lambda arrival: arrival.at_s)
@@ -213,3 +215,44 @@
     served = [attempts for attempts in steady if attempts[-1].complete]
     assert len(steady) > 5
     assert len(served) >= 0.9 * len(steady)
+
+
+def test_popular_request_is_not_condemned() -> None:
+    """Guards against a request that many send and that stands at each crash.
+
+    Engines crash for other reasons. Its answers show that it is sound.
+    """
+    rng = random.Random(5)
+    arrivals = workload.generate_prompts(
+        SMALL.kinds[0],
+        rng,
+        per_s=20.0,
+        start_s=0.0,
+        end_s=20.0,
+        team=TEAM,
+        shared_parts=(),
+        data_centres=SMALL.data_centres,
+        body=b"popular",
+    )
+
+    async def crash_engines(fleet: world.World) -> None:
+        for _ in range(8):
+            await asyncio.sleep(2.0)
+            running = [e for e in fleet.engines if e.state == "up"]
+            await asyncio.gather(
+                *(
+                    fleet.crash_and_replace(engine, 1.0)
+                    for engine in rng.sample(running, 3)
+                )
+            )
+
+    async def main() -> ledger.Ledger:
+        fleet = world.World(SMALL, 5)
+        return await fleet.run_workload(arrivals, crash_engines(fleet))
+
+    run_ledger = virtual_time.run(main())
+    assert not any(
+        attempt.retry_after_s == gateway.BAD_PROMPT_RETRY_AFTER_S
+        for attempts in run_ledger.requests
+        for attempt in attempts
+    )
