Take odd records in the store for malformed, whatever is odd about them

Here: a field that isn't read and is nested deeply raised RecursionError in the decoder, which nobody caught, in upstream entries, configurations and reports; it ended the task that follows the list or the configuration, and nothing noticed. Slots and start times beyond 64 bits were accepted, and the message that tells them to peers can't be written (OverflowError, in the same task). Ports 0, 70000, of 5,000 digits or in another script, hosts with a path or a line break, a warm-up of 1e308 ms and ids that can't be a header were accepted too.

Change: one list of what a decoder may raise, for records, answers of the store and frames of peers; bounds in the types that decode entries and configurations. A task that follows the store and fails otherwise is logged and starts again.

--- a/src/apricottrestle/gateway/clock.py
+++ b/src/apricottrestle/gateway/clock.py
@@ -1,4 +1,4 @@
-"""The event loop's monotonic clock, and periodic calls.
+"""The event loop's monotonic clock, periodic calls and lasting tasks.
 
 The gateway never reads the wall clock, which may jump. An event loop with a
 virtual clock runs the whole gateway in virtual time.
@@ -6,10 +6,13 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from types import TracebackType
 from typing import Final, Self
 
+TASK_RETRY_S: Final = 0.5
+"""Time after which a task that failed unexpectedly starts again."""
+
 _LOG: Final = logging.getLogger(__name__)
 
 
@@ -18,6 +21,29 @@
     return asyncio.get_running_loop().time()
 
 
+async def keep_running(name: str, run: Callable[[], Awaitable[None]]) -> None:
+    """Awaits a function that must not end, and calls it again if it fails.
+
+    Nobody waits for the gateway's lasting tasks, so that one that ended would
+    go unnoticed.
+
+    Args:
+        name: What the task does, for the log.
+        run: Called without arguments.
+    """
+    while True:
+        try:
+            await run()
+        except Exception:
+            _LOG.exception(
+                "task failed; starting it again",
+                extra={"task": name, "retry_s": TASK_RETRY_S},
+            )
+        else:
+            return
+        await asyncio.sleep(TASK_RETRY_S)
+
+
 class Ticker:
     """Calls a function at intervals while its context is open.
 
--- a/src/apricottrestle/gateway/peer_messages.py
+++ b/src/apricottrestle/gateway/peer_messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from apricottrestle import errors
+from apricottrestle import decoding, errors
 from apricottrestle.gateway import (
     crash_evidence,
     engine_claims,
@@ -198,7 +198,7 @@
     """
     try:
         return _DECODER.decode(frame)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except decoding.DECODE_ERRORS as exc:
         raise errors.ProtocolError(
             f"malformed frame: {exc}", step="peer"
         ) from exc
--- a/src/apricottrestle/gateway/store_sync.py
+++ b/src/apricottrestle/gateway/store_sync.py
@@ -7,6 +7,7 @@
 
 import abc
 import asyncio
+import functools
 import logging
 import random
 from collections.abc import Callable
@@ -149,9 +150,15 @@
             on_gateways: Called once with the gateways registered in the store.
         """
         self._tasks = [
-            asyncio.ensure_future(self._sync_config()),
-            asyncio.ensure_future(self._sync_upstreams()),
-            asyncio.ensure_future(self._announce(entry, on_gateways)),
+            asyncio.ensure_future(clock.keep_running(name, run))
+            for name, run in (
+                ("configuration", self._sync_config),
+                ("upstream list", self._sync_upstreams),
+                (
+                    "announcement",
+                    functools.partial(self._announce, entry, on_gateways),
+                ),
+            )
         ]
 
     def stop(self) -> None:
--- a/src/apricottrestle/platform/codec.py
+++ b/src/apricottrestle/platform/codec.py
@@ -4,16 +4,40 @@
 that are misleading.
 """
 
-from typing import Final, Literal
+import re
+from typing import Annotated, Final, Literal
 
 import msgspec
 
-from apricottrestle import errors
+from apricottrestle import decoding, errors
 from apricottrestle.gateway import fleet_config, upstream_list
 
 _S_PER_MS: Final = 1e-3
 _MILLION: Final = 1e6
 
+MAX_INTEGER: Final = 2**63 - 1
+"""Largest integer that gateways can send to each other."""
+
+MAX_SLOTS: Final = 100_000
+MAX_WARM_UP_MS: Final = 24 * 3_600_000.0
+"""Bounds of what an upstream may say of itself, far above any real one."""
+
+MAX_NAME_CHARS: Final = 200
+"""Longest name of an upstream, a host, a service or a data centre."""
+
+MAX_PORT: Final = 65_535
+
+_ID: Final = re.compile(rf"[!-~]{{1,{MAX_NAME_CHARS}}}", re.ASCII)
+"""Ids are sent as headers."""
+
+_ADDRESS: Final = re.compile(
+    rf"([A-Za-z0-9._-]{{1,{MAX_NAME_CHARS}}}):([0-9]{{1,5}})", re.ASCII
+)
+
+_Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)]
+
 
 class _Split(msgspec.Struct):
     service: str
@@ -28,18 +52,18 @@
     timeout_ms: float = 0.0
     # Latency up to which a response is on time, not a latency to aim for.
     target_latency_ms: float = 0.0
-    priority: int = 0
+    priority: _Integer = 0
     service: str = ""
     split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: _Count = 1
     public: bool = False
     resumable: bool = False
     gap_target_ms: float = 0.0
 
 
 class _Engine(msgspec.Struct):
-    slots: int
-    kv_capacity: int
+    slots: _Count
+    kv_capacity: _Count
     step_ms: float
     per_seq_ms: float = 0.0
     # Step time in milliseconds per thousand tokens of context.
@@ -49,33 +73,33 @@
     # Attention's prefill time in milliseconds per million pairs of tokens.
     pairs_per_m: float = 0.0
     # Maximum number of prompt tokens prefilled in a step.
-    chunk: int = 1
+    chunk: _Count = 1
     # Steps of a scheduling pass.
-    stride: int = 1
+    stride: _Count = 1
     hop_ms: float = 0.0
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: int = 0
+    max_conns: _Count = 0
     engine: _Engine | None = None
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: _Integer | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4 * 1024 * 1024
+    max_header_bytes: _Count = 16_384
+    max_body_bytes: _Count = 4 * 1024 * 1024
     header_timeout_ms: float = 3_000.0
     idle_timeout_ms: float = 15_000.0
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -84,20 +108,22 @@
 
 
 class _Upstream(msgspec.Struct):
-    service: str
+    service: _Name
     address: str
-    zone: str
+    zone: Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
     state: Literal["ready", "draining"]
-    slots: int = fleet_config.DEFAULT_SLOTS
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)] = (
+        fleet_config.DEFAULT_SLOTS
+    )
     # Remaining warm-up time.
-    cold_left_ms: float = 0.0
+    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARM_UP_MS)] = 0.0
     # Start time in Unix milliseconds.
-    born: int = 0
+    born: _Count = 0
 
 
 class _Report(msgspec.Struct):
     # Start time in Unix milliseconds.
-    born: int | None = None
+    born: _Count | None = None
 
 
 def decode_config(value: bytes) -> fleet_config.FleetConfig:
@@ -108,7 +134,7 @@
     """
     try:
         decoded = msgspec.json.decode(value, type=_Config)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except decoding.DECODE_ERRORS as exc:
         raise errors.PlatformError(
             f"malformed configuration: {exc}", step="configure", peer="store"
         ) from exc
@@ -147,16 +173,13 @@
     """
     try:
         decoded = msgspec.json.decode(value, type=_Upstream)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except decoding.DECODE_ERRORS as exc:
         raise _malformed_entry(upstream_id, str(exc)) from exc
-    host, _, port = decoded.address.rpartition(":")
-    if (
-        not host
-        or not port.isdigit()
-        or decoded.slots < 1
-        or not decoded.service
-    ):
-        raise _malformed_entry(upstream_id, "invalid address, slots or service")
+    if _ID.fullmatch(upstream_id) is None:
+        raise _malformed_entry(upstream_id, "invalid id")
+    address = _ADDRESS.fullmatch(decoded.address)
+    if address is None or not 1 <= int(address[2]) <= MAX_PORT:
+        raise _malformed_entry(upstream_id, "invalid address")
     return upstream_list.UpstreamEntry(
         upstream_id,
         decoded.service,
@@ -176,7 +199,7 @@
     """
     try:
         return msgspec.json.decode(report, type=_Report).born
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except decoding.DECODE_ERRORS:
         return None
 
 
--- a/src/apricottrestle/platform/store_client.py
+++ b/src/apricottrestle/platform/store_client.py
@@ -14,7 +14,7 @@
 import msgspec
 from tornado import httpclient
 
-from apricottrestle import errors, metrics, platform_http
+from apricottrestle import decoding, errors, metrics, platform_http
 from apricottrestle.gateway import crash_evidence, store, upstream_list
 from apricottrestle.platform import codec, names
 
@@ -208,7 +208,7 @@
                 continue
             try:
                 decoded.append(msgspec.json.decode(record.value, type=kind))
-            except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            except decoding.DECODE_ERRORS as exc:
                 _LOG.warning(
                     "ignored a malformed record in the store",
                     extra={
--- a/src/apricottrestle/platform_http.py
+++ b/src/apricottrestle/platform_http.py
@@ -10,7 +10,7 @@
 import pycurl
 from tornado import curl_httpclient, httpclient
 
-from apricottrestle import errors
+from apricottrestle import decoding, errors
 
 _CONNECT_TIMEOUT_S: Final = 1.0
 _DEFAULT_RETRY_AFTER_S: Final = 1.0
@@ -178,7 +178,7 @@
     """
     try:
         return msgspec.json.decode(body, type=response_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except decoding.DECODE_ERRORS as exc:
         raise errors.PlatformError(
             f"malformed response: {exc}", step=step, peer=peer
         ) from exc
--- a/src/apricottrestle_standins/platform/soak.py
+++ b/src/apricottrestle_standins/platform/soak.py
@@ -534,6 +534,13 @@
         self._put_list_entry(upstream, "ready")
         self._draining.discard(upstream)
 
+    def drain_last_upstream(self) -> str:
+        """Drains the last upstream for good; returns its id."""
+        upstream = self.upstreams[-1]
+        self._draining.add(upstream)
+        self._put_list_entry(upstream, "draining")
+        return upstream.upstream_id
+
     async def _set_proxy_mode(
         self, proxy: fault_proxy.FaultProxy, mode: Any, duration_s: float
     ) -> None:
--- a/tests/test_gateway_store_sync.py
+++ b/tests/test_gateway_store_sync.py
@@ -10,7 +10,7 @@
 import pytest
 from hypothesis import strategies
 
-from apricottrestle.gateway import fleet_config, peer_sync, store_duty
+from apricottrestle.gateway import clock, fleet_config, peer_sync, store_duty
 from apricottrestle_standins.platform import (
     virtual_time,
     workload,
@@ -348,3 +348,25 @@
     many = virtual_time.run(bytes_of(24))
     assert many < 1.5 * few
     assert many < MAX_BYTES_PER_PAIR
+
+
+def test_task_that_fails_unexpectedly_starts_again(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a gateway that follows the store no more, unnoticed."""
+    starts = 0
+
+    async def run() -> None:
+        nonlocal starts
+        starts += 1
+        if starts < 3:
+            raise RuntimeError("unforeseen")
+
+    virtual_time.run(clock.keep_running("configuration", run))
+    assert starts == 3
+    failures = [
+        record
+        for record in caplog.records
+        if record.message == "task failed; starting it again"
+    ]
+    assert len(failures) == 2
