Test requests that come late in a grace period on kept connections

The process stand-in learns long service times and routes whose limit is longer than the grace period.

--- a/src/apricottrestle_standins/platform/soak.py
+++ b/src/apricottrestle_standins/platform/soak.py
@@ -235,7 +235,16 @@
 
 
 class Fleet:
-    """Store, upstreams, proxies and gateway processes of a run."""
+    """Store, upstreams, proxies and gateway processes of a run.
+
+    Attributes:
+        run_ledger: What upstreams ran and callers received.
+        problems: What went wrong besides.
+        rotation: Gateways that the load balancer has in rotation.
+        gateways: The gateway processes.
+        upstreams: The upstreams, engines first.
+        route_timeout_s: Time limit of all routes; None for that of the kinds.
+    """
 
     def __init__(
         self,
@@ -247,6 +256,7 @@
         self.run_ledger = ledger.Ledger()
         self.problems: list[str] = []
         self.rotation: list[str] = []
+        self.route_timeout_s: float | None = None
         self._rng = rng
         self._version = 1
         ports = _free_ports(4)
@@ -339,7 +349,7 @@
                 "host": "fleet.example",
                 "path_prefix": f"/{kind.name}/",
                 "kind": kind.route_kind,
-                "timeout_ms": kind.timeout_s * 1000,
+                "timeout_ms": (self.route_timeout_s or kind.timeout_s) * 1000,
                 "target_latency_ms": 500,
                 "gap_target_ms": 250,
                 "service": (
--- a/src/apricottrestle_standins/platform/upstream_http.py
+++ b/src/apricottrestle_standins/platform/upstream_http.py
@@ -72,6 +72,7 @@
         streams: Whether it is an engine.
         answer_loss_rate: Share of a plain service's requests that run, but
             whose connection is then reset.
+        service_time_s: Time that a plain service takes for a request.
         frames_answers: Whether an engine's answers are chunked; if not, they
             end with their connection.
         limit_per_s: Limit that responses name, in requests per second, or None.
@@ -99,6 +100,7 @@
         self.address = ""
         self.started_at_ms = 1
         self.answer_loss_rate = 0.0
+        self.service_time_s = SERVICE_TIME_S
         self._run_ledger = run_ledger
         self._rng = rng
         self.streams = streams
@@ -212,7 +214,7 @@
                 self.upstream_id, asyncio.get_running_loop().time()
             )
         if not self.streams:
-            await asyncio.sleep(SERVICE_TIME_S)
+            await asyncio.sleep(self.service_time_s)
             if self._crash_by_request(received):
                 return False
             if self._rng.random() < self.answer_loss_rate:
--- /dev/null
+++ b/tests/test_process_gateway_stop.py
@@ -0,0 +1,132 @@
+"""Tests the planned stop of a gateway's process, in calm."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import signal
+from typing import Final, NamedTuple
+
+import pytest
+
+from apricottrestle_standins.platform import soak, soak_callers, workload
+
+pytestmark = pytest.mark.process
+
+GRACE_S: Final = 8.0
+SERVICE_TIME_S: Final = 2.5
+SEND_INTERVAL_S: Final = 0.2
+ALLOWED_CUT_S: Final = 3.0
+"""Time after the signal until which a request may be sent that is still cut at
+the end of the grace period."""
+
+
+class Outcome(NamedTuple):
+    """What a caller got on a connection that it had opened before the stop.
+
+    Attributes:
+        request_id: Id of its only request.
+        sent_s: Time after the signal at which it was sent.
+        status: Status of the whole answer, or None without one.
+    """
+
+    request_id: str
+    sent_s: float
+    status: int | None
+
+
+async def _call_late(
+    address: str, kind: workload.Kind, number: int, limit_s: float | None
+) -> Outcome:
+    """Opens a connection, and sends a request on it some time later."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    sent_s = number * SEND_INTERVAL_S
+    await asyncio.sleep(sent_s)
+    request_id = f"late-{kind.name}-{number}"
+    limit = ""
+    if limit_s is not None:
+        limit = f"Apricottrestle-Deadline-Ms: {limit_s * 1000:.0f}\r\n"
+    status = None
+    with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+        writer.write(
+            f"POST /{kind.name}/5 HTTP/1.1\r\nHost: fleet.example\r\n"
+            f"Apricottrestle-Attempt-Id: {request_id}\r\n{limit}"
+            "Authorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        code = int(head.split(" ")[1])
+        if "chunked" in head.lower():
+            await reader.readuntil(b"\r\n0\r\n\r\n")
+        else:
+            length = head.lower().partition("content-length: ")[2]
+            await reader.readexactly(int(length.split("\r\n")[0]))
+        status = code
+    writer.close()
+    return Outcome(request_id, sent_s, status)
+
+
+@pytest.mark.parametrize(
+    ("name", "route_timeout_s", "limit_s", "stops_all"),
+    [
+        ("order", 30.0, None, False),
+        ("order", 30.0, 20.0, True),
+        ("order", 4.0, 1.0, True),
+        ("lookup", 4.0, None, False),
+        ("short", 30.0, 20.0, False),
+    ],
+)
+def test_requests_on_kept_connections_are_answered_or_never_passed_on(
+    name: str,
+    route_timeout_s: float,
+    limit_s: float | None,
+    stops_all: bool,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against requests that are taken late and cut with the process.
+
+    One gateway is stopped, in calm, or all of them are. Callers send on
+    connections that they have had all along; a route's time limit may be longer
+    than the grace period.
+    """
+    kind = next(kind for kind in soak_callers.KINDS if kind.name == name)
+
+    async def main() -> tuple[soak.Fleet, list[Outcome]]:
+        fleet = soak.Fleet(tmp_path, random.Random(1))
+        fleet.route_timeout_s = route_timeout_s
+        for upstream in fleet.upstreams:
+            upstream.service_time_s = SERVICE_TIME_S
+        row = fleet.gateways[0]
+        stopped = fleet.gateways if stops_all else [row]
+        for each in stopped:
+            each.grace_s = GRACE_S
+        async with fleet.running():
+            calls = [
+                asyncio.ensure_future(
+                    _call_late(row.caller_address, kind, number, limit_s)
+                )
+                for number in range(int(GRACE_S / SEND_INTERVAL_S))
+            ]
+            await asyncio.sleep(0.1)
+            for each in stopped:
+                each.signal(signal.SIGTERM)
+            assert await row.wait_exit(GRACE_S)
+            return fleet, await asyncio.gather(*calls)
+
+    fleet, outcomes = asyncio.run(main())
+    passed_on = {
+        delivery.request_id for delivery in fleet.run_ledger.deliveries
+    }
+    cut = [
+        outcome
+        for outcome in outcomes
+        if outcome.status is None
+        and outcome.request_id in passed_on
+        and outcome.sent_s > ALLOWED_CUT_S
+    ]
+    assert cut == []
+    assert not any(
+        outcome.status == 503 and outcome.request_id in passed_on
+        for outcome in outcomes
+    )
+    assert outcomes[0].status in (200, 504)
