--- a/src/apricottrestle/gateway/calls.py
+++ b/src/apricottrestle/gateway/calls.py
@@ -176,6 +176,9 @@
         framed: Whether the body has a length or chunks. If not, it ends with
             its connection, whether or not it is complete.
         limit: Limit that the upstream names, or None if it names none.
+        leaving: Whether the upstream says that it leaves.
+        wait_s: Time for which the upstream, which refused the request, wants
+            nothing from this gateway; None if it doesn't say.
     """
 
     status: int
@@ -187,6 +190,8 @@
     fault_address: str | None
     framed: bool = True
     limit: NamedLimit | None = None
+    leaving: bool = False
+    wait_s: float | None = None
 
     @property
     def media_type(self) -> str:
--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -41,6 +41,23 @@
     at_s: float
 
 
+class Notice(NamedTuple):
+    """What an upstream said of itself in an answer.
+
+    Attributes:
+        request_id: Id of the caller's attempt that it answered.
+        upstream_id: Id of the upstream.
+        at_s: Time of the answer.
+        wait_s: Time for which it wants nothing from the gateway; None if it
+            says that it leaves.
+    """
+
+    request_id: str
+    upstream_id: str
+    at_s: float
+    wait_s: float | None
+
+
 class StopCheck(NamedTuple):
     """A look at a gateway that still runs READY_CHECK_AFTER_S after its signal.
 
@@ -138,6 +155,7 @@
         overdue_stops: Gateways that exceeded their grace period.
         stops: Gateways that were asked to stop: address and time.
         stop_checks: Looks at gateways some time after their stop signal.
+        notices: What upstreams said of themselves.
     """
 
     def __init__(self) -> None:
@@ -153,6 +171,7 @@
         self.overdue_stops: list[str] = []
         self.stops: list[tuple[str, float]] = []
         self.stop_checks: list[StopCheck] = []
+        self.notices: list[Notice] = []
 
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -253,6 +272,81 @@
     ]
 
 
+NOTICE_DELAY_S = 0.5
+"""Time after a refusal in which requests may still be on their way."""
+
+MAX_AGAINST_WAIT = 2
+"""Requests that may reach an upstream although it wants none."""
+
+
+def find_notice_violations(
+    ledger: Ledger, drain_s: float, settle_s: float = 0.0
+) -> list[str]:
+    """Returns requests that reached upstreams against their word.
+
+    The tags mean:
+
+    - DRAIN: A request that its caller sent later than `drain_s` after the
+      gateway had been told that the upstream leaves.
+    - BUDGET: More than MAX_AGAINST_WAIT requests reached an upstream while it
+      wanted none from the gateway.
+
+    A disturbance of the gateway after the notice excuses it.
+
+    Args:
+        ledger: What happened.
+        drain_s: Time in which a gateway has to heed a notice.
+        settle_s: Time before a notice within which a disturbance excuses too.
+    """
+    attempts = {
+        attempt.request_id: attempt
+        for attempts in ledger.requests
+        for attempt in attempts
+    }
+    lines = []
+    for notice in ledger.notices:
+        told = attempts.get(notice.request_id)
+        if told is None:
+            continue
+        disturbed_s = min(
+            (
+                at_s
+                for address, at_s in ledger.disturbed
+                if address == told.gateway and at_s > notice.at_s - settle_s
+            ),
+            default=float("inf"),
+        )
+        reached = [
+            delivery
+            for delivery in ledger.deliveries
+            if delivery.upstream_id == notice.upstream_id
+            and notice.at_s < delivery.at_s < disturbed_s
+            and attempts[delivery.request_id].gateway == told.gateway
+        ]
+        if notice.wait_s is None:
+            lines += [
+                f"DRAIN {notice.upstream_id}: {delivery.request_id} at "
+                f"{delivery.at_s:.2f} s, told at {notice.at_s:.2f} s"
+                for delivery in reached
+                if attempts[delivery.request_id].sent_s > notice.at_s + drain_s
+            ]
+            continue
+        against = [
+            delivery
+            for delivery in reached
+            if notice.at_s + NOTICE_DELAY_S
+            < delivery.at_s
+            < notice.at_s + notice.wait_s
+        ]
+        if len(against) > MAX_AGAINST_WAIT:
+            lines.append(
+                f"BUDGET {notice.upstream_id}: {len(against)} requests between "
+                f"{notice.at_s + NOTICE_DELAY_S:.2f} s and "
+                f"{notice.at_s + notice.wait_s:.2f} s"
+            )
+    return lines
+
+
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
--- a/src/apricottrestle_standins/platform/virtual_upstreams.py
+++ b/src/apricottrestle_standins/platform/virtual_upstreams.py
@@ -27,6 +27,8 @@
 """Time after which an engine that a prompt has crashed is back."""
 
 
+REFUSED: Final = 503
+
 LATE_EVENT: Final = 5
 """Event of an answer at which an upstream crashes late."""
 
@@ -107,6 +109,8 @@
         not_run: bool = False,
         framed: bool = True,
         limit: calls.NamedLimit | None = None,
+        leaving: bool = False,
+        wait_s: float | None = None,
     ) -> None:
         """Delivers the head of the response, with the upstream's signature."""
         head = calls.ResponseHead(
@@ -119,6 +123,8 @@
             None,
             framed,
             limit,
+            leaving,
+            wait_s,
         )
         self.framed = framed
         self._deliver_later(lambda: self._sink.on_head(head))
@@ -167,9 +173,13 @@
             a length; empty if it cuts them between events.
         prompt_fault: Requests that crash the upstream, or None.
         on_prompt_crash: Called with the part or body that has crashed it.
+        is_leaving: Whether it says in all responses that it leaves.
+        refuses_until: Time until which it turns all requests away, and says so.
     """
 
     cut_event = b"id: "
+    is_leaving = False
+    refuses_until = 0.0
     prompt_fault: PromptFault | None = None
     on_prompt_crash: Callable[["Upstream", str], None]
 
@@ -204,14 +214,35 @@
         not_run: bool = False,
         framed: bool = True,
     ) -> None:
-        """Delivers the head of a response, with the limit if there is one."""
+        """Delivers the head of a response, with all that it says of itself."""
+        now = asyncio.get_running_loop().time()
+        refused_until = self.refuses_until if not_run else 0.0
+        wait_s = None
+        if self.is_leaving:
+            self.run_ledger.notices.append(
+                ledger.Notice(transfer.request_id, self.upstream_id, now, None)
+            )
+        if status == REFUSED and refused_until > now:
+            wait_s = refused_until - now
+            self.run_ledger.notices.append(
+                ledger.Notice(
+                    transfer.request_id, self.upstream_id, now, wait_s
+                )
+            )
         if self.limit is not None:
             self.run_ledger.limits[-1].note_named(
                 self.upstream_id, asyncio.get_running_loop().time()
             )
-        transfer.head(status, not_run=not_run, framed=framed, limit=self.limit)
+        transfer.head(
+            status,
+            not_run=not_run,
+            framed=framed,
+            limit=self.limit,
+            leaving=self.is_leaving,
+            wait_s=wait_s,
+        )
 
-    def reject(self, transfer: VirtualTransfer, status: int = 503) -> None:
+    def reject(self, transfer: VirtualTransfer, status: int = REFUSED) -> None:
         """Rejects a request that doesn't run."""
         self.respond(transfer, status, not_run=True)
         transfer.end("complete")
@@ -238,6 +269,8 @@
         """Starts a new process, without the state of the previous one."""
         self.state = "up"
         self.started_at_ms += 1
+        self.is_leaving = False
+        self.refuses_until = 0.0
 
 
 class PlainUpstream(Upstream):
@@ -618,6 +651,9 @@
         if call.upstream_id != upstream.upstream_id:
             upstream.reject(transfer, 421)
             return
+        if asyncio.get_running_loop().time() < upstream.refuses_until:
+            upstream.reject(transfer)
+            return
         arrival = self.arrivals[call.req.request_id]
         if not isinstance(upstream, EngineUpstream):
             upstream.arrive(incoming, arrival)
