Heed what upstreams say of themselves: that they leave, or want nothing now

Cause: nothing decoded either statement. A worker that said that it leaves got requests until the store listed it, and one that turned requests away with a time only had a higher failure rate.

Change: both are decoded at the boundary (a malformed value says nothing and is logged) and kept by upstream and start. A later start ends a statement, an older record or a whole list doesn't.

--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -33,16 +33,17 @@
     exchange_host,
     fleet_config,
     fleet_state,
-    limit_gate,
     memory_holds,
     on_time_shares,
     retry_budget,
     retry_policy,
+    send_gate,
     service_routing,
     settings,
     upstream_health,
     upstream_limits,
     upstream_list,
+    upstream_notices,
 )
 
 SCHEDULING_INTERVAL_S: Final = 0.015
@@ -239,8 +240,12 @@
         self.crashes.on_changed = self._on_crashes_changed
         self.crashes.on_verdict = self._end_bad_prompts
         self.limits = upstream_limits.UpstreamLimits(incarnation)
-        self._limit_gate = limit_gate.LimitGate(
-            self.limits, self.state.members, self._placement_rank
+        self.notices = upstream_notices.UpstreamNotices()
+        self._send_gate = send_gate.SendGate(
+            self.limits,
+            self.notices,
+            self.state.members,
+            self._placement_rank,
         )
         self._on_time_shares = on_time_shares.OnTimeShares()
         self._slots_reserved_until: dict[str, float] = {}
@@ -463,7 +468,7 @@
                     0.0,
                 ),
                 model,
-                len(self.state.members.usable(accepted.service.name)),
+                len(self._send_gate.usable(accepted.service.name, clock.now())),
             )
         return clock.now() + service_s <= self.serve_until
 
@@ -550,6 +555,24 @@
         ):
             self.on_limit_changed(attempt.upstream_id, "response")
             self.listener.limits_changed([attempt.upstream_id])
+        if self.notices.observe(
+            attempt.upstream_id,
+            attempt.process_started_at_ms,
+            now,
+            leaves=head.leaving,
+            wait_s=head.wait_s,
+        ):
+            logs.decision(
+                _LOG,
+                "upstream notice",
+                upstream=attempt.upstream_id,
+                started_at_ms=attempt.process_started_at_ms,
+                request_id=head.request_id,
+                status=head.status,
+                leaves=head.leaving,
+                wait_s=head.wait_s,
+                outcome="no requests",
+            )
 
     def on_limit_changed(self, upstream_id: str, source: str) -> None:
         """Logs what is now believed of an upstream's limit."""
@@ -735,7 +758,7 @@
             outstanding=best.outstanding if best else None,
         )
         if best is None:
-            limit_wait_s = self._limit_gate.wait_s(service, now)
+            limit_wait_s = self._send_gate.wait_s(service, now)
             if candidates or limit_wait_s <= 0:
                 reason = "full" if candidates else "no_upstream"
                 retry_after_s = OVERLOAD_RETRY_AFTER_S
@@ -779,7 +802,7 @@
         has not tried and that are not ejected, then any that it has not tried,
         then all usable upstreams.
         """
-        usable = self._limit_gate.allowed(service, now)
+        usable = self._send_gate.allowed(service, now)
         for choice in (
             [
                 entry
@@ -815,7 +838,7 @@
             and other.waiting_since < request.waiting_since
             for other in self._waiting
         )
-        wait_s = self._limit_gate.queue_wait_s(
+        wait_s = self._send_gate.queue_wait_s(
             service, ahead, self.listener.gateway_count(), now
         )
         needs = request.engine_needs(now)
@@ -916,7 +939,7 @@
         needs = request.engine_needs(now)
         usable = self._engine_candidates(service, model, request, now)
         if not usable:
-            if not self.state.members.usable(service.name):
+            if not self._send_gate.usable(service.name, now):
                 self._refuse_waiting(request, "no_upstream")
             else:
                 self._refuse_limited(request, now)
@@ -1207,7 +1230,13 @@
         entry = members.get(run.engine)
         helpers = [members.get(helper) for helper in run.helpers]
         now = clock.now()
-        if request.done or entry is None or None in helpers:
+        if (
+            request.done
+            or entry is None
+            or None in helpers
+            # An upstream may have said so while memory was reserved.
+            or not self._send_gate.may_send(entry, now)
+        ):
             self._cancel_run(request, run)
             return
         addresses = [helper.address for helper in helpers if helper is not None]
@@ -1285,11 +1314,24 @@
         if change.after == "gone" or change.restarted:
             self.crashes.upstream_ended(change.upstream_id)
             self.limits.forget([change.upstream_id])
+            self._forget_notices(change)
             self._health.forget(change.upstream_id)
             self.slowdowns.forget(change.upstream_id)
             self._preferences.pop(change.upstream_id, None)
         self._request_scheduling_pass()
 
+    def _forget_notices(self, change: upstream_list.Change) -> None:
+        """Ends what an earlier start of an upstream has said of itself."""
+        if not change.restarted:
+            self.notices.upstream_gone(change.upstream_id)
+        elif self.notices.upstream_restarted(change.upstream_id):
+            logs.decision(
+                _LOG,
+                "upstream notice",
+                upstream=change.upstream_id,
+                outcome="ended by a restart",
+            )
+
     def close(self) -> None:
         """Cancels pending reservations."""
         for task in self._tasks:
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -62,6 +62,7 @@
 
 _HTTP_OK: Final = 200
 _HTTP_MISDIRECTED_REQUEST: Final = 421
+_HTTP_UNAVAILABLE: Final = 503
 _LOG: Final = logging.getLogger(__name__)
 
 _NOT_SENT: Final = frozenset(
@@ -323,6 +324,10 @@
         headers.get(names.FAILED_ADDRESS),
         "Content-Length" in headers or "Transfer-Encoding" in headers,
         _parse_limit(headers.get_list(names.REQUEST_LIMIT)),
+        _parse_leaving(headers.get_list(names.LEAVING)),
+        _parse_wait_s(headers.get_list(names.RETRY_AFTER))
+        if start.code == _HTTP_UNAVAILABLE
+        else None,
     )
 
 
@@ -343,6 +348,32 @@
     return calls.NamedLimit(min(float(value) for value in values))
 
 
+def _parse_leaving(values: list[str]) -> bool:
+    """Decodes whether an upstream says that it leaves."""
+    is_leaving = any(value.strip() == "1" for value in values)
+    if values and not is_leaving:
+        _log_ignored(names.LEAVING, values)
+    return is_leaving
+
+
+def _parse_wait_s(values: list[str]) -> float | None:
+    """Decodes for how long an upstream wants no requests, in seconds.
+
+    The longest if there are several; a date or another value says nothing.
+    """
+    if any(_DECIMAL.fullmatch(value.strip()) is None for value in values):
+        _log_ignored(names.RETRY_AFTER, values)
+        return None
+    return max((float(value) for value in values), default=None)
+
+
+def _log_ignored(name: str, values: list[str]) -> None:
+    _LOG.warning(
+        "ignored a malformed header of an upstream",
+        extra={"header": name, "values": values[:MAX_LOGGED_VALUES]},
+    )
+
+
 class HttpUpstreamClient(calls.UpstreamClient):
     """Sends calls and memory reservations over HTTP/1.1."""
 
--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -34,11 +34,13 @@
         request_id: Id of the caller's attempt.
         upstream_id: Id of the upstream.
         at_s: Time of the arrival.
+        started_at_ms: Start time of the upstream's process.
     """
 
     request_id: str
     upstream_id: str
     at_s: float
+    started_at_ms: int = 0
 
 
 class Notice(NamedTuple):
@@ -50,12 +52,14 @@
         at_s: Time of the answer.
         wait_s: Time for which it wants nothing from the gateway; None if it
             says that it leaves.
+        started_at_ms: Start time of its process.
     """
 
     request_id: str
     upstream_id: str
     at_s: float
     wait_s: float | None
+    started_at_ms: int = 0
 
 
 class StopCheck(NamedTuple):
@@ -291,7 +295,8 @@
     - BUDGET: More than MAX_AGAINST_WAIT requests reached an upstream while it
       wanted none from the gateway.
 
-    A disturbance of the gateway after the notice excuses it.
+    A notice ends with the start that gave it, and a disturbance of the gateway
+    after the notice excuses it.
 
     Args:
         ledger: What happened.
@@ -320,6 +325,7 @@
             delivery
             for delivery in ledger.deliveries
             if delivery.upstream_id == notice.upstream_id
+            and delivery.started_at_ms == notice.started_at_ms
             and notice.at_s < delivery.at_s < disturbed_s
             and attempts[delivery.request_id].gateway == told.gateway
         ]
--- a/src/apricottrestle_standins/platform/soak.py
+++ b/src/apricottrestle_standins/platform/soak.py
@@ -76,6 +76,23 @@
 """Runs with upstreams that name a limit: the limit, its start and end, and the
 faults that come beside."""
 
+NOTICE_TRAFFIC_S: Final = 12.0
+NOTICE_TIMES_S: Final = (0.3, 1.0, 2.0, 4.0)
+DRAIN_S: Final = 2.0
+NOTICE_FAULTS: Final = (
+    "leave",
+    "turn_away",
+    "turn_away",
+    "kill",
+    "pause",
+    "term",
+    "cut_store",
+    "store_silent",
+)
+"""Runs with upstreams that leave or turn requests away, and say so: duration,
+times for which they do, time in which gateways have to heed the first, and the
+faults that come."""
+
 RETURNS: Final = 2
 RETURN_LOST_S: Final = (0.5, 5.0)
 RETURN_PAUSE_S: Final = 0.2
@@ -551,6 +568,34 @@
         self._put_list_entry(upstream, "draining")
         return upstream.upstream_id
 
+    async def _leave(self, duration_s: float) -> None:
+        """An upstream says that it leaves; it may be listed so, or never."""
+        upstream = self._any_upstream()
+        others = [
+            other
+            for other in self.upstreams
+            if other.streams == upstream.streams
+            and other is not upstream
+            and not other.is_leaving
+        ]
+        if not others or upstream.is_leaving:
+            return
+        upstream.is_leaving = True
+        await asyncio.sleep(duration_s)
+        if self._rng.random() < 0.5:
+            self._put_list_entry(upstream, "draining")
+        await asyncio.sleep(DRAIN_DURATION_S)
+        upstream.is_leaving = False
+        upstream.started_at_ms += 1
+        self._put_list_entry(upstream, "ready")
+
+    async def _turn_away(self, _duration_s: float) -> None:
+        """An upstream turns all requests away for a time, and says so."""
+        upstream = self._any_upstream()
+        wait_s = self._rng.choice(NOTICE_TIMES_S)
+        upstream.refuses_until = asyncio.get_running_loop().time() + wait_s
+        await asyncio.sleep(wait_s)
+
     async def _set_proxy_mode(
         self, proxy: fault_proxy.FaultProxy, mode: Any, duration_s: float
     ) -> None:
@@ -833,6 +878,27 @@
     return problems
 
 
+async def run_notice_seed(seed: int, directory: pathlib.Path) -> list[str]:
+    """Does a run with upstreams that say something of themselves."""
+    rng = random.Random(seed + 1)
+    fleet = Fleet(directory, rng)
+    faults = generate_faults(seed, NOTICE_TRAFFIC_S, NOTICE_FAULTS)
+    faults += [
+        Fault(rng.uniform(0.5, NOTICE_TRAFFIC_S * 0.6), kind, 1.0)
+        for kind in ("leave", "turn_away")
+    ]
+    async with fleet.running():
+        await asyncio.gather(
+            fleet.inject(sorted(faults)), fleet.send_requests(NOTICE_TRAFFIC_S)
+        )
+    problems = fleet.problems + ledger.find_violations(fleet.run_ledger)
+    problems += ledger.find_notice_violations(
+        fleet.run_ledger, DRAIN_S, SETTLE_S
+    )
+    problems += _check_served(fleet.run_ledger, planned=False)
+    return problems
+
+
 async def run_limit_seed(seed: int, directory: pathlib.Path) -> list[str]:
     """Does a run with upstreams that name a limit; returns its problems.
 
@@ -930,6 +996,11 @@
         action="store_true",
         help="runs with a store that comes back from an older copy",
     )
+    parser.add_argument(
+        "--notices",
+        action="store_true",
+        help="runs with upstreams that leave or turn requests away, and say so",
+    )
     parser.add_argument(
         "--stops",
         action="store_true",
@@ -946,6 +1017,8 @@
         run, length_s, kinds = run_limit_seed, PROMPT_TRAFFIC_S, LIMIT_FAULTS
     elif args.returns:
         run, kinds = run_return_seed, RETURN_FAULTS
+    elif args.notices:
+        run, length_s, kinds = run_notice_seed, NOTICE_TRAFFIC_S, NOTICE_FAULTS
     elif args.stops:
         run, length_s, kinds = run_stop_seed, STOP_TRAFFIC_S, STOP_FAULTS
     failed = 0
--- a/src/apricottrestle_standins/platform/upstream_http.py
+++ b/src/apricottrestle_standins/platform/upstream_http.py
@@ -76,6 +76,8 @@
         frames_answers: Whether an engine's answers are chunked; if not, they
             end with their connection.
         limit_per_s: Limit that responses name, in requests per second, or None.
+        is_leaving: Whether all answers say that it leaves.
+        refuses_until: Time until which it turns requests away, and says so.
         crashing_parts: Parts of prompts that crash the engine.
         crashing_bodies: Bodies of requests that crash the upstream.
         on_prompt_crash: Called with the part or body that has crashed it.
@@ -83,6 +85,8 @@
 
     frames_answers = True
     limit_per_s: float | None = None
+    is_leaving = False
+    refuses_until = 0.0
     crashing_parts: frozenset[str] = frozenset()
     crashing_bodies: frozenset[bytes] = frozenset()
     on_prompt_crash: Callable[["Upstream", str], None]
@@ -189,11 +193,22 @@
                 request_id,
                 self.upstream_id,
                 asyncio.get_running_loop().time(),
+                self.started_at_ms,
             )
         )
         if expected not in (None, self.upstream_id):
             writer.write(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
             return True
+        left_s = self.refuses_until - asyncio.get_running_loop().time()
+        if left_s > 0:
+            self._note(request_id, left_s)
+            writer.write(
+                f"HTTP/1.1 503 X\r\nRetry-After: {left_s:.3f}\r\n"
+                f"Apricottrestle-Attempt-Id: {request_id}\r\n"
+                "Apricottrestle-Not-Executed: 1\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            return True
         resume_after = int(headers.get("last-event-id", "0"))
         self._run_ledger.runs.append(
             ledger.RunRecord(
@@ -208,6 +223,9 @@
             f"Apricottrestle-Attempt-Id: {request_id}\r\n"
             "Apricottrestle-Server-Signature: s\r\n"
         )
+        if self.is_leaving:
+            self._note(request_id, None)
+            head += "Server-Leaving: 1\r\n"
         if self.limit_per_s is not None:
             head += f"Server-Limit: {self.limit_per_s}\r\n"
             self._run_ledger.limits[-1].note_named(
@@ -237,6 +255,18 @@
         self._write_body(writer, b"")
         return self.frames_answers
 
+    def _note(self, request_id: str, wait_s: float | None) -> None:
+        """Records that an answer says that it leaves, or wants nothing."""
+        self._run_ledger.notices.append(
+            ledger.Notice(
+                request_id,
+                self.upstream_id,
+                asyncio.get_running_loop().time(),
+                wait_s,
+                self.started_at_ms,
+            )
+        )
+
     def _write_body(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         """Writes a part of the body; an empty one ends a chunked body."""
         if self.frames_answers:
--- a/src/apricottrestle_standins/platform/virtual_upstreams.py
+++ b/src/apricottrestle_standins/platform/virtual_upstreams.py
@@ -226,7 +226,11 @@
             wait_s = refused_until - now
             self.run_ledger.notices.append(
                 ledger.Notice(
-                    transfer.request_id, self.upstream_id, now, wait_s
+                    transfer.request_id,
+                    self.upstream_id,
+                    now,
+                    wait_s,
+                    self.started_at_ms,
                 )
             )
         if self.limit is not None:
@@ -646,6 +650,7 @@
                 call.req.request_id,
                 upstream.upstream_id,
                 asyncio.get_running_loop().time(),
+                upstream.started_at_ms,
             )
         )
         if call.upstream_id != upstream.upstream_id:
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -394,3 +394,37 @@
     assert len([n for n, _ in head.headers if n == "Server-Limit"]) == len(
         values
     )
+
+
+@pytest.mark.parametrize(
+    ("status", "lines", "leaving", "wait_s"),
+    [
+        (200, [], False, None),
+        (200, ["Server-Leaving: 1"], True, None),
+        (500, ["server-leaving:  1 "], True, None),
+        (200, ["Server-Leaving: 0"], False, None),
+        (200, ["Server-Leaving: yes"], False, None),
+        (200, ["Server-Leaving: 1", "Server-Leaving: 0"], True, None),
+        (503, ["Server-Leaving: 1", "Retry-After: 2"], True, 2.0),
+        (503, ["Retry-After: 0.25"], False, 0.25),
+        (503, ["Retry-After: 0"], False, 0.0),
+        (503, ["Retry-After: 2", "Retry-After: 5"], False, 5.0),
+        (503, ["Retry-After: -2"], False, None),
+        (503, ["Retry-After: 2", "Retry-After: soon"], False, None),
+        (503, ["Retry-After: Wed, 21 Oct 2026 07:28:00 GMT"], False, None),
+        (503, ["Retry-After: 1e9"], False, None),
+        (503, ["Retry-After: " + "9" * 500], False, None),
+        (503, ["Retry-After: inf"], False, None),
+        (429, ["Retry-After: 2"], False, None),
+        (200, ["Retry-After: 2"], False, None),
+    ],
+)
+def test_upstream_says_that_it_leaves_or_wants_nothing_for_a_time(
+    status: int, lines: list[str], leaving: bool, wait_s: float | None
+) -> None:
+    """Guards against statements that are missed, or taken from odd values."""
+    head = upstream_client.parse_response_head(
+        [f"HTTP/1.1 {status} X\r\n", *(f"{line}\r\n" for line in lines)]
+    )
+    assert head is not None
+    assert (head.leaving, head.wait_s) == (leaving, wait_s)
--- a/tests/test_soak_days.py
+++ b/tests/test_soak_days.py
@@ -98,3 +98,14 @@
     All gateways are stopped several times, one shortly after the other.
     """
     assert asyncio.run(soak.run_stop_seed(seed, tmp_path)) == []
+
+
+@pytest.mark.parametrize("seed", [1])
+def test_soak_run_with_upstreams_that_speak_of_themselves(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    """Guards against requests that reach an upstream against its word.
+
+    Upstreams leave or turn requests away for a time, and say so in answers.
+    """
+    assert asyncio.run(soak.run_notice_seed(seed, tmp_path)) == []
