Log a malformed statement of an upstream once

Each answer with an odd Server-Leaving or Retry-After logged a line, so that one upstream could fill the log. The last 256 values are remembered. A row for it logged three lines before, one now.

--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import logging
 import re
 import socket
@@ -80,6 +81,12 @@
 
 MAX_LOGGED_VALUES: Final = 4
 
+MAX_LOGGED_CHARS: Final = 60
+MAX_REMEMBERED_HEADERS: Final = 256
+"""Bounds of the log of malformed headers: length of a value, and values that
+are logged once."""
+
+
 _HEADER_LINE: Final = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+:|[ \t]")
 """Start of a header line, or of the continuation of one."""
 
@@ -352,7 +359,7 @@
     """Decodes whether an upstream says that it leaves."""
     is_leaving = any(value.strip() == "1" for value in values)
     if values and not is_leaving:
-        _log_ignored(names.LEAVING, values)
+        _log_ignored(names.LEAVING, values[0][:MAX_LOGGED_CHARS])
     return is_leaving
 
 
@@ -362,15 +369,17 @@
     The longest if there are several; a date or another value says nothing.
     """
     if any(_DECIMAL.fullmatch(value.strip()) is None for value in values):
-        _log_ignored(names.RETRY_AFTER, values)
+        _log_ignored(names.RETRY_AFTER, values[0][:MAX_LOGGED_CHARS])
         return None
     return max((float(value) for value in values), default=None)
 
 
-def _log_ignored(name: str, values: list[str]) -> None:
+@functools.lru_cache(maxsize=MAX_REMEMBERED_HEADERS)
+def _log_ignored(name: str, value: str) -> None:
+    """Logs a malformed header; the cache leaves out those just logged."""
     _LOG.warning(
         "ignored a malformed header of an upstream",
-        extra={"header": name, "values": values[:MAX_LOGGED_VALUES]},
+        extra={"header": name, "value": value},
     )
 
 
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -428,3 +428,14 @@
     )
     assert head is not None
     assert (head.leaving, head.wait_s) == (leaving, wait_s)
+
+
+def test_malformed_statement_is_logged_once(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a log that an odd upstream fills with each answer."""
+    for _ in range(3):
+        upstream_client.parse_response_head(
+            ["HTTP/1.1 200 OK\r\n", "Server-Leaving: perhaps\r\n"]
+        )
+    assert len(caplog.records) == 1
