Record which start of an upstream said that it leaves

The virtual upstreams' record of a departure lacked the start time, so that since no delivery matched it and the check of departures in virtual time was empty. A mutation that nobody noticed showed it (departures not heeded); it is noticed now. Both fields have no default any more.

Product code is unchanged.

--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -40,7 +40,7 @@
     request_id: str
     upstream_id: str
     at_s: float
-    started_at_ms: int = 0
+    started_at_ms: int
 
 
 class Notice(NamedTuple):
@@ -59,7 +59,7 @@
     upstream_id: str
     at_s: float
     wait_s: float | None
-    started_at_ms: int = 0
+    started_at_ms: int
 
 
 class StopCheck(NamedTuple):
--- a/src/apricottrestle_standins/platform/virtual_upstreams.py
+++ b/src/apricottrestle_standins/platform/virtual_upstreams.py
@@ -220,7 +220,13 @@
         wait_s = None
         if self.is_leaving:
             self.run_ledger.notices.append(
-                ledger.Notice(transfer.request_id, self.upstream_id, now, None)
+                ledger.Notice(
+                    transfer.request_id,
+                    self.upstream_id,
+                    now,
+                    None,
+                    self.started_at_ms,
+                )
             )
         if status == REFUSED and refused_until > now:
             wait_s = refused_until - now
