Mend two faults of the soak's stand-ins that looked like failures

The logs show that caller-11-3 was answered in full by up-1 in the second of its crash: the stand-in served a connection that it had accepted before the crash, and a second deadly request at a crashed upstream went on. A whole answer clears a request, rightly. The stand-in now ends both.

Product code is unchanged.

--- a/src/apricottrestle_standins/platform/upstream_http.py
+++ b/src/apricottrestle_standins/platform/upstream_http.py
@@ -154,6 +154,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._server is None:
+            # Accepted before a crash, and served only after it.
+            reset(writer)
+            return
         self._writers.add(writer)
         try:
             while not writer.is_closing():
@@ -282,8 +286,9 @@
         causes = sorted(parts & self.crashing_parts)
         if received.body in self.crashing_bodies:
             causes.append(received.body.decode())
-        if not causes or self._server is None:
+        if not causes:
             return False
-        self.crash(resets=False)
-        self.on_prompt_crash(self, causes[0])
+        if self._server is not None:
+            self.crash(resets=False)
+            self.on_prompt_crash(self, causes[0])
         return True
