Review case 1: a part of an answer without a length passes for the whole

Cause: an answer without a length ends with its connection. For streams the gateway asks whether the worker still runs before it takes the end for whole, for plain services it doesn't, and gives the part a Content-Length.

Change: review/1 kills one of three workers, a process of its own, while its answers are under way.

--- a/review/lib/review_fleet.py
+++ b/review/lib/review_fleet.py
@@ -16,6 +16,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -59,8 +60,8 @@
 class Record:
     """What was sent, answered and run, with times since the start."""
 
-    def __init__(self, path: pathlib.Path) -> None:
-        """Creates an empty record that is written to `path` at the end."""
+    def __init__(self, path: pathlib.Path | None = None) -> None:
+        """Creates an empty record; `write` writes it to `path`."""
         self._path = path
         self._started_at = time.monotonic()
         self._lines: list[str] = []
@@ -72,6 +73,7 @@
 
     def write(self) -> None:
         """Writes the file."""
+        assert self._path is not None
         self._path.write_text("\n".join(self._lines) + "\n")
 
 
@@ -274,6 +276,55 @@
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
+class ProcessWorker(Worker):
+    """A worker in a process of its own; see `worker_process`.
+
+    Attributes:
+        popen: The process, or None before its start.
+    """
+
+    popen: subprocess.Popen[str] | None = None
+
+    async def start(self) -> None:
+        """Starts the process."""
+        self.popen = subprocess.Popen(
+            [
+                sys.executable,
+                str(ROOT / "review" / "lib" / "worker_process.py"),
+                self.worker_id,
+            ],
+            stdout=subprocess.PIPE,
+            text=True,
+            env=os.environ
+            | {
+                "PYTHONPATH": os.pathsep.join(path for path in sys.path if path)
+            },
+        )
+        assert self.popen.stdout is not None
+        loop = asyncio.get_running_loop()
+        line = await loop.run_in_executor(None, self.popen.stdout.readline)
+        self.address = f"127.0.0.1:{line.split()[1]}"
+        threading.Thread(target=self._read_runs, daemon=True).start()
+
+    def _read_runs(self) -> None:
+        assert self.popen is not None and self.popen.stdout is not None
+        for line in self.popen.stdout:
+            request_id = line.split()[1]
+            self.runs.append((request_id, time.monotonic()))
+            self.record.add(f"{self.worker_id} runs {request_id}")
+
+    async def stop(self) -> None:
+        """Kills the process."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.kill()
+            self.popen.wait()
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs."""
+        return self.popen is not None and self.popen.poll() is None
+
+
 class Engine(Worker):
     """A model worker that takes the times of its published cost model.
 
