--- a/review/lib/review_fleet.py
+++ b/review/lib/review_fleet.py
@@ -732,13 +732,19 @@
     record = Record(pathlib.Path(path).resolve().parent / "record.txt")
 
     async def run() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # Ends the processes that the case has started.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         async with asyncio.timeout(CASE_TIMEOUT_S):
             return await case(record)
 
     code = COULD_NOT_RUN
     try:
         code = BROKEN if asyncio.run(run()) else HELD
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         record.add(f"the case couldn't run: {exc!r}")
     record.add(f"exit {code}")
     record.write()
