--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,73 +1,94 @@
-"""A worker that restarted after its clock was set back can't leave."""
+"""A planned stop drops accepted requests that still wait for an engine."""
 
 import asyncio
-import time
+import signal
 
 import review_fleet as fleet
 
-CLOCK_STEP_MS = 2_400
-RESTART_S = 1.9
-"""Time between the two starts; the worker is up and down for 0.95 s each."""
+ENGINES = 2
+REQUESTS = 5
+PROMPT_TOKENS = 300_000
+OUTPUT_TOKENS = 816
+TIMEOUT_MS = 15_000
+INTERVAL_S = 0.2
+STOP_AFTER_S = 0.5
+"""Time between the last request and the SIGTERM."""
 
-DRAIN_S = 2.0
-SERVES_ON_S = 4.0
-"""Time for which the worker serves after the ack of its departure: drain_ms and
-a little longer."""
-
-SETTLE_S = 3.0
-REQUESTS_PER_S = 20
+GRACE_S = 8.0
+LOSS_SLACK_S = 0.2
 
 
 async def case(record: fleet.Record) -> bool:
-    """Lets a worker restart and leave; True if the rule was broken."""
-    leaving = fleet.Worker("i-0", "ledger", record)
-    staying = fleet.Worker("i-1", "ledger", record)
-    deployment = fleet.Fleet(record, [leaving, staying], 2)
-    route = fleet.make_route("stock", "safe", "ledger")
-    config = fleet.make_config(1, [route], [{"name": "ledger"}])
-    tasks: list[asyncio.Task[fleet.Answer]] = []
-
-    async def send_requests() -> None:
-        for number in range(10_000):
-            row = deployment.gateways[number % 2]
-            tasks.append(
-                asyncio.ensure_future(
-                    row.send("GET", "/stock/1", f"{number:016x}", 1500)
+    """Stops one of two gateways; True if the rule was broken."""
+    engines: list[fleet.Worker] = [
+        fleet.Engine(f"i-{number}", "engines", record)
+        for number in range(ENGINES)
+    ]
+    deployment = fleet.Fleet(record, engines, 2)
+    route = fleet.make_route(
+        "review",
+        "stream",
+        "engines",
+        timeout_ms=TIMEOUT_MS,
+        target_latency_ms=6_000,
+        gap_target_ms=1_000,
+        resumable=True,
+        sticky=True,
+    )
+    config = fleet.make_config(
+        1, [route], [{"name": "engines", "engine": fleet.ENGINE}]
+    )
+    async with deployment.running(config):
+        gateway = deployment.gateways[0]
+        loop = asyncio.get_running_loop()
+        sends: list[tuple[str, asyncio.Task[fleet.Answer]]] = []
+        # The gateway was started less than 3 s ago.
+        await asyncio.sleep(3.5)
+        for number in range(REQUESTS):
+            request_id = f"{number + 1:016x}"
+            record.add(f"request {request_id} is sent to {gateway.name}")
+            task = loop.create_task(
+                gateway.send(
+                    "POST",
+                    "/review/1",
+                    request_id,
+                    TIMEOUT_MS,
+                    (
+                        "Apricottrestle-Model: m",
+                        f"Apricottrestle-Token-Usage: {PROMPT_TOKENS},"
+                        f"{OUTPUT_TOKENS}",
+                        f"Apricottrestle-Prompt-Prefix: aa:40,{request_id}:"
+                        f"{PROMPT_TOKENS - 40}",
+                    ),
+                    b"x" * 1000,
                 )
             )
-            await asyncio.sleep(1 / REQUESTS_PER_S)
-
-    async with deployment.running(config):
-        await asyncio.sleep(RESTART_S / 2)
-        await leaving.stop()
-        record.add("i-0 crashes")
-        await asyncio.sleep(RESTART_S / 2)
-        await leaving.start()
-        leaving.born += int(RESTART_S * 1000)
+            sends.append((request_id, task))
+            await asyncio.sleep(INTERVAL_S)
+        await asyncio.sleep(STOP_AFTER_S)
+        stopped_at = loop.time()
         if fleet.has_trouble():
-            leaving.born -= CLOCK_STEP_MS
+            record.add(f"SIGTERM to {gateway.name}; grace {GRACE_S} s")
+            gateway.signal(signal.SIGTERM)
+        rows = [(name, await task) for name, task in sends]
+    reached = {name for engine in engines for name, _ in engine.arrivals}
+    lost = 0
+    for name, answer in rows:
+        waited_s = answer.ended_at - answer.sent_at
         record.add(
-            "i-0 starts again under its id"
-            + (", its machine's clock has stepped back" * fleet.has_trouble())
+            f"request {name}: {answer.status} {answer.end} after "
+            f"{waited_s:.2f} s, "
+            + ("reached a worker" if name in reached else "reached no worker")
         )
-        deployment.put_entry(leaving)
-        traffic = asyncio.ensure_future(send_requests())
-        await asyncio.sleep(2 * SETTLE_S)
-        leaving.state = "draining"
-        deployment.put_entry(leaving)
-        acked_at = time.monotonic()
-        record.add("the store acks that i-0 is draining")
-        await asyncio.sleep(SERVES_ON_S)
-        traffic.cancel()
-        answers = await asyncio.gather(*tasks)
-        served = sum(answer.status == 200 for answer in answers)
-    late = [at for _, at in leaving.arrivals if at > acked_at + DRAIN_S]
-    record.add(f"{served} of {len(answers)} requests were served")
-    record.add(
-        f"{len(late)} requests reached i-0 later than {DRAIN_S} s after the "
-        "ack" + (f", up to {max(late) - acked_at:.2f} s" if late else "")
-    )
-    return bool(late)
+        if (
+            not answer.complete
+            and name not in reached
+            and answer.ended_at <= stopped_at + GRACE_S + 1
+            and LOSS_SLACK_S < waited_s < TIMEOUT_MS / 1000 - 1
+        ):
+            lost += 1
+    record.add(f"lost: {lost} of {len(rows)} requests")
+    return lost > 0
 
 
 fleet.run_case(__file__, case)
--- a/review/lib/review_fleet.py
+++ b/review/lib/review_fleet.py
@@ -280,9 +280,11 @@
     """A worker in a process of its own; see `worker_process`.
 
     Attributes:
+        kind: "plain", or "stream" for a model worker.
         popen: The process, or None before its start.
     """
 
+    kind = "plain"
     popen: subprocess.Popen[str] | None = None
 
     async def start(self) -> None:
@@ -292,6 +294,8 @@
                 sys.executable,
                 str(ROOT / "review" / "lib" / "worker_process.py"),
                 self.worker_id,
+                str(self.born),
+                self.kind,
             ],
             stdout=subprocess.PIPE,
             text=True,
