--- a/review/lib/review_fleet.py
+++ b/review/lib/review_fleet.py
@@ -306,8 +306,13 @@
         )
         assert self.popen.stdout is not None
         loop = asyncio.get_running_loop()
-        line = await loop.run_in_executor(None, self.popen.stdout.readline)
-        self.address = f"127.0.0.1:{line.split()[1]}"
+        try:
+            line = await loop.run_in_executor(None, self.popen.stdout.readline)
+            self.address = f"127.0.0.1:{line.split()[1]}"
+        except BaseException:
+            # The context isn't entered, and would not end the process.
+            await self.stop()
+            raise
         threading.Thread(target=self._read_runs, daemon=True).start()
 
     def _read_runs(self) -> None:
