Answer requests that still wait when a shutdown ends

Cause: the queue knew only each request's own deadline, and the stop waited for open requests until its end and then left. Ruled out: requests held during a start, which are released within 0.25 s, and failed reservations, which go back to the queue.

Change: a stop refuses waiting requests, as not run and with the time to return, as soon as it can't be in time for them, including the prompts ahead of them. At the end of the grace period every open request without a response gets one.

--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -4,8 +4,8 @@
 model engine waits in a queue until a scheduling pass places it.
 
 Invariants: a request stays in the queue only while it can still meet its
-deadline; each run and call is in the load tables from its placement until it
-has ended.
+deadline, and end before a shutdown does; each run and call is in the load
+tables from its placement until it has ended.
 """
 
 import asyncio
@@ -138,6 +138,9 @@
 MISDIRECTED: Final = 421
 """HTTP status of an upstream that isn't the one the request is for."""
 
+STOPPING: Final = "stopping"
+"""Reason of the refusal of a request that a shutdown leaves no time for."""
+
 BAD_PROMPT: Final = "crashes_engines"
 """Reason of the refusal of a prompt with parts that crash engines."""
 
@@ -295,6 +298,33 @@
             )
         self._holds.configure(cfg.memory_free_s, cfg.reservation_max_s)
 
+    def begin_stop(self, serve_until: float, estimate_until: float) -> None:
+        """Begins a shutdown; refuses waiting requests that it leaves no time.
+
+        Args:
+            serve_until: See the attribute.
+            estimate_until: See the attribute.
+        """
+        self.serve_until = serve_until
+        self.estimate_until = estimate_until
+        self.run_scheduling_pass()
+
+    def end_requests(self) -> None:
+        """Ends all open requests at the end of a shutdown.
+
+        Those without a response get an error response, which says whether they
+        may have run.
+        """
+        for request in list(self.active):
+            logs.decision(
+                _LOG,
+                "request outlasts the shutdown",
+                request_id=request.req.request_id,
+                waiting=request in self._waiting,
+                response_started=request.response_started,
+            )
+            self._end_for_shutdown(request)
+
     # Requests.
 
     def handle(
@@ -432,6 +462,14 @@
 
     def _refuse_stopping(self, req: calls.CallerRequest) -> accept.Refused:
         """Refuses a request; it returns when another gateway can serve it."""
+        return accept.Refused(
+            accept.UNAVAILABLE,
+            STOPPING,
+            self._stopping_retry_after_s(req.time_left_s),
+        )
+
+    def _stopping_retry_after_s(self, time_left_s: float | None) -> float:
+        """Returns the time in which another gateway can serve a caller."""
         peers = self.listener.peers_in_rotation()
         if peers > 0 and self.listener.peers_leaving() <= (
             MAX_LEAVING_SHARE * peers
@@ -441,11 +479,52 @@
             retry_after_s = LEAVING_RETRY_AFTER_S
         else:
             retry_after_s = STOPPING_RETRY_AFTER_S
-        if req.time_left_s is not None:
+        if time_left_s is not None:
             retry_after_s = min(
-                retry_after_s, MAX_RETRY_AFTER_SHARE * req.time_left_s
+                retry_after_s, MAX_RETRY_AFTER_SHARE * time_left_s
+            )
+        return retry_after_s
+
+    def _end_for_shutdown(self, request: exchange.Exchange) -> None:
+        """Ends a request that can't be served before a shutdown ends."""
+        retry_after_s = self._stopping_retry_after_s(
+            max(request.time_left_s(clock.now()), 0.0)
+        )
+        if request in self._waiting:
+            self._refuse_waiting(request, STOPPING, retry_after_s)
+        else:
+            request.refuse(accept.UNAVAILABLE, STOPPING, retry_after_s)
+
+    def _refuse_outlasting(self, now: float) -> None:
+        """Refuses waiting requests that a shutdown leaves no time for.
+
+        The least time until a request is served includes the prompts that are
+        ahead of it, spread over all engines of its service.
+        """
+        work_ahead_s: dict[str, float] = collections.defaultdict(float)
+        for request in sorted(
+            self._waiting, key=lambda request: _scheduling_order(request, now)
+        ):
+            service = request.accepted.service
+            if service.engine is None:
+                continue
+            needs = request.engine_needs(now)
+            engines = len(self._send_gate.usable(service.name, now))
+            service_s = engine_routing.min_service_s(
+                needs, service.engine, engines
             )
-        return accept.Refused(accept.UNAVAILABLE, "stopping", retry_after_s)
+            if not request.response_started:
+                service_s *= STOPPING_SERVICE_FACTOR
+            wait_s = work_ahead_s[service.name] / max(engines, 1)
+            if (
+                now + needs.time_left_s > self.serve_until
+                and now + wait_s + service_s > self.serve_until
+            ):
+                self._end_for_shutdown(request)
+            else:
+                work_ahead_s[service.name] += engine_routing.min_prefill_s(
+                    needs, service.engine, 1
+                )
 
     def _fits_shutdown(
         self, req: calls.CallerRequest, accepted: accept.Accepted
@@ -881,6 +960,8 @@
         """
         self._scheduling_pass_requested = False
         now = clock.now()
+        if not math.isinf(self.serve_until):
+            self._refuse_outlasting(now)
         waiting = sorted(
             self._waiting, key=lambda request: _scheduling_order(request, now)
         )
--- a/src/apricottrestle/gateway/graceful_stop.py
+++ b/src/apricottrestle/gateway/graceful_stop.py
@@ -7,7 +7,7 @@
 
 Invariants: a request that has been accepted is not cut before the end of the
 grace period, and none is cut that was accepted later than ESTIMATE_S after the
-signal.
+signal. A request without a response gets one before the process ends.
 """
 
 import abc
@@ -82,8 +82,6 @@
         """Returns when all requests have ended, or the grace period has."""
         started_at = clock.now()
         ends_at = started_at + self._grace_s - FINAL_FLUSH_S
-        self._core.serve_until = ends_at
-        self._core.estimate_until = started_at + ESTIMATE_S
         self._listener.stopping = True
         self._peers.begin_stop(
             min(
@@ -100,12 +98,14 @@
             peers=self._peers.gateway_count() - 1,
             stays_in_rotation=self._peers.in_rotation,
         )
+        self._core.begin_stop(ends_at, started_at + ESTIMATE_S)
         await self._leave_rotation(started_at, ends_at)
         while self._core.active and clock.now() < ends_at:
             self._stop_accepting_for_peers()
             await asyncio.sleep(CHECK_INTERVAL_S)
         self._core.stopping = True
         self._stop_accepting_for_peers()
+        self._core.end_requests()
         await asyncio.sleep(FINAL_FLUSH_S / 2)
 
     def _stop_accepting_for_peers(self) -> None:
--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -290,6 +290,27 @@
     ]
 
 
+def find_unanswered_requests(ledger: Ledger, grace_s: float) -> list[str]:
+    """Returns requests that a stop ended without an answer.
+
+    No upstream has had them, and their callers were still waiting.
+    """
+    passed_on = {delivery.request_id for delivery in ledger.deliveries}
+    return [
+        f"LOST {attempt.arrival.kind.name} {attempt.request_id}: no answer "
+        f"after {attempt.ended_s - attempt.sent_s:.2f} s, from {address}"
+        for attempts in ledger.requests
+        for attempt in attempts
+        for address, stopped_s in ledger.stops
+        if attempt.broken
+        and attempt.gateway == address
+        and attempt.request_id not in passed_on
+        and attempt.ended_s is not None
+        and stopped_s <= attempt.ended_s <= stopped_s + grace_s + 1.0
+        and attempt.ended_s - attempt.sent_s > LOSS_SLACK_S
+    ]
+
+
 NOTICE_DELAY_S = 0.5
 """Time after a refusal in which requests may still be on their way."""
 
--- a/tests/test_world_stops.py
+++ b/tests/test_world_stops.py
@@ -447,3 +447,81 @@
     records = virtual_time.run(main())
     assert len(records.stops) >= 2 * series.gateways
     assert ledger.find_violations(records) == []
+
+
+class Queue(NamedTuple):
+    """Long prompts that wait for engines when their gateway is stopped.
+
+    Attributes:
+        engines: Number of engines.
+        gateways: Number of gateways.
+        prompts: Number of prompts, which arrive 0.2 s apart.
+        tokens: Length of each prompt.
+        stop_after_s: Time from the last prompt until the stop.
+        stops_all: Whether all gateways are stopped, not just the prompts'.
+    """
+
+    engines: int
+    gateways: int
+    prompts: int
+    tokens: int
+    stop_after_s: float
+    stops_all: bool = False
+
+
+QUEUES = {
+    "two-engines": Queue(2, 2, 5, 300_000, 0.5),
+    "two-engines-early": Queue(2, 2, 5, 300_000, 0.0),
+    "two-engines-many": Queue(2, 2, 12, 300_000, 0.5),
+    "two-engines-shorter": Queue(2, 2, 20, 150_000, 0.5),
+    "three-engines-late": Queue(3, 2, 8, 300_000, 3.0),
+    "alone": Queue(2, 1, 5, 300_000, 0.5),
+    "all-stop": Queue(2, 2, 12, 300_000, 0.5, stops_all=True),
+    "one-engine": Queue(1, 2, 8, 200_000, 0.5),
+}
+
+
+@pytest.mark.parametrize("queue", QUEUES.values(), ids=QUEUES)
+def test_requests_that_wait_for_an_engine_are_answered_in_a_stop(
+    queue: Queue,
+) -> None:
+    """Guards against waiting requests that end with the process, unanswered."""
+    kind = next(kind for kind in SITE.kinds if kind.tokens > 100_000)._replace(
+        per_s=0.0, timeout_s=15.0
+    )
+    site = SITE._replace(
+        engines=queue.engines, gateways=queue.gateways, kinds=(kind,)
+    )
+
+    async def main() -> ledger.Ledger:
+        fleet = world.World(site, 3)
+        fleet.max_retries = 0
+
+        async def stop() -> None:
+            await asyncio.sleep(0.2 * queue.prompts + queue.stop_after_s)
+            stopped = [*fleet.gateways] if queue.stops_all else ["gateway-0"]
+            await asyncio.gather(*map(fleet.stop_gateway, stopped))
+
+        arrivals = [
+            workload.Arrival(
+                0.2 * number, kind, 0, 0, queue.tokens, 16, 0.0, 0.0
+            )
+            for number in range(queue.prompts)
+        ]
+        return await fleet.run_workload(arrivals, stop())
+
+    records = virtual_time.run(main())
+    assert ledger.find_unanswered_requests(records, world.GRACE_S) == []
+    assert ledger.find_violations(records) == []
+    stopped_s = records.stops[0][1]
+    refused_s = [
+        attempt.ended_s
+        for attempts in records.requests
+        for attempt in attempts
+        if attempt.status == 503 and attempt.ended_s is not None
+    ]
+    # What can't be served before the end is refused long before it.
+    assert any(at_s < stopped_s + 1.0 for at_s in refused_s)
+    assert len(refused_s) == len(
+        [each for each in records.requests if not each[0].event_ids]
+    )
