Leave requests out of the check of stops that the stop didn't end

It ended 15.001 s after its first attempt was sent, at its caller's deadline of 15 s, with 6 of 8 events. The users' rule leaves out requests that reach their deadline, and those that the stopped process didn't take. Both are now told apart by the record; any other request is judged as before.

--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -270,7 +270,8 @@
     """Returns requests that a stopping gateway took late and then cut.
 
     A request that crossed the close of its connection, or found no listener,
-    wasn't taken.
+    wasn't taken. One that ended at its deadline, or that a later process at the
+    same address took, wasn't cut by the stop.
     """
     passed_on = {delivery.request_id for delivery in ledger.deliveries}
     return [
@@ -282,6 +283,11 @@
         if attempt.broken
         and attempt.gateway == address
         and STOP_ACCEPT_S < attempt.sent_s - stopped_s <= grace_s
+        and not _reached_deadline(attempts, attempt)
+        and not any(
+            name == address and stopped_s < started_s <= attempt.sent_s
+            for name, started_s in ledger.disturbed
+        )
         and (
             attempt.request_id in passed_on
             or attempt.ended_s is None
@@ -290,6 +296,12 @@
     ]
 
 
+def _reached_deadline(attempts: list[Attempt], attempt: Attempt) -> bool:
+    """Returns whether an attempt ended when its caller's time was over."""
+    deadline_s = attempts[0].sent_s + attempt.arrival.kind.timeout_s
+    return attempt.ended_s is not None and attempt.ended_s >= deadline_s
+
+
 def find_unanswered_requests(ledger: Ledger, grace_s: float) -> list[str]:
     """Returns requests that a stop ended without an answer.
 
