Wait in a shutdown for responses that callers still read

Callers saw: answers of 12 MiB, read in 3 to 6 s, cut when the gateway ended 3 s after its SIGTERM, with 5 s of its grace period left.

Cause: an exchange ends when its last byte is in the connection's buffer; the shutdown waited for exchanges, then dropped the buffers. Ruled out: closing of idle connections, which never meets a connection that is being written to.

Change: the caller server counts the connections with an open response, and the shutdown waits until there is none or the grace period ends. The final flush lasts no longer than something is left to flush.

--- a/src/apricottrestle/gateway/graceful_stop.py
+++ b/src/apricottrestle/gateway/graceful_stop.py
@@ -5,9 +5,10 @@
 rotation, or until it has nothing left to do; what it can't finish, it refuses
 with the time to return.
 
-Invariants: a request that has been accepted is not cut before the end of the
-grace period, and none is cut that was accepted later than ESTIMATE_S after the
-signal. A request without a response gets one before the process ends.
+Invariants: a request that has been accepted, or a response that its caller
+still reads, is not cut before the end of the grace period, and none is cut that
+was accepted later than ESTIMATE_S after the signal. A request without a
+response gets one before the process ends.
 """
 
 import abc
@@ -46,6 +47,14 @@
 
     stopping: bool = False
 
+    @property
+    @abc.abstractmethod
+    def open_responses(self) -> int:
+        """Number of requests whose response isn't written to the end.
+
+        A response that has ended may still wait for a caller that reads slowly.
+        """
+
     @abc.abstractmethod
     def stop_listening(self) -> None:
         """Stops accepting connections; the open ones continue."""
@@ -79,7 +88,7 @@
         self._grace_s = grace_s
 
     async def run(self) -> None:
-        """Returns when all requests have ended, or the grace period has."""
+        """Returns when all responses are written, or the grace period ends."""
         started_at = clock.now()
         ends_at = started_at + self._grace_s - FINAL_FLUSH_S
         self._listener.stopping = True
@@ -93,6 +102,7 @@
             _LOG,
             "stop requested",
             requests=len(self._core.active),
+            responses=self._listener.open_responses,
             grace_s=self._grace_s,
             stop_order=self._peers.stop_order,
             peers=self._peers.gateway_count() - 1,
@@ -100,13 +110,23 @@
         )
         self._core.begin_stop(ends_at, started_at + ESTIMATE_S)
         await self._leave_rotation(started_at, ends_at)
-        while self._core.active and clock.now() < ends_at:
+        while self._is_busy() and clock.now() < ends_at:
             self._stop_accepting_for_peers()
             await asyncio.sleep(CHECK_INTERVAL_S)
         self._core.stopping = True
         self._stop_accepting_for_peers()
         self._core.end_requests()
-        await asyncio.sleep(FINAL_FLUSH_S / 2)
+        await self._flush()
+
+    async def _flush(self) -> None:
+        """Waits a short time until the last responses are written."""
+        flush_until = clock.now() + FINAL_FLUSH_S / 2
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        while self._listener.open_responses and clock.now() < flush_until:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def _is_busy(self) -> bool:
+        return bool(self._core.active) or self._listener.open_responses > 0
 
     def _stop_accepting_for_peers(self) -> None:
         """Stops accepting if callers find another gateway."""
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -236,9 +236,11 @@
         self,
         server: "CallerServer",
         conn: http1connection.HTTP1Connection,
+        on_complete: Callable[[], None],
     ) -> None:
         self._server = server
         self._conn = conn
+        self._on_complete = on_complete
         self._chunks: list[bytes] = []
         self._responder: _HttpResponder | None = None
         self.is_idle = True
@@ -270,6 +272,7 @@
         self._responder = _HttpResponder(self._conn, req.request_id)
         self._responder.close_after_response = self._server.stopping
         self._server.readers.discard(self)
+        self._on_complete()
         self._server.handler.handle(req, self._responder)
 
     def on_connection_close(self) -> None:
@@ -281,6 +284,17 @@
         self._conn.close()
 
 
+class _HttpServer(httpserver.HTTPServer):
+    """Tornado's server; also tells its delegate of closed connections."""
+
+    def on_close(self, server_conn: object) -> None:
+        """Forgets a connection, and tells the delegate so."""
+        super().on_close(server_conn)
+        delegate = self.request_callback
+        assert isinstance(delegate, httputil.HTTPServerConnectionDelegate)
+        delegate.on_close(server_conn)
+
+
 class CallerServer(
     http_server.ListeningServer,
     httputil.HTTPServerConnectionDelegate,
@@ -306,7 +320,8 @@
         self.handler = handler
         self.readers: set[_RequestReader] = set()
         self.stopping = False
-        self._http = httpserver.HTTPServer(
+        self._responding: set[object] = set()
+        self._http = _HttpServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
@@ -319,12 +334,22 @@
     ) -> httputil.HTTPMessageDelegate:
         """Creates the reader of the next request of a connection."""
         assert isinstance(request_conn, http1connection.HTTP1Connection)
-        reader = _RequestReader(self, request_conn)
+        # Tornado asks for the next request once a response is written.
+        self._responding.discard(server_conn)
+        reader = _RequestReader(
+            self, request_conn, lambda: self._responding.add(server_conn)
+        )
         self.readers.add(reader)
         return reader
 
     def on_close(self, server_conn: object) -> None:
-        """Does nothing; the reader's on_connection_close handles it."""
+        """Forgets the response that a closed connection had to write."""
+        self._responding.discard(server_conn)
+
+    @property
+    def open_responses(self) -> int:
+        """See Listener.open_responses."""
+        return len(self._responding)
 
     def set_idle_timeout(self, idle_s: float) -> None:
         """Sets the time after which an idle connection is closed."""
--- a/src/apricottrestle_standins/platform/upstream_http.py
+++ b/src/apricottrestle_standins/platform/upstream_http.py
@@ -18,6 +18,7 @@
 EVENT_INTERVAL_S: Final = 0.03
 FIRST_EVENT_DELAY_S: Final = 0.02
 SERVICE_TIME_S: Final = 0.02
+BODY_BYTES: Final = 2
 REPORT_PATH: Final = "/-/report"
 
 
@@ -73,6 +74,7 @@
         answer_loss_rate: Share of a plain service's requests that run, but
             whose connection is then reset.
         service_time_s: Time that a plain service takes for a request.
+        body_bytes: Length of a plain service's answers.
         frames_answers: Whether an engine's answers are chunked; if not, they
             end with their connection.
         limit_per_s: Limit that responses name, in requests per second, or None.
@@ -105,6 +107,7 @@
         self.started_at_ms = 1
         self.answer_loss_rate = 0.0
         self.service_time_s = SERVICE_TIME_S
+        self.body_bytes = BODY_BYTES
         self._run_ledger = run_ledger
         self._rng = rng
         self.streams = streams
@@ -242,7 +245,10 @@
             if self._rng.random() < self.answer_loss_rate:
                 reset(writer)
                 return False
-            writer.write(f"{head}Content-Length: 2\r\n\r\nok".encode())
+            writer.write(
+                f"{head}Content-Length: {self.body_bytes}\r\n\r\n".encode()
+                + b"k" * self.body_bytes
+            )
             return True
         events = int(received.target.rpartition("/")[2])
         framing = "Transfer-Encoding: chunked\r\n" * self.frames_answers
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -97,11 +97,18 @@
 
     Attributes:
         listening: Whether new connections are accepted.
+        unread: Responses that callers haven't read to their end.
     """
 
     def __init__(self) -> None:
         """Creates a listener that accepts connections."""
         self.listening = True
+        self.unread = 0
+
+    @property
+    def open_responses(self) -> int:
+        """See Listener.open_responses."""
+        return self.unread
 
     def stop_listening(self) -> None:
         """See Listener.stop_listening."""
--- a/tests/test_platform_caller_server.py
+++ b/tests/test_platform_caller_server.py
@@ -206,6 +206,35 @@
         writer.close()
 
 
+@pytest.mark.parametrize("ends_by", ["reading", "leaving"])
+@async_helpers.async_test
+async def test_response_is_open_until_its_caller_has_read_it(
+    ends_by: str,
+) -> None:
+    """Guards against a shutdown that cuts answers to callers that read slowly.
+
+    A response that has ended may be in the buffer of its connection.
+    """
+    body_bytes = 32 * 1024 * 1024
+
+    def respond(req: calls.CallerRequest, responder: calls.Responder) -> None:
+        responder.begin(200, (), body_bytes)
+        responder.write(b"x" * body_bytes)
+        responder.finish()
+
+    async with _serving(_Handler(respond)) as (server, reader, writer):
+        assert server.open_responses == 0
+        writer.write(GET)
+        await reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(0.2)
+        assert server.open_responses == 1
+        if ends_by == "reading":
+            await reader.readexactly(body_bytes)
+        else:
+            writer.close()
+        await async_helpers.wait_until(lambda: server.open_responses == 0)
+
+
 @async_helpers.async_test
 async def test_idle_timeout_follows_the_configuration() -> None:
     """Guards against an idle timeout other than the configured one."""
--- a/tests/test_process_gateway_stop.py
+++ b/tests/test_process_gateway_stop.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import signal
+import socket
 from typing import Final, NamedTuple
 
 import pytest
@@ -130,3 +131,70 @@
         for outcome in outcomes
     )
     assert outcomes[0].status in (200, 504)
+
+
+LARGE_BYTES: Final = 12 * 1024 * 1024
+RECEIVE_BUFFER_BYTES: Final = 64 * 1024
+READ_INTERVAL_S: Final = 0.1
+STOP_AFTER_S: Final = 1.0
+
+
+async def _read_slowly(address: str, number: int, read_s: float) -> int:
+    """Requests a large answer, and returns the bytes that were received."""
+    host, _, port = address.rpartition(":")
+    sock = socket.socket()
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(sock, (host, int(port)))
+    reader, writer = await asyncio.open_connection(
+        sock=sock, limit=RECEIVE_BUFFER_BYTES
+    )
+    writer.write(
+        f"GET /lookup/1 HTTP/1.1\r\nHost: fleet.example\r\n"
+        f"Apricottrestle-Attempt-Id: large-{number}\r\n"
+        "Apricottrestle-Deadline-Ms: 20000\r\n"
+        "Authorization: Bearer key-1\r\n\r\n".encode()
+    )
+    received = 0
+    with contextlib.suppress(OSError):
+        await reader.readuntil(b"\r\n\r\n")
+        started_at = loop.time()
+        while received < LARGE_BYTES:
+            wanted = LARGE_BYTES * (loop.time() - started_at) / read_s
+            while received < wanted:
+                data = await reader.read(RECEIVE_BUFFER_BYTES)
+                received += len(data)
+                if not data:
+                    return received
+            await asyncio.sleep(READ_INTERVAL_S)
+    writer.close()
+    return received
+
+
+def test_answers_that_callers_read_slowly_are_whole(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a stop that cuts large answers out of their buffers."""
+
+    async def main() -> list[int]:
+        fleet = soak.Fleet(tmp_path, random.Random(1))
+        fleet.route_timeout_s = 30.0
+        for upstream in fleet.upstreams:
+            upstream.body_bytes = LARGE_BYTES
+        row = fleet.gateways[0]
+        row.grace_s = GRACE_S
+        async with fleet.running():
+            reads = [
+                asyncio.ensure_future(
+                    _read_slowly(row.caller_address, number, read_s)
+                )
+                for number, read_s in enumerate((3.0, 4.0, 5.0, 6.0))
+            ]
+            await asyncio.sleep(STOP_AFTER_S)
+            row.signal(signal.SIGTERM)
+            received = await asyncio.gather(*reads)
+            assert await row.wait_exit(GRACE_S)
+            return received
+
+    assert asyncio.run(main()) == [LARGE_BYTES] * 4
