Keep a silent attempt open until another one answers

Cause: a stalled attempt was cancelled before another one had begun. If that was turned away, found no place or failed, nothing was left. Ruled out: the planned stop, which came after the cancellation, and the configuration; the fault shows in a simulation without either.

Change: the first attempt stays open beside the second. The one that continues first serves the caller. A stream that hasn't begun is moved once a second engine has accepted it. A silent upstream is avoided only while it is silent.

--- a/src/apricottrestle/gateway/exchange_host.py
+++ b/src/apricottrestle/gateway/exchange_host.py
@@ -47,14 +47,18 @@
 
     @abc.abstractmethod
     def start_call(
-        self, request: "exchange.Exchange", call: calls.UpstreamCall
+        self, sink: calls.ResponseSink, call: calls.UpstreamCall
     ) -> calls.Transfer:
-        """Starts an upstream call; the exchange receives the response."""
+        """Starts an upstream call; the sink receives the response."""
 
     @abc.abstractmethod
     def place_request(self, request: "exchange.Exchange") -> None:
         """Chooses an upstream, now or later, and calls `Exchange.send_to`."""
 
+    @abc.abstractmethod
+    def withdraw_request(self, request: "exchange.Exchange") -> None:
+        """Stops the choice of an upstream for a request."""
+
     @abc.abstractmethod
     def on_response_head(
         self, attempt: Attempt, head: calls.ResponseHead
@@ -83,6 +87,12 @@
                 the first one or several events arrived together.
         """
 
+    @abc.abstractmethod
+    def on_stalled(
+        self, request: "exchange.Exchange", attempt: Attempt
+    ) -> None:
+        """Called when an attempt's upstream has been silent for too long."""
+
     @abc.abstractmethod
     def on_answer_begun(self, request: "exchange.Exchange") -> None:
         """Called when an engine's answer has got past its beginning."""
@@ -125,8 +135,8 @@
         Args:
             request: The exchange.
             attempt: The attempt.
-            result: How the attempt failed, or None if it succeeded or was
-                cancelled by the gateway or the caller.
+            result: How the attempt failed, or None if it succeeded or ended
+                with its exchange.
             fault_address: Address of the upstream that caused the failure if
                 the response names one, or None.
         """
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -323,7 +323,14 @@
                 waiting=request in self._waiting,
                 response_started=request.response_started,
             )
-            self._end_for_shutdown(request)
+            self.withdraw_request(request)
+            request.end_with_error(
+                accept.UNAVAILABLE,
+                STOPPING,
+                self._stopping_retry_after_s(
+                    max(request.time_left_s(clock.now()), 0.0)
+                ),
+            )
 
     # Requests.
 
@@ -449,7 +456,7 @@
             if request in self._waiting:
                 self._refuse_bad_prompt(request)
             elif request.is_beginning:
-                request.refuse(accept.UNAVAILABLE, BAD_PROMPT, None)
+                request.end_with_error(accept.UNAVAILABLE, BAD_PROMPT, None)
 
     def _refuse_bad_prompt(self, request: exchange.Exchange) -> None:
         logs.decision(
@@ -458,7 +465,12 @@
             request_id=request.req.request_id,
             **self._describe_verdict(request.req),
         )
-        self._refuse_waiting(request, BAD_PROMPT, BAD_PROMPT_RETRY_AFTER_S)
+        self._remove_waiting(request)
+        self._record_placement(request, on_time=False)
+        metrics.REFUSALS.labels(BAD_PROMPT).inc()
+        request.end_with_error(
+            accept.UNAVAILABLE, BAD_PROMPT, BAD_PROMPT_RETRY_AFTER_S
+        )
 
     def _refuse_stopping(self, req: calls.CallerRequest) -> accept.Refused:
         """Refuses a request; it returns when another gateway can serve it."""
@@ -485,16 +497,6 @@
             )
         return retry_after_s
 
-    def _end_for_shutdown(self, request: exchange.Exchange) -> None:
-        """Ends a request that can't be served before a shutdown ends."""
-        retry_after_s = self._stopping_retry_after_s(
-            max(request.time_left_s(clock.now()), 0.0)
-        )
-        if request in self._waiting:
-            self._refuse_waiting(request, STOPPING, retry_after_s)
-        else:
-            request.refuse(accept.UNAVAILABLE, STOPPING, retry_after_s)
-
     def _refuse_outlasting(self, now: float) -> None:
         """Refuses waiting requests that a shutdown leaves no time for.
 
@@ -520,7 +522,13 @@
                 now + needs.time_left_s > self.serve_until
                 and now + wait_s + service_s > self.serve_until
             ):
-                self._end_for_shutdown(request)
+                self._refuse_waiting(
+                    request,
+                    STOPPING,
+                    self._stopping_retry_after_s(
+                        max(request.time_left_s(now), 0.0)
+                    ),
+                )
             else:
                 work_ahead_s[service.name] += engine_routing.min_prefill_s(
                     needs, service.engine, 1
@@ -564,15 +572,15 @@
     # Callbacks of the exchanges.
 
     def start_call(
-        self, request: exchange.Exchange, call: calls.UpstreamCall
+        self, sink: calls.ResponseSink, call: calls.UpstreamCall
     ) -> calls.Transfer:
         """See ExchangeHost.start_call."""
-        return self._client.send(call, request)
+        return self._client.send(call, sink)
 
     def place_request(self, request: exchange.Exchange) -> None:
         """See ExchangeHost.place_request."""
         if request.tried_upstreams and self._is_bad_prompt(request.req):
-            request.refuse(
+            request.end_with_error(
                 accept.UNAVAILABLE, BAD_PROMPT, BAD_PROMPT_RETRY_AFTER_S
             )
             return
@@ -583,6 +591,11 @@
         if not self._refuse_limited(request, clock.now()):
             self.run_scheduling_pass()
 
+    def withdraw_request(self, request: exchange.Exchange) -> None:
+        """See ExchangeHost.withdraw_request."""
+        if request in self._waiting:
+            self._remove_waiting(request)
+
     def consume_retry(self, request: exchange.Exchange) -> bool:
         """See ExchangeHost.consume_retry."""
         return self._retry_budget(request.accepted.service.name).consume_retry(
@@ -687,6 +700,7 @@
         if model is None:
             return
         now = clock.now()
+        self._health.record_heard(attempt.upstream_id, now)
         self.probation.clear(attempt.upstream_id)
         state = self.load.state(attempt.upstream_id)
         if gap_s is not None and state.runs:
@@ -696,6 +710,24 @@
             self.slowdowns.record_gap(attempt.upstream_id, gap_s, pass_s, now)
         state.record_event(model, now, now)
 
+    def on_stalled(
+        self, request: exchange.Exchange, attempt: exchange_host.Attempt
+    ) -> None:
+        """See ExchangeHost.on_stalled."""
+        now = clock.now()
+        was_ejected = self._health.is_ejected(attempt.upstream_id, now)
+        ejection_s = self._health.record_stall(
+            attempt.upstream_id, attempt.started_at, now
+        )
+        if not was_ejected:
+            logs.decision(
+                _LOG,
+                "upstream silent",
+                request_id=request.req.request_id,
+                upstream=attempt.upstream_id,
+                aside_s=round(ejection_s, 3),
+            )
+
     def on_answer_begun(self, request: exchange.Exchange) -> None:
         """See ExchangeHost.on_answer_begun."""
         self.crashes.answer_begun(request.req)
@@ -773,6 +805,8 @@
                 return
             self._health.record_success(attempt.upstream_id, now)
             return
+        if result is retry_policy.AttemptResult.WITHDRAWN:
+            return
         upstream_id = attempt.upstream_id
         if fault_address is not None and fault_address != attempt.address:
             upstream_id = (
@@ -877,11 +911,16 @@
     ) -> list[upstream_list.UpstreamEntry]:
         """Returns the upstreams of a service that may be chosen.
 
-        Those whose limit is used up may not. Prefers upstreams that the request
+        Those whose limit is used up may not, and neither may one at which the
+        request is, but has fallen silent. Prefers upstreams that the request
         has not tried and that are not ejected, then any that it has not tried,
         then all usable upstreams.
         """
-        usable = self._send_gate.allowed(service, now)
+        usable = [
+            entry
+            for entry in self._send_gate.allowed(service, now)
+            if entry.upstream_id != request.stalled_upstream
+        ]
         for choice in (
             [
                 entry
@@ -1312,7 +1351,7 @@
         helpers = [members.get(helper) for helper in run.helpers]
         now = clock.now()
         if (
-            request.done
+            not request.needs_upstream
             or entry is None
             or None in helpers
             # An upstream may have said so while memory was reserved.
@@ -1386,7 +1425,7 @@
         self.load.remove_run(run.run_id)
         self.listener.run_ended(run.run_id)
         self._holds.release(run.run_id)
-        if not request.done:
+        if request.needs_upstream:
             self.place_request(request)
 
     # Upstreams.
--- a/src/apricottrestle/gateway/retry_policy.py
+++ b/src/apricottrestle/gateway/retry_policy.py
@@ -30,6 +30,12 @@
     LOST = "lost"
     """No valid response; the request may have run."""
 
+    STALLED = "stalled"
+    """Another upstream answered while this one was silent."""
+
+    WITHDRAWN = "withdrawn"
+    """The upstream was asked in vain, as a silent one has gone on."""
+
 
 class NextAction(enum.Enum):
     """What to do with a request after a failed attempt."""
--- a/src/apricottrestle/gateway/upstream_health.py
+++ b/src/apricottrestle/gateway/upstream_health.py
@@ -5,6 +5,9 @@
 estimated failure rate, which decays. A call without any answer also ejects the
 upstream from routing, for a time that doubles with each such call until one
 succeeds. After that time requests are sent to the upstream again.
+
+A sound upstream may be silent for a while, too. Calls that stall eject it for
+as long as it has been silent already, and the next sign of life ends that.
 """
 
 import math
@@ -31,6 +34,8 @@
         "ejected_until",
         "ejection_s",
         "failures",
+        "heard_at",
+        "silent_since",
         "updated_at",
     )
 
@@ -40,6 +45,8 @@
         self.updated_at = 0.0
         self.ejected_until = 0.0
         self.ejection_s = 0.0
+        self.heard_at = -math.inf
+        self.silent_since: float | None = None
 
     def decay(self, now: float) -> None:
         factor = math.pow(
@@ -77,6 +84,8 @@
         counts.calls += 1
         counts.ejection_s = 0.0
         counts.ejected_until = 0.0
+        counts.heard_at = now
+        counts.silent_since = None
 
     def record_failure(
         self, upstream_id: str, now: float, *, lost: bool
@@ -98,12 +107,45 @@
         counts.failures += 1
         if not lost:
             return 0.0
+        counts.silent_since = None
         counts.ejection_s = min(
             max(2 * counts.ejection_s, EJECTION_MIN_S), EJECTION_MAX_S
         )
         counts.ejected_until = now + counts.ejection_s
         return counts.ejection_s
 
+    def record_heard(self, upstream_id: str, now: float) -> None:
+        """Records a sign of life; ends the ejection of a silent upstream."""
+        counts = self._counts.setdefault(upstream_id, _CallCounts())
+        counts.heard_at = now
+        if counts.silent_since is not None:
+            counts.silent_since = None
+            counts.ejection_s = 0.0
+            counts.ejected_until = 0.0
+
+    def record_stall(
+        self, upstream_id: str, started_at: float, now: float
+    ) -> float:
+        """Records that the upstream is silent during a call.
+
+        Args:
+            upstream_id: Id of the upstream.
+            started_at: Monotonic time at which the call was sent.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The ejection time in seconds.
+        """
+        counts = self._counts.setdefault(upstream_id, _CallCounts())
+        if counts.silent_since is None:
+            counts.silent_since = max(started_at, counts.heard_at)
+        counts.ejection_s = max(
+            min(max(now - counts.silent_since, EJECTION_MIN_S), EJECTION_MAX_S),
+            counts.ejected_until - now,
+        )
+        counts.ejected_until = now + counts.ejection_s
+        return counts.ejection_s
+
     def forget(self, upstream_id: str) -> None:
         """Drops the counts of an upstream that is gone or has restarted."""
         self._counts.pop(upstream_id, None)
--- a/src/apricottrestle_standins/platform/upstream_http.py
+++ b/src/apricottrestle_standins/platform/upstream_http.py
@@ -80,6 +80,8 @@
         limit_per_s: Limit that responses name, in requests per second, or None.
         is_leaving: Whether all answers say that it leaves.
         refuses_until: Time until which it turns requests away, and says so.
+        silent_until: Time until which it sends nothing, and then goes on.
+        is_full: Whether it turns all requests away, without a time to return.
         crashing_parts: Parts of prompts that crash the engine.
         crashing_bodies: Bodies of requests that crash the upstream.
         on_prompt_crash: Called with the part or body that has crashed it.
@@ -89,6 +91,8 @@
     limit_per_s: float | None = None
     is_leaving = False
     refuses_until = 0.0
+    silent_until = 0.0
+    is_full = False
     crashing_parts: frozenset[str] = frozenset()
     crashing_bodies: frozenset[bytes] = frozenset()
     on_prompt_crash: Callable[["Upstream", str], None]
@@ -216,6 +220,13 @@
                 "Content-Length: 0\r\n\r\n".encode()
             )
             return True
+        if self.is_full:
+            writer.write(
+                f"HTTP/1.1 503 X\r\nApricottrestle-Attempt-Id: {request_id}\r\n"
+                "Apricottrestle-Not-Executed: 1\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            return True
         resume_after = int(headers.get("last-event-id", "0"))
         self._run_ledger.runs.append(
             ledger.RunRecord(
@@ -240,6 +251,7 @@
             )
         if not self.streams:
             await asyncio.sleep(self.service_time_s)
+            await self._wait_silently()
             if self._crash_by_request(received):
                 return False
             if self._rng.random() < self.answer_loss_rate:
@@ -257,6 +269,7 @@
         if self._crash_by_request(received):
             return False
         for number in range(resume_after + 1, events + 1):
+            await self._wait_silently()
             self._write_body(writer, f"id: {number}\ndata: x\n\n".encode())
             await writer.drain()
             if reader.at_eof():
@@ -265,6 +278,12 @@
         self._write_body(writer, b"")
         return self.frames_answers
 
+    async def _wait_silently(self) -> None:
+        """Waits until the upstream is no longer silent."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < self.silent_until:
+            await asyncio.sleep(self.silent_until - loop.time())
+
     def _note(self, request_id: str, wait_s: float | None) -> None:
         """Records that an answer says that it leaves, or wants nothing."""
         self._run_ledger.notices.append(
--- a/tests/test_world_stops.py
+++ b/tests/test_world_stops.py
@@ -459,6 +459,7 @@
         tokens: Length of each prompt.
         stop_after_s: Time from the last prompt until the stop.
         stops_all: Whether all gateways are stopped, not just the prompts'.
+        hangs: Whether the engines answer nothing.
     """
 
     engines: int
@@ -467,6 +468,7 @@
     tokens: int
     stop_after_s: float
     stops_all: bool = False
+    hangs: bool = False
 
 
 QUEUES = {
@@ -478,6 +480,7 @@
     "alone": Queue(2, 1, 5, 300_000, 0.5),
     "all-stop": Queue(2, 2, 12, 300_000, 0.5, stops_all=True),
     "one-engine": Queue(1, 2, 8, 200_000, 0.5),
+    "engines-that-hang": Queue(2, 2, 8, 100_000, 0.5, hangs=True),
 }
 
 
@@ -496,6 +499,9 @@
     async def main() -> ledger.Ledger:
         fleet = world.World(site, 3)
         fleet.max_retries = 0
+        if queue.hangs:
+            for engine in fleet.engines:
+                engine.silent_until = math.inf
 
         async def stop() -> None:
             await asyncio.sleep(0.2 * queue.prompts + queue.stop_after_s)
@@ -520,8 +526,11 @@
         for attempt in attempts
         if attempt.status == 503 and attempt.ended_s is not None
     ]
-    # What can't be served before the end is refused long before it.
-    assert any(at_s < stopped_s + 1.0 for at_s in refused_s)
-    assert len(refused_s) == len(
-        [each for each in records.requests if not each[0].event_ids]
-    )
+    answered = [attempts[0].status is not None for attempts in records.requests]
+    assert all(answered)
+    if not queue.hangs:
+        # What can't be served before the end is refused long before it.
+        assert any(at_s < stopped_s + 1.0 for at_s in refused_s)
+        assert len(refused_s) == len(
+            [each for each in records.requests if not each[0].event_ids]
+        )
