Bound the answers to questions and reservations of a gateway

Callers would see: a gateway that runs out of memory and ends with all its requests, because a faulty upstream answers a report, a reservation or a release without end.

Cause: these calls used the client of the requests, which limits a body to 64 MiB; that is passed on piece by piece, while a report is kept whole. Ruled out: heads without end (libcurl ends them) and slow bodies (the time limit does).

Change: a client of their own, with a limit of 256 KiB and 64 calls at a time.

--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -56,8 +56,15 @@
 MAX_CONCURRENT_TRANSFERS: Final = 256
 """Number of concurrent transfers; tornado queues further transfers."""
 
+MAX_CONCURRENT_REPORTS: Final = 64
+"""Number of concurrent questions and reservations; further ones wait."""
+
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 
+MAX_REPORT_BYTES: Final = 256 * 1024
+"""Limit of the answer to a question or reservation, which is buffered; a report
+with as many reservations as an engine grants is a tenth as long."""
+
 MAX_HEAD_BYTES: Final = 32 * 1024
 """Limit of a response's status line and headers; far above any real head."""
 
@@ -393,6 +400,11 @@
             max_clients=MAX_CONCURRENT_TRANSFERS,
             max_body_size=MAX_BODY_BYTES,
         )
+        self._reports = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True,
+            max_clients=MAX_CONCURRENT_REPORTS,
+            max_body_size=MAX_REPORT_BYTES,
+        )
 
     def send(
         self, call: calls.UpstreamCall, sink: calls.ResponseSink
@@ -414,7 +426,7 @@
             prepare_curl_callback=_use_own_connection,
         )
         try:
-            response = await self._client.fetch(req, raise_error=False)
+            response = await self._reports.fetch(req, raise_error=False)
         except curl_httpclient.CurlError as exc:
             refused = exc.errno == pycurl.E_COULDNT_CONNECT
             return "ended" if refused else "unknown"
@@ -465,7 +477,7 @@
         )
         try:
             # Raises if there is no response, whatever `raise_error` is.
-            response = await self._client.fetch(req, raise_error=False)
+            response = await self._reports.fetch(req, raise_error=False)
         except curl_httpclient.CurlError as exc:
             raise errors.UpstreamError(
                 f"no response to the reservation request: {exc}",
--- a/tests/test_platform_endless_bytes.py
+++ b/tests/test_platform_endless_bytes.py
@@ -197,6 +197,40 @@
     assert script.sent_bytes <= 8 * MAX_SENT_BYTES
 
 
+@pytest.mark.parametrize("call", ["probe", "reserve", "release"])
+@pytest.mark.parametrize(
+    ("start", "part", "pause_s"),
+    [
+        pytest.param(b"", b"x" * 9000, FAST, id="status line"),
+        pytest.param(HEAD, b"A: b\r\n" * 900, FAST, id="headers"),
+        pytest.param(HEAD + b"\r\n", b"x" * 90_000, FAST, id="body"),
+        pytest.param(HEAD + b"\r\n", b"x", SLOW, id="slow body"),
+    ],
+)
+@async_helpers.async_test
+async def test_report_or_order_without_end_is_no_answer(
+    start: bytes, part: bytes, pause_s: float, call: str
+) -> None:
+    """Guards against an engine's report that fills the memory of a gateway."""
+    script = _Endless(start, part, pause_s)
+    loop = asyncio.get_running_loop()
+    async with _server(script.send) as address:
+        client = upstream_client.HttpUpstreamClient()
+        reservation = calls.Reservation("r-1", address, "up-1", 1000, 1.0)
+        began_at = loop.time()
+        if call == "probe":
+            assert await client.probe("up-1", address, 1) == "unknown"
+        else:
+            with pytest.raises(errors.UpstreamError):
+                if call == "reserve":
+                    await client.reserve(reservation)
+                else:
+                    await client.release(reservation)
+        took_s = loop.time() - began_at
+    assert took_s < 2 * upstream_client.RESERVATION_TIMEOUT_S
+    assert script.sent_bytes <= MAX_SENT_BYTES
+
+
 def _free_addresses() -> tuple[str, str]:
     """Returns two loopback addresses whose ports are free."""
     with socket.socket() as first, socket.socket() as second:
