Fail open calls when a client of the platform's services is closed

Cause: closing tornado's client drops the futures of open calls. The task that follows the configuration waited for its long poll for ever, without a time limit or an exception. Ruled out: the ranks of the readers, the store itself.

Change: closing the client fails its open calls, and each call has a limit of its own beside libcurl's.

--- a/src/apricottrestle/platform_http.py
+++ b/src/apricottrestle/platform_http.py
@@ -1,10 +1,12 @@
 """HTTP client of the platform's services, with typed errors.
 
-Invariant: a call with `appends` raises a plain PlatformError only if the
-service can't have processed it.
+Invariants: a call with `appends` raises a plain PlatformError only if the
+service can't have processed it. Each call ends within its time limit, and when
+the client is closed.
 """
 
-from typing import Final, TypeVar
+import asyncio
+from typing import Any, Final, TypeVar
 
 import msgspec
 import pycurl
@@ -14,12 +16,18 @@
 
 _CONNECT_TIMEOUT_S: Final = 1.0
 _DEFAULT_RETRY_AFTER_S: Final = 1.0
+_LIMIT_MARGIN_S: Final = 0.5
+"""Time after a call's limit at which it is given up if libcurl hasn't ended
+it."""
+
 _MAX_CONCURRENT_CALLS: Final = 4
 _MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 """Limit of a response's body; several times the largest page of records."""
 
 _HTTP_TOO_MANY_REQUESTS: Final = 429
 _HTTP_SERVICE_UNAVAILABLE: Final = 503
+_NO_RESPONSE: Final = 599
+"""Tornado's status of a call without a response."""
 
 _NOT_SENT: Final = frozenset(
     (
@@ -48,6 +56,7 @@
         self._peer = peer
         self._timeout_s = timeout_s
         self._client: httpclient.AsyncHTTPClient | None = None
+        self._closed: asyncio.Future[None] | None = None
 
     async def call(
         self,
@@ -110,7 +119,7 @@
             follow_redirects=False,
         )
         try:
-            response = await self._get_client().fetch(req, raise_error=False)
+            response = await self._fetch(req)
         except httpclient.HTTPError as exc:
             # No response: curl failed, or the call timed out.
             raise self._make_error(
@@ -119,15 +128,50 @@
         self._raise_for_status(response, step, appends)
         return response
 
+    async def _fetch(
+        self, req: httpclient.HTTPRequest
+    ) -> httpclient.HTTPResponse:
+        """Waits for a response, for the end of the time or of the client.
+
+        Tornado drops the futures of open calls when a client is closed.
+
+        Raises:
+            HTTPError: There is no response.
+        """
+        client = self._get_client()
+        closed = self._closed
+        assert closed is not None
+        fut = asyncio.ensure_future(client.fetch(req, raise_error=False))
+        limit_s = (req.request_timeout or self._timeout_s) + _LIMIT_MARGIN_S
+        waiters: set[asyncio.Future[Any]] = {fut, closed}
+        try:
+            await asyncio.wait(
+                waiters,
+                timeout=limit_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if fut.done():
+                return fut.result()
+        finally:
+            fut.cancel()
+        reason = "client closed" if closed.done() else "no response in time"
+        raise httpclient.HTTPError(_NO_RESPONSE, reason)
+
     def close(self) -> None:
-        """Closes the connections; later calls open new ones."""
+        """Closes the connections and fails open calls.
+
+        Later calls open new connections.
+        """
         if self._client is not None:
             self._client.close()
             self._client = None
+        if self._closed is not None and not self._closed.done():
+            self._closed.set_result(None)
 
     def _get_client(self) -> httpclient.AsyncHTTPClient:
         # Created at first use, because the client needs the running event loop.
         if self._client is None:
+            self._closed = asyncio.get_running_loop().create_future()
             self._client = curl_httpclient.CurlAsyncHTTPClient(
                 force_instance=True,
                 max_clients=_MAX_CONCURRENT_CALLS,
--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -323,6 +323,38 @@
     ]
 
 
+ENDED_STATUSES = (500, 502)
+
+
+def find_ended_answers(ledger: Ledger, grace_s: float) -> list[str]:
+    """Returns requests that ended early although nothing failed.
+
+    For runs in which upstreams and gateways are sound. Requests that a stopping
+    gateway has are judged by the checks of stops.
+    """
+    passed_on = {delivery.request_id for delivery in ledger.deliveries}
+    return [
+        f"LOST {attempt.arrival.kind.name} {attempt.request_id}: status "
+        f"{attempt.status}, broken {attempt.broken}, after "
+        f"{attempt.ended_s - attempt.sent_s:.2f} s, from {attempt.gateway}"
+        for attempts in ledger.requests
+        for attempt in attempts
+        if (attempt.broken or attempt.status in ENDED_STATUSES)
+        and attempt.gateway
+        and attempt.ended_s is not None
+        and not _reached_deadline(attempts, attempt)
+        and (
+            attempt.request_id in passed_on
+            or attempt.ended_s - attempt.sent_s > LOSS_SLACK_S
+        )
+        and not any(
+            name == attempt.gateway
+            and stopped_s <= attempt.ended_s <= stopped_s + grace_s + 1.0
+            for name, stopped_s in ledger.stops
+        )
+    ]
+
+
 NOTICE_DELAY_S = 0.5
 """Time after a refusal in which requests may still be on their way."""
 
--- a/src/apricottrestle_standins/platform/soak.py
+++ b/src/apricottrestle_standins/platform/soak.py
@@ -118,6 +118,22 @@
 """Runs with series of stops: grace period, duration, series at least, time
 until the platform starts a process again, and what comes beside."""
 
+PLANNED_TRAFFIC_S: Final = 16.0
+PLANNED_FAULTS: Final = (
+    "roll",
+    "term",
+    "hup",
+    "new_config",
+    "move_store",
+    "silence",
+    "silence",
+)
+MAX_SILENCE_S: Final = 1.4
+FULL_SHARE: Final = 0.5
+"""Runs with planned work beside sound upstreams that fall silent: duration,
+what comes, longest silence, and share of silent upstreams that turn other
+requests away meanwhile."""
+
 SETTLE_S: Final = 3.0
 """Time after a disturbance in which a gateway may act on old state, by the
 platform's rules."""
@@ -164,7 +180,10 @@
 
 
 class _GatewayProcess:
-    """A gateway process with its settings and its proxy to the store."""
+    """A gateway process with its settings and its proxies to the store.
+
+    Both proxies serve; the settings name the first one.
+    """
 
     def __init__(
         self, number: int, ports: list[int], directory: pathlib.Path
@@ -175,6 +194,7 @@
         self.settings = directory / f"gateway-{number}.toml"
         self.log = directory / f"gateway-{number}.log"
         self.proxy: fault_proxy.FaultProxy | None = None
+        self.spare_proxy: fault_proxy.FaultProxy | None = None
         self.popen: subprocess.Popen[bytes] | None = None
         self.budget_slack = 100
         self.grace_s = GRACE_S
@@ -307,6 +327,10 @@
             for row in self.gateways:
                 row.proxy = fault_proxy.FaultProxy(f"127.0.0.1:{server.port}")
                 await stack.enter_async_context(row.proxy)
+                row.spare_proxy = fault_proxy.FaultProxy(
+                    f"127.0.0.1:{server.port}"
+                )
+                await stack.enter_async_context(row.spare_proxy)
                 row.write_settings()
                 row.start()
                 stack.callback(row.kill)
@@ -471,6 +495,24 @@
         row.write_settings()
         row.signal(signal.SIGHUP)
 
+    async def _move_store(self, _duration_s: float) -> None:
+        """Changes the store's address in the settings of all gateways."""
+        for row in self.gateways:
+            row.proxy, row.spare_proxy = row.spare_proxy, row.proxy
+            row.write_settings()
+            row.signal(signal.SIGHUP)
+
+    async def _silence(self, duration_s: float) -> None:
+        """Lets upstreams fall silent for a while, and then go on."""
+        loop = asyncio.get_running_loop()
+        silent = self._rng.sample(self.upstreams, self._rng.randint(1, 3))
+        for upstream in silent:
+            upstream.silent_until = loop.time() + min(duration_s, MAX_SILENCE_S)
+            upstream.is_full = self._rng.random() < FULL_SHARE
+        await asyncio.sleep(min(duration_s, MAX_SILENCE_S))
+        for upstream in silent:
+            upstream.is_full = False
+
     async def _new_config(self, _duration_s: float) -> None:
         self.publish()
 
@@ -729,6 +771,12 @@
                     f"CONFIG gateway {row.number}: {status} for a new route"
                 )
 
+    def forget_probes(self) -> None:
+        """Removes the runs of the checks of the configuration."""
+        self.run_ledger.runs = [
+            run for run in self.run_ledger.runs if run.request_id != PROBE_ID
+        ]
+
 
 async def _probe_status(address: str, target: str) -> int:
     """Sends a probe request; returns the status of the response."""
@@ -766,9 +814,7 @@
         )
         await fleet.wait_all_ready()
         await fleet.check_configuration()
-    fleet.run_ledger.runs = [
-        run for run in fleet.run_ledger.runs if run.request_id != PROBE_ID
-    ]
+    fleet.forget_probes()
     problems = fleet.problems + ledger.find_violations(fleet.run_ledger)
     problems += _check_served(fleet.run_ledger, planned=seed % 3 == 0)
     return problems
@@ -842,9 +888,7 @@
         # A read that the store left without an answer may still be open.
         await asyncio.sleep(SETTLE_S)
         await fleet.check_configuration()
-    fleet.run_ledger.runs = [
-        run for run in fleet.run_ledger.runs if run.request_id != PROBE_ID
-    ]
+    fleet.forget_probes()
     problems = fleet.problems + ledger.find_violations(fleet.run_ledger)
     problems += _check_served(fleet.run_ledger, planned=False)
     if fleet.store.history == 1:
@@ -878,6 +922,37 @@
     return problems
 
 
+async def run_planned_seed(seed: int, directory: pathlib.Path) -> list[str]:
+    """Does a run with planned work and silent upstreams; returns its problems.
+
+    No answer may end early, as nothing fails.
+    """
+    rng = random.Random(seed + 1)
+    fleet = Fleet(directory, rng)
+    for row in fleet.gateways:
+        row.grace_s = STOP_GRACE_S
+        row.start_pause_s = STOP_PAUSE_S
+    faults = generate_faults(seed, PLANNED_TRAFFIC_S, PLANNED_FAULTS)
+    faults += [
+        Fault(rng.uniform(0.5, PLANNED_TRAFFIC_S * 0.7), kind, 1.0)
+        for kind in ("silence", "move_store")
+    ]
+    async with fleet.running():
+        await asyncio.gather(
+            fleet.inject(sorted(faults)),
+            fleet.send_requests(PLANNED_TRAFFIC_S),
+        )
+        await fleet.wait_all_ready()
+        await fleet.check_configuration()
+    fleet.forget_probes()
+    problems = fleet.problems + ledger.find_violations(fleet.run_ledger)
+    problems += ledger.find_cut_requests(fleet.run_ledger, STOP_GRACE_S)
+    problems += ledger.find_unanswered_requests(fleet.run_ledger, STOP_GRACE_S)
+    problems += ledger.find_ended_answers(fleet.run_ledger, STOP_GRACE_S)
+    problems += _check_served(fleet.run_ledger, planned=False)
+    return problems
+
+
 async def run_notice_seed(seed: int, directory: pathlib.Path) -> list[str]:
     """Does a run with upstreams that say something of themselves."""
     rng = random.Random(seed + 1)
@@ -1006,6 +1081,11 @@
         action="store_true",
         help="runs with series of stops of all gateways",
     )
+    parser.add_argument(
+        "--planned",
+        action="store_true",
+        help="runs with planned work beside upstreams that fall silent",
+    )
     args = parser.parse_args()
     run, length_s = run_seed, TRAFFIC_S
     kinds: tuple[str, ...] = ()
@@ -1021,6 +1101,9 @@
         run, length_s, kinds = run_notice_seed, NOTICE_TRAFFIC_S, NOTICE_FAULTS
     elif args.stops:
         run, length_s, kinds = run_stop_seed, STOP_TRAFFIC_S, STOP_FAULTS
+    elif args.planned:
+        run, length_s = run_planned_seed, PLANNED_TRAFFIC_S
+        kinds = PLANNED_FAULTS
     failed = 0
     for seed in range(args.first, args.first + args.seeds):
         with tempfile.TemporaryDirectory() as temp:
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -247,3 +247,42 @@
                 http.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("appends", "error"),
+    [(False, errors.PlatformError), (True, errors.AppendUnknownError)],
+)
+def test_open_call_ends_when_its_client_is_closed(
+    appends: bool, error: type[errors.PlatformError]
+) -> None:
+    """Guards against a caller that waits for ever for a closed client."""
+
+    async def main() -> None:
+        async with _running_server(None) as url:
+            client = platform_http.PlatformHttpClient(url, "store", 20.0)
+            call = asyncio.ensure_future(
+                client.call("POST", "/x", "read", body=b"1", appends=appends)
+            )
+            await asyncio.sleep(0.1)
+            client.close()
+            with pytest.raises(error) as info:
+                await asyncio.wait_for(call, 1.0)
+            assert type(info.value) is error
+            client.close()
+
+    asyncio.run(main())
+
+
+def test_client_works_after_it_was_closed() -> None:
+    """Guards against a client that fails all calls after it was closed."""
+
+    async def main() -> None:
+        async with _running_server(_http_response("200 OK", "{}")) as url:
+            client = platform_http.PlatformHttpClient(url, "store", 5.0)
+            assert await client.call("GET", "/x", "read") == b"{}"
+            client.close()
+            assert await client.call("GET", "/x", "read") == b"{}"
+            client.close()
+
+    asyncio.run(main())
--- a/tests/test_soak_days.py
+++ b/tests/test_soak_days.py
@@ -125,3 +125,15 @@
     Upstreams leave or turn requests away for a time, and say so in answers.
     """
     assert asyncio.run(soak.run_notice_seed(seed, tmp_path)) == []
+
+
+@pytest.mark.parametrize("seed", [0, 1])
+def test_soak_run_with_planned_work_and_silent_upstreams(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    """Guards against answers that end early although nothing has failed.
+
+    Gateways are stopped and reloaded, the store's address changes, and sound
+    upstreams are silent for up to 1.4 s.
+    """
+    assert asyncio.run(soak.run_planned_seed(seed, tmp_path)) == []
