Believe an upstream that starts again with an earlier clock

Cause: an entry with an earlier start time than the known one was dropped as a delayed record, for good. Ruled out: the order of the records.

Change: a whole list, or two records in a row without one of the known start in between, settle which start is the present one. Lists of a store that came back from a copy don't. The question whether a process runs compares start times for equality.

--- a/src/apricottrestle/gateway/upstream_list.py
+++ b/src/apricottrestle/gateway/upstream_list.py
@@ -9,8 +9,14 @@
 since. They are held back until a later record of theirs is read, or until the
 store would have removed the entry of an upstream that doesn't renew it.
 
+An upstream that starts again under its id may have an earlier start time than
+before, as clocks step back. So may a delayed record of its previous start,
+which is followed by records of the present one. A start time that is earlier
+than the known one is therefore believed once it is read in a whole list, or in
+two records without one of the known start in between.
+
 Invariant: an upstream that is draining, or whose entry was removed while the
-store was available, isn't usable until an entry of a later start is read.
+store was available, isn't usable until an entry of another start is read.
 """
 
 import collections
@@ -91,14 +97,17 @@
         entry: Latest entry.
         state: State of the upstream.
         lapses_at: Monotonic time at which a lapsed upstream is removed.
+        doubted_start_ms: Start time in the latest record if it is earlier than
+            that of the entry, or None.
     """
 
-    __slots__ = ("entry", "lapses_at", "state")
+    __slots__ = ("doubted_start_ms", "entry", "lapses_at", "state")
 
     def __init__(self, entry: UpstreamEntry) -> None:
         self.entry = entry
         self.state: State = "draining" if entry.draining else "ready"
         self.lapses_at = 0.0
+        self.doubted_start_ms: int | None = None
 
 
 class _Departed(NamedTuple):
@@ -231,7 +240,7 @@
             if upstream_id in listed
         }
         changes = [
-            self._upsert(entry)
+            self._upsert(entry, settles=not copied)
             for entry in listed.values()
             if not self._hold_back(entry, now, copied=copied)
         ]
@@ -266,7 +275,7 @@
             if entry is None:
                 changes.append(self._remove(upstream_id, now, "entry removed"))
             else:
-                changes.append(self._upsert(entry))
+                changes.append(self._upsert(entry, doubts=not copied))
         return self._commit(changes)
 
     def merge_peer_entries(
@@ -316,16 +325,34 @@
             self._grace_ends_at = now + LAPSED_GRACE_S
         self._store_answered_at = now
 
-    def _upsert(self, entry: UpstreamEntry) -> Change | None:
+    def _upsert(
+        self,
+        entry: UpstreamEntry,
+        *,
+        settles: bool = False,
+        doubts: bool = False,
+    ) -> Change | None:
+        """Adds or updates an upstream.
+
+        Args:
+            entry: Its entry.
+            settles: Whether the entry is its newest record in the store.
+            doubts: Whether the entry is one of its records, in their order.
+        """
         member = self._members.get(entry.upstream_id)
         if member is None:
             member = self._members[entry.upstream_id] = _Member(entry)
             return Change(
                 entry.upstream_id, None, member.state, False, "listed"
             )
-        restarted = entry.started_at_ms > member.entry.started_at_ms
-        if entry.started_at_ms < member.entry.started_at_ms:
-            return None
+        restarted = entry.started_at_ms != member.entry.started_at_ms
+        if entry.started_at_ms < member.entry.started_at_ms and not settles:
+            is_repeated = entry.started_at_ms == member.doubted_start_ms
+            if doubts:
+                member.doubted_start_ms = entry.started_at_ms
+            if not (doubts and is_repeated):
+                return None
+        member.doubted_start_ms = None
         before = member.state
         if before == "draining" and not restarted and not entry.draining:
             # A delayed entry of the same start doesn't undo the draining state.
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -433,7 +433,7 @@
         is_other = (
             response.code == _HTTP_MISDIRECTED_REQUEST
             or (codec.decode_start_time_ms(response.body) or started_at_ms)
-            > started_at_ms
+            != started_at_ms
         )
         return "ended" if is_other else "running"
 
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -225,3 +225,75 @@
     reader.replace(listing, 0.5, copied=True)
     peer.apply(changes, 0.5, copied=True)
     assert reader.entries() == peer.entries()
+
+
+EARLIER = READY._replace(address="127.0.0.1:2", started_at_ms=1)
+KNOWN = READY._replace(started_at_ms=5)
+"""The start that is known, and one whose clock has gone back."""
+
+
+@pytest.mark.parametrize(
+    ("records", "address", "usable"),
+    [
+        pytest.param([EARLIER], KNOWN.address, True, id="one record"),
+        pytest.param(
+            [EARLIER, EARLIER], EARLIER.address, True, id="two records"
+        ),
+        pytest.param(
+            [EARLIER, KNOWN, EARLIER], KNOWN.address, True, id="in between"
+        ),
+        pytest.param(
+            [EARLIER, KNOWN, EARLIER, EARLIER, KNOWN],
+            KNOWN.address,
+            True,
+            id="believed, and then the known one again",
+        ),
+        pytest.param(
+            [EARLIER, EARLIER._replace(draining=True)],
+            None,
+            False,
+            id="leaves",
+        ),
+        pytest.param(
+            [EARLIER, EARLIER, EARLIER._replace(draining=True), EARLIER],
+            None,
+            False,
+            id="leaves, and a delayed record",
+        ),
+        pytest.param(
+            [KNOWN._replace(draining=True), EARLIER],
+            None,
+            False,
+            id="known one leaves, one record",
+        ),
+        pytest.param(
+            [KNOWN._replace(draining=True), EARLIER, EARLIER],
+            EARLIER.address,
+            True,
+            id="known one leaves, two records",
+        ),
+    ],
+)
+def test_start_with_an_earlier_clock_is_believed(
+    records: list[upstream_list.UpstreamEntry],
+    address: str | None,
+    usable: bool,
+) -> None:
+    """Guards against an upstream that is taken for its own past for good."""
+    members = upstream_list.Membership(LEASE_S)
+    members.replace([KNOWN], 0.0)
+    for number, record in enumerate(records):
+        members.apply([("up-1", record)], 0.1 * number)
+    assert bool(_ids(members)) == usable
+    entry = members.get("up-1")
+    assert (entry.address if entry else None) == address
+
+
+@pytest.mark.parametrize("copied", [False, True])
+def test_whole_list_settles_which_start_is_present(copied: bool) -> None:
+    """Guards against an earlier start in a list that isn't a copy."""
+    members = upstream_list.Membership(LEASE_S)
+    members.replace([KNOWN], 0.0)
+    changes = members.replace([EARLIER], 1.0, copied=copied)
+    assert [change.restarted for change in changes] == [True] * (not copied)
+    assert members.entries() == [KNOWN if copied else EARLIER]
--- a/tests/test_platform_upstream_client.py
+++ b/tests/test_platform_upstream_client.py
@@ -338,6 +338,8 @@
     [
         (_answer_report, "up-1", 5, "running"),
         (_answer_report, "up-1", 4, "ended"),
+        # The clock of its successor has gone back.
+        (_answer_report, "up-1", 6, "ended"),
         (_answer_report, "up-2", 5, "ended"),
         (_answer_not_found, "up-1", 5, "running"),
         (_close, "up-1", 5, "unknown"),
