Take a stream without a length for whole only if its engine runs

Cause: the question whether the engine still runs was asked once, and anything but "ended" made the stream whole. The kernel of a killed process accepts the question before it closes the listening socket, and resets it: "unknown". Ruled out: events lost by the splitter, as the body has all that arrived.

Change: the question is repeated, four times at most, until it is answered; only "running" makes the stream whole. A resumable stream goes on elsewhere after its last event, another ends with a closed connection.

The row "whole, engine not reached" asked for the fault: a stream whose engine can't be reached counted as complete. In its place a second engine confirms the end or goes on with the rest.

--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -375,13 +375,17 @@
         response: upstream_response.UpstreamResponse,
         probed: calls.ProbeResult,
     ) -> None:
-        """Ends an attempt whose engine was asked whether it is running."""
+        """Ends an attempt whose upstream was asked whether it is running.
+
+        Only that shows that its answer is whole.
+        """
         if response.ended:
             return
-        if probed == "ended":
-            self._end_attempt(response, "broken", "upstream ended")
-        else:
-            self._end_attempt(response, "complete", f"upstream {probed}")
+        self._end_attempt(
+            response,
+            "complete" if probed == "running" else "broken",
+            f"upstream {probed}",
+        )
 
     def _end_attempt(
         self,
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -96,6 +96,12 @@
 """Outstanding calls per slot at which a plain upstream counts as full; calls
 queued beyond that would be late."""
 
+MAX_PROBES: Final = 4
+PROBE_PAUSE_S: Final = 0.1
+"""Questions whether an upstream is running, until one is answered, and the
+pause between them. The kernel of a killed process accepts connections until it
+has closed all others, and then resets them."""
+
 REMOTE_LATENCY_S: Final = 0.001
 """Assumed one-way network latency to another data centre."""
 
@@ -758,13 +764,18 @@
         """See ExchangeHost.probe_upstream."""
 
         async def probe() -> None:
-            callback(
-                await self._client.probe(
+            result: calls.ProbeResult = "unknown"
+            for number in range(MAX_PROBES):
+                if number:
+                    await asyncio.sleep(PROBE_PAUSE_S)
+                result = await self._client.probe(
                     attempt.upstream_id,
                     attempt.address,
                     attempt.process_started_at_ms,
                 )
-            )
+                if result != "unknown":
+                    break
+            callback(result)
 
         task = asyncio.ensure_future(probe())
         self._tasks.add(task)
--- a/src/apricottrestle/gateway/upstream_response.py
+++ b/src/apricottrestle/gateway/upstream_response.py
@@ -274,16 +274,19 @@
     def may_be_cut(self, end: calls.EndKind) -> bool:
         """Returns whether a stream has ended where a crash may have cut it.
 
-        A stream that ends inside an event is cut for certain, and so is one
-        without an event, unless it was resumed after its last one.
+        An answer without a length ends with its connection, which the kernel of
+        a killed process closes in the same way. A stream that ends inside an
+        event is cut for certain, and so is one without an event, unless it was
+        resumed after its last one.
         """
         head = self.head
-        if end != "complete" or head is None or head.framed:
-            return False
         return (
-            self._owner.is_stream
-            and self.result(end) is None
+            end == "complete"
+            and head is not None
+            and not head.framed
             and head.status == _HTTP_OK
+            and self._owner.is_stream
+            and self.result(end) is None
         )
 
     def _ends_before_its_body(self, head: calls.ResponseHead) -> bool:
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -623,12 +623,25 @@
             id="whole",
         ),
         pytest.param(
-            [Response("complete", UNFRAMED, _events(1, 3))],
+            [
+                Response("complete", UNFRAMED, _events(1, 3)),
+                Response("complete", HEAD),
+            ],
             "unknown",
             "complete",
             _events(1, 3),
             id="whole, engine not reached",
         ),
+        pytest.param(
+            [
+                Response("complete", UNFRAMED, _events(1, 3)),
+                Response("complete", HEAD, _events(4, 5)),
+            ],
+            "unknown",
+            "complete",
+            _events(1, 5),
+            id="cut between events, engine not reached",
+        ),
         pytest.param(
             [
                 Response("complete", UNFRAMED, _events(1, 3)),
@@ -683,6 +696,22 @@
     assert (caller.endings, caller.body) == ([ending], body)
 
 
+@pytest.mark.parametrize(
+    ("probe_result", "ending"),
+    [("running", "complete"), ("unknown", "closed"), ("ended", "closed")],
+)
+def test_stream_that_cannot_be_resumed_is_whole_only_if_its_engine_runs(
+    probe_result: calls.ProbeResult, ending: str
+) -> None:
+    """Guards against a part of a stream that looks complete."""
+    host = _Host()
+    host.probe_result = probe_result
+    route = gateway_parts.STREAM._replace(resumable=False)
+    responses = [Response("complete", UNFRAMED, _events(1, 3))]
+    caller = virtual_time.run(_run_exchange(route, responses, host))
+    assert (caller.endings, caller.body) == ([ending], _events(1, 3))
+
+
 @pytest.mark.parametrize(
     ("response", "suspects", "begun", "answered"),
     [
