Ask whether an upstream runs before its plain answer without a length is whole

Cause: only streams without a length were checked at their end; a plain part was buffered, and got a length of its own. Ruled out: the HTTP client, which reports the orderly close of such a body rightly as its end.

Change: the check of the commit before covers every answer without a length. A repeatable request goes to another upstream, another one gets 502. It costs a question for each such answer.

--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -445,15 +445,11 @@
         head, is_beginning = response.head, response.is_beginning
         has_begun = head is not None and head.status == _HTTP_OK
         if result is None:
-            # An answer without a length may be cut; the engine of a stream has
-            # been asked whether it still runs.
+            # An answer without a length may be cut; its upstream has been asked
+            # whether it still runs.
             if head is not None and has_begun and head.framed and is_beginning:
                 self._host.on_answer_begun(self)
-            if (
-                head is not None
-                and has_begun
-                and (head.framed or self.is_stream)
-            ):
+            if has_begun:
                 self._host.on_answered(self)
         elif result is retry_policy.AttemptResult.LOST and end in (
             "broken",
--- a/src/apricottrestle/gateway/upstream_response.py
+++ b/src/apricottrestle/gateway/upstream_response.py
@@ -272,7 +272,7 @@
         return None
 
     def may_be_cut(self, end: calls.EndKind) -> bool:
-        """Returns whether a stream has ended where a crash may have cut it.
+        """Returns whether an answer has ended where a crash may have cut it.
 
         An answer without a length ends with its connection, which the kernel of
         a killed process closes in the same way. A stream that ends inside an
@@ -285,7 +285,6 @@
             and head is not None
             and not head.framed
             and head.status == _HTTP_OK
-            and self._owner.is_stream
             and self.result(end) is None
         )
 
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -712,6 +712,36 @@
     assert (caller.endings, caller.body) == ([ending], _events(1, 3))
 
 
+UNFRAMED_PART = Response("complete", UNFRAMED, b"par")
+
+
+@pytest.mark.parametrize(
+    ("route", "responses", "probe_result", "status", "body"),
+    [
+        (gateway_parts.SAFE, [UNFRAMED_PART], "running", 200, b"par"),
+        (gateway_parts.SAFE, [UNFRAMED_PART, WHOLE], "ended", 200, b"body"),
+        (gateway_parts.SAFE, [UNFRAMED_PART, WHOLE], "unknown", 200, b"body"),
+        (gateway_parts.SAFE, [UNFRAMED_PART] * 2, "ended", 502, b""),
+        (gateway_parts.UNSAFE, [UNFRAMED_PART], "running", 200, b"par"),
+        (gateway_parts.UNSAFE, [UNFRAMED_PART], "ended", 502, b""),
+        (gateway_parts.UNSAFE, [UNFRAMED_PART], "unknown", 502, b""),
+    ],
+)
+def test_plain_answer_without_length_is_whole_only_if_its_upstream_runs(
+    route: fleet_config.Route,
+    responses: list[Response],
+    probe_result: calls.ProbeResult,
+    status: int,
+    body: bytes,
+) -> None:
+    """Guards against a part of a body that gets a length of its own."""
+    host = _Host()
+    host.probe_result = probe_result
+    caller = virtual_time.run(_run_exchange(route, responses, host))
+    assert (caller.status, caller.body) == (status, body)
+    assert host.answered == (probe_result == "running" or body == b"body")
+
+
 @pytest.mark.parametrize(
     ("response", "suspects", "begun", "answered"),
     [
