Decide on the head of a request before its body is read

Callers would see: a gateway that runs out of memory and ends with all its requests, because some callers send large bodies that nobody wants.

Cause: up to 64 MiB were gathered for each request before key, route or length were looked at; neither the sum nor the time was bounded. Ruled out: answers, which share a limit, and heads.

Change: from 64 KiB on the head decides; longer bodies share 64 MiB, and have 20 s to arrive. Shorter bodies are handled as before.

Evidence: new rows of tests/test_platform_caller_server.py.

--- a/src/apricottrestle/gateway/accept.py
+++ b/src/apricottrestle/gateway/accept.py
@@ -36,19 +36,7 @@
     config_version: int
 
 
-class Refused(NamedTuple):
-    """The refusal of a request that has not run.
-
-    Attributes:
-        status: HTTP status.
-        reason: Stable code for logs and the caller.
-        retry_after_s: Value for Retry-After, or None if a retry would fail
-            again.
-    """
-
-    status: int
-    reason: str
-    retry_after_s: float | None = None
+Refused = calls.Refusal
 
 
 class CompiledConfig(NamedTuple):
@@ -63,21 +51,50 @@
     return CompiledConfig(config, fleet_config.RouteTable(config.routes))
 
 
+def check_head(
+    head: calls.RequestHead, compiled: CompiledConfig
+) -> Refused | None:
+    """Returns the refusal of a request that needs none of its body."""
+    return _check_head(
+        head.host,
+        head.target.partition("?")[0],
+        head.api_key,
+        head.body_bytes,
+        compiled,
+    )[0]
+
+
+def _check_head(
+    host: str,
+    path: str,
+    api_key: str | None,
+    body_bytes: int,
+    compiled: CompiledConfig,
+) -> tuple[Refused | None, fleet_config.Route | None, fleet_config.Team | None]:
+    """Returns the refusal of a request, or its route and team."""
+    config = compiled.config
+    route = compiled.routes.find(host, path)
+    if route is None:
+        return Refused(NOT_FOUND, "no_route"), None, None
+    allowed, team = fleet_config.find_team(config.teams_by_key, route, api_key)
+    if not allowed:
+        return Refused(UNAUTHORIZED, "unknown_key"), None, None
+    if body_bytes > config.limits.max_body_bytes:
+        return Refused(TOO_LARGE, "body_too_large"), None, None
+    return None, route, team
+
+
 def decide_request(
     req: calls.CallerRequest, compiled: CompiledConfig, rng: random.Random
 ) -> Accepted | Refused:
     """Returns the route and limits of a request, or its refusal."""
     config = compiled.config
-    route = compiled.routes.find(req.host, req.path)
-    if route is None:
-        return Refused(NOT_FOUND, "no_route")
-    allowed, team = fleet_config.find_team(
-        config.teams_by_key, route, req.api_key
+    refusal, route, team = _check_head(
+        req.host, req.path, req.api_key, len(req.body), compiled
     )
-    if not allowed:
-        return Refused(UNAUTHORIZED, "unknown_key")
-    if len(req.body) > config.limits.max_body_bytes:
-        return Refused(TOO_LARGE, "body_too_large")
+    if route is None:
+        assert refusal is not None
+        return refusal
     target = (
         rng.choices(
             route.targets, [max(target.weight, 0.0) for target in route.targets]
--- a/src/apricottrestle/gateway/calls.py
+++ b/src/apricottrestle/gateway/calls.py
@@ -67,6 +67,40 @@
         return self.target.partition("?")[0]
 
 
+class RequestHead(NamedTuple):
+    """What a handler may decide on before the body has been read.
+
+    Attributes:
+        request_id: Id of this attempt by the caller.
+        target: Path and query, byte for byte.
+        host: Host header.
+        api_key: Bearer key, or None.
+        body_bytes: Length of the body, or what has been read of it so far if it
+            has none.
+    """
+
+    request_id: str
+    target: str
+    host: str
+    api_key: str | None
+    body_bytes: int
+
+
+class Refusal(NamedTuple):
+    """The refusal of a request that has not run.
+
+    Attributes:
+        status: HTTP status.
+        reason: Stable code for logs and the caller.
+        retry_after_s: Value for Retry-After, or None if a retry would fail
+            again.
+    """
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+
 class Responder(abc.ABC):
     """Writes exactly one response to a caller.
 
@@ -117,6 +151,10 @@
 class RequestHandler(abc.ABC):
     """Receives the requests of callers."""
 
+    @abc.abstractmethod
+    def check_head(self, head: RequestHead) -> Refusal | None:
+        """Returns the refusal of a request whose body needn't be read."""
+
     @abc.abstractmethod
     def handle(self, req: CallerRequest, responder: Responder) -> None:
         """Handles a request and writes its response to the responder."""
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -340,6 +340,25 @@
 
     # Requests.
 
+    def check_head(self, head: calls.RequestHead) -> calls.Refusal | None:
+        """See RequestHandler.check_head."""
+        compiled = self.state.compiled
+        if compiled is None:
+            return None
+        refusal = accept.check_head(head, compiled)
+        if refusal is not None:
+            metrics.REFUSALS.labels(refusal.reason).inc()
+            logs.decision(
+                _LOG,
+                "request refused",
+                request_id=head.request_id,
+                status=refusal.status,
+                reason=refusal.reason,
+                config_version=self.state.config_version,
+                body_bytes=head.body_bytes,
+            )
+        return refusal
+
     def handle(
         self, req: calls.CallerRequest, responder: calls.Responder
     ) -> None:
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -5,6 +5,7 @@
 connection is closed.
 """
 
+import asyncio
 import http
 import logging
 from collections.abc import Callable
@@ -22,6 +23,29 @@
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 """Limit of a request's body, above any limit in the configuration."""
 
+CHECKED_BODY_BYTES: Final = 64 * 1024
+"""Length from which the head decides on a request before its body is read. A
+refusal then closes the connection, which shorter bodies don't cost."""
+
+MAX_READING_BYTES: Final = 64 * 1024 * 1024
+"""Limit of all bodies that are being read, so that callers which send slowly
+or never finish don't exhaust the memory of a machine. Bodies that are shorter
+than CHECKED_BODY_BYTES are read in any case."""
+
+READING_RETRY_AFTER_S: Final = 1.0
+"""Retry-After of a request that this limit leaves no room for."""
+
+LINGER_S: Final = 2.0
+"""Time for which the rest of a refused body is read and dropped. Closing before
+would reset the connection, and the caller might not get the refusal."""
+
+BODY_TIMEOUT_S: Final = 20.0
+"""Time in which a body must arrive; longer than callers wait for an answer."""
+
+BUSY_READING: Final = calls.Refusal(
+    503, "reading_too_much", READING_RETRY_AFTER_S
+)
+
 MAX_SHARED_PARTS: Final = 128
 """Number of parts of a prompt that are kept, the first ones."""
 
@@ -191,6 +215,13 @@
         self, status: int, message: str, retry_after_s: float | None = None
     ) -> None:
         """See Responder.refuse."""
+        self.write_refusal(status, message, retry_after_s)
+        self.finish()
+
+    def write_refusal(
+        self, status: int, message: str, retry_after_s: float | None
+    ) -> None:
+        """Writes an error response, but doesn't end it."""
         if self.closed:
             return
         body = message.encode() + b"\n"
@@ -205,7 +236,6 @@
             headers[names.RETRY_AFTER] = f"{retry_after_s:.3f}"
         self._write_head(status, headers)
         self.write(body)
-        self.finish()
 
     def abort(self) -> None:
         """See Responder.abort."""
@@ -238,10 +268,19 @@
         conn: http1connection.HTTP1Connection,
         on_complete: Callable[[], None],
     ) -> None:
+        """Creates the reader.
+
+        Args:
+            server: The server.
+            conn: The connection.
+            on_complete: Called before the request is answered.
+        """
         self._server = server
         self._conn = conn
         self._on_complete = on_complete
         self._chunks: list[bytes] = []
+        self._read_bytes = 0
+        self._checked_bytes = 0
         self._responder: _HttpResponder | None = None
         self.is_idle = True
 
@@ -250,25 +289,83 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> None:
-        """Stores the start line and the headers."""
+        """Stores the start line and the headers, and checks them."""
         assert isinstance(start_line, httputil.RequestStartLine)
         self.is_idle = False
         self._start_line = start_line
         self._headers = headers
+        # Tornado refuses a length that isn't a number before it reads a body.
+        length = headers.get("Content-Length", "")
+        self._check(int(length) if length.isdigit() else 0)
 
     def data_received(self, chunk: bytes) -> None:
         """Stores a chunk of the body."""
+        if self._responder is not None:
+            return
+        if (
+            self._read_bytes + len(chunk) > CHECKED_BODY_BYTES
+            and self._server.reading_bytes + len(chunk) > MAX_READING_BYTES
+        ):
+            _LOG.warning(
+                "refused a request as too much is being read",
+                extra={
+                    "request_id": self._headers.get(names.REQUEST_ID, ""),
+                    "reading_bytes": self._server.reading_bytes,
+                },
+            )
+            self._refuse(BUSY_READING)
+            return
         self._chunks.append(chunk)
+        self._read_bytes += len(chunk)
+        self._server.reading_bytes += len(chunk)
+        self._check(self._read_bytes)
+
+    def _check(self, body_bytes: int) -> None:
+        """Refuses the request if its head and length are enough for that."""
+        if body_bytes < self._checked_bytes + CHECKED_BODY_BYTES:
+            return
+        self._checked_bytes = body_bytes
+        refusal = self._server.handler.check_head(
+            calls.RequestHead(
+                self._headers.get(names.REQUEST_ID, ""),
+                self._start_line.path,
+                self._headers.get("Host", ""),
+                _parse_api_key(self._headers),
+                body_bytes,
+            )
+        )
+        if refusal is not None:
+            self._refuse(refusal)
+
+    def _refuse(self, refusal: calls.Refusal) -> None:
+        """Answers before the body has been read, and drops the rest of it."""
+        self._drop_body()
+        self._server.readers.discard(self)
+        self._responder = _HttpResponder(
+            self._conn, self._headers.get(names.REQUEST_ID, "")
+        )
+        self._responder.close_after_response = True
+        self._on_complete()
+        self._responder.write_refusal(*refusal)
+        asyncio.get_running_loop().call_later(LINGER_S, self._responder.finish)
+
+    def _drop_body(self) -> None:
+        self._chunks = []
+        self._server.reading_bytes -= self._read_bytes
+        self._read_bytes = 0
 
     def finish(self) -> None:
         """Passes the complete request to the handler."""
+        if self._responder is not None:
+            self._responder.finish()
+            return
         req = decode_request(
             self._start_line,
             self._headers,
             b"".join(self._chunks),
             clock.now(),
         )
-        self._chunks = []
+        self._drop_body()
         self._responder = _HttpResponder(self._conn, req.request_id)
         self._responder.close_after_response = self._server.stopping
         self._server.readers.discard(self)
@@ -277,6 +374,7 @@
 
     def on_connection_close(self) -> None:
         """Drops a request whose connection closed before it was complete."""
+        self._drop_body()
         self._server.readers.discard(self)
 
     def close(self) -> None:
@@ -308,6 +406,7 @@
             each connection without an open request.
         stopping: Whether each response closes its connection, as it must
             during shutdown.
+        reading_bytes: Bytes of all bodies that are being read.
     """
 
     def __init__(self, address: str, handler: calls.RequestHandler) -> None:
@@ -320,12 +419,14 @@
         self.handler = handler
         self.readers: set[_RequestReader] = set()
         self.stopping = False
+        self.reading_bytes = 0
         self._responding: set[object] = set()
         self._http = _HttpServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
             max_buffer_size=MAX_BODY_BYTES,
+            body_timeout=BODY_TIMEOUT_S,
         )
         super().__init__(address, self._http)
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -8,6 +8,7 @@
 
 from apricottrestle.gateway import (
     accept,
+    calls,
     fleet_config,
     retry_budget,
     retry_policy,
@@ -52,10 +53,36 @@
     got = accept.decide_request(
         gateway_parts.request(path, api_key=key), compiled, random.Random(1)
     )
+    head = calls.RequestHead("request-1", path, "fleet.example", key, 0)
+    refusal = accept.check_head(head, compiled)
     if isinstance(got, accept.Accepted):
         assert got.route.name == expected
+        assert refusal is None
     else:
         assert got.status == expected
+        assert refusal == got
+
+
+@pytest.mark.parametrize(
+    ("body_bytes", "status"),
+    [
+        (0, None),
+        (gateway_parts.LIMITS.max_body_bytes, None),
+        (gateway_parts.LIMITS.max_body_bytes + 1, 413),
+    ],
+)
+def test_length_decides_before_the_body_is_read(
+    body_bytes: int, status: int | None
+) -> None:
+    """Guards against reading a body that is refused for its length."""
+    compiled = accept.compile_config(gateway_parts.config())
+    refusal = accept.check_head(
+        calls.RequestHead(
+            "r", "/short/x", "fleet.example", "key-a", body_bytes
+        ),
+        compiled,
+    )
+    assert (refusal.status if refusal else None) == status
 
 
 @pytest.mark.parametrize("host", ["fleet.example", "FLEET.example:80"])
--- a/tests/test_platform_caller_server.py
+++ b/tests/test_platform_caller_server.py
@@ -10,6 +10,8 @@
 from apricottrestle.platform import caller_server
 from tests import async_helpers
 
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
 
 class _Handler(calls.RequestHandler):
     """Records the requests; a function responds to them."""
@@ -20,6 +22,15 @@
         self.requests: list[calls.CallerRequest] = []
         self.closed_targets: list[str] = []
         self._respond = respond
+        self.checked: list[calls.RequestHead] = []
+
+    def check_head(self, head: calls.RequestHead) -> calls.Refusal | None:
+        self.checked.append(head)
+        if head.api_key is None:
+            return calls.Refusal(401, "unknown_key")
+        if head.body_bytes > MAX_BODY_BYTES:
+            return calls.Refusal(413, "body_too_large")
+        return None
 
     def handle(
         self, req: calls.CallerRequest, responder: calls.Responder
@@ -259,3 +270,89 @@
         line = await reader.readline()
         assert line.split()[1] == status
         writer.close()
+
+
+KEY = b"Authorization: Bearer key\r\n"
+CHUNK = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+
+
+def _head(*lines: bytes) -> bytes:
+    return b"\r\n".join([b"POST /b HTTP/1.1", b"Host: h", *lines, b"", b""])
+
+
+@pytest.mark.parametrize(
+    ("head", "part", "status"),
+    [
+        (_head(b"Content-Length: 60000000"), b"x" * 65_536, b"401"),
+        (_head(KEY[:-2], b"Content-Length: 60000000"), b"x" * 65_536, b"413"),
+        (_head(b"Transfer-Encoding: chunked"), CHUNK, b"401"),
+        (_head(KEY[:-2], b"Transfer-Encoding: chunked"), CHUNK, b"413"),
+    ],
+    ids=["no key", "too long", "chunked, no key", "chunked, too long"],
+)
+@async_helpers.async_test
+async def test_body_that_is_refused_is_not_read(
+    head: bytes, part: bytes, status: bytes
+) -> None:
+    """Guards against callers who fill the memory with bodies nobody wants."""
+    handler = _Handler(_echo)
+    async with _serving(handler) as (server, reader, writer):
+        writer.write(head)
+        with contextlib.suppress(ConnectionError):
+            for _ in range(100):
+                writer.write(part)
+                await writer.drain()
+                assert server.reading_bytes <= MAX_BODY_BYTES + 131_072
+        async with asyncio.timeout(2):
+            line = await reader.readline()
+        assert line.split()[1] == status
+        await async_helpers.wait_until(lambda: server.reading_bytes == 0)
+    assert handler.requests == []
+
+
+@async_helpers.async_test
+async def test_small_refused_body_keeps_its_connection() -> None:
+    """Guards against a closed connection for each refused request."""
+    handler = _Handler(_echo)
+    async with _serving(handler) as (server, reader, writer):
+        for _ in range(2):
+            writer.write(POST)
+            await reader.readuntil(b"body")
+        assert server.reading_bytes == 0
+    assert handler.checked == []
+
+
+@async_helpers.async_test
+async def test_bodies_that_never_end_share_one_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against slow callers who fill the memory of a machine together.
+
+    Others are served meanwhile, and the slow ones are ended in their time.
+    """
+    monkeypatch.setattr(caller_server, "MAX_READING_BYTES", 1_000_000)
+    monkeypatch.setattr(caller_server, "BODY_TIMEOUT_S", 1.0)
+    handler = _Handler(_echo)
+    async with _serving(handler) as (server, reader, writer):
+        statuses: list[bytes] = []
+
+        async def send_slowly() -> None:
+            slow_reader, slow_writer = await asyncio.open_connection(
+                "127.0.0.1", server.port
+            )
+            slow_writer.write(_head(KEY[:-2], b"Content-Length: 300000"))
+            slow_writer.write(b"x" * 200_000)
+            line = await slow_reader.readline()
+            statuses.append(line.split()[1] if line else b"closed")
+            slow_writer.close()
+
+        slow = [asyncio.ensure_future(send_slowly()) for _ in range(20)]
+        await async_helpers.wait_until(lambda: len(statuses) >= 15)
+        assert server.reading_bytes <= 1_000_000
+        writer.write(POST)
+        await reader.readuntil(b"body")
+        async with asyncio.timeout(5):
+            await asyncio.gather(*slow)
+        assert set(statuses) == {b"503", b"closed"}
+        await async_helpers.wait_until(lambda: server.reading_bytes == 0)
+    assert [req.body for req in handler.requests] == [b"body"]
