Give each request a time limit

Cause: the deadline was infinite, and int(inf) raised while the headers for the upstream were written. Ruled out: a caller's own "inf", which is bounded by the route where that has a timeout.

Change: such a request has an hour.

Evidence: test_each_request_has_a_time_limit, two of five rows of which have no finite limit on the code before (read; the file doesn't import there, as the constant is new).

--- a/src/apricottrestle/gateway/accept.py
+++ b/src/apricottrestle/gateway/accept.py
@@ -5,10 +5,13 @@
 """
 
 import random
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from apricottrestle.gateway import calls, fleet_config
 
+MAX_TIME_LIMIT_S: Final = 3_600.0
+"""Time limit of a request if neither its route nor its caller sets one."""
+
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
 NOT_FOUND = 404
@@ -105,7 +108,7 @@
     service = config.services.get(target.service)
     if service is None:
         service = fleet_config.Service(target.service, 0, None)
-    limit_s = route.timeout_s if route.timeout_s > 0 else float("inf")
+    limit_s = route.timeout_s if route.timeout_s > 0 else MAX_TIME_LIMIT_S
     if req.time_left_s is not None:
         limit_s = min(limit_s, req.time_left_s)
     priority = route.priority
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -85,6 +85,32 @@
     assert (refusal.status if refusal else None) == status
 
 
+@pytest.mark.parametrize(
+    ("route_s", "caller_s", "limit_s"),
+    [
+        (10.0, 5.0, 5.0),
+        (10.0, None, 10.0),
+        (0.0, 5.0, 5.0),
+        (0.0, None, accept.MAX_TIME_LIMIT_S),
+        (0.0, float("inf"), accept.MAX_TIME_LIMIT_S),
+    ],
+)
+def test_each_request_has_a_time_limit(
+    route_s: float, caller_s: float | None, limit_s: float
+) -> None:
+    """Guards against a request without a limit, which no upstream can be sent.
+
+    Its connection would close without an answer.
+    """
+    base = gateway_parts.config()
+    route = gateway_parts.STREAM._replace(timeout_s=route_s)
+    compiled = accept.compile_config(base._replace(routes=(route,)))
+    req = gateway_parts.request(time_left_s=caller_s)
+    got = accept.decide_request(req, compiled, random.Random(1))
+    assert isinstance(got, accept.Accepted)
+    assert got.deadline - req.arrived_at == pytest.approx(limit_s)
+
+
 @pytest.mark.parametrize("host", ["fleet.example", "FLEET.example:80"])
 def test_host_is_compared_without_case_and_port(host: str) -> None:
     """Guards against a 404 for a host in upper case or with a port."""
