Forget the reader of a closed connection

Callers would see: a gateway that is killed for its memory after a long time.

Cause: tornado doesn't tell the reader of a request that has got nothing of it that the connection is closed, so that each closed connection left one in the server's set. Ruled out: the change of callers' bodies; the set is older, and the test fails on the code before it as well as after (read).

Change: the server drops the reader when tornado reports the closed connection. The silent upstream of a request is looked up once for each choice of an upstream.

Evidence: test_closed_connections_are_forgotten, first of two rows failed before, both pass now.

--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -946,10 +946,11 @@
         has not tried and that are not ejected, then any that it has not tried,
         then all usable upstreams.
         """
+        stalled = request.stalled_upstream
         usable = [
             entry
             for entry in self._send_gate.allowed(service, now)
-            if entry.upstream_id != request.stalled_upstream
+            if entry.upstream_id != stalled
         ]
         for choice in (
             [
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -421,6 +421,7 @@
         self.stopping = False
         self.reading_bytes = 0
         self._responding: set[object] = set()
+        self._reader_of: dict[object, _RequestReader] = {}
         self._http = _HttpServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
@@ -441,11 +442,18 @@
             self, request_conn, lambda: self._responding.add(server_conn)
         )
         self.readers.add(reader)
+        self._reader_of[server_conn] = reader
         return reader
 
     def on_close(self, server_conn: object) -> None:
-        """Forgets the response that a closed connection had to write."""
+        """Forgets the reader and the response of a closed connection.
+
+        Tornado doesn't tell a reader that has got nothing of a request.
+        """
         self._responding.discard(server_conn)
+        reader = self._reader_of.pop(server_conn, None)
+        if reader is not None:
+            self.readers.discard(reader)
 
     @property
     def open_responses(self) -> int:
--- a/tests/test_platform_caller_server.py
+++ b/tests/test_platform_caller_server.py
@@ -198,6 +198,22 @@
         assert b"Connection: close" in got
 
 
+@pytest.mark.parametrize("sent", [b"", GET], ids=["idle", "after a request"])
+@async_helpers.async_test
+async def test_closed_connections_are_forgotten(sent: bytes) -> None:
+    """Guards against memory that grows with each connection ever closed."""
+    async with _serving(_Handler(_echo)) as (server, _reader, _writer):
+        for _ in range(5):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", server.port
+            )
+            if sent:
+                writer.write(sent)
+                await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+        await async_helpers.wait_until(lambda: len(server.readers) == 1)
+
+
 @async_helpers.async_test
 async def test_close_idle_keeps_connections_with_open_requests() -> None:
     """Guards against a shutdown that waits for idle connections.
