Block signals in the teardown of a gateway

Cause: closing the event loop restores the default action of SIGHUP. Ruled out: the start, where the signal is ignored before the first import.

Change: the signals that a gateway handles are blocked at the end of its run.

--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -96,6 +96,11 @@
             node.core, node.peers, server, node.cfg.grace_s
         ).run()
     logs.decision(_LOG, "stop", instance=cfg.instance_id)
+    # Closing the event loop restores the default actions of these signals,
+    # which would end the process before its teardown has.
+    signal.pthread_sigmask(
+        signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+    )
 
 
 @contextlib.contextmanager
--- a/tests/test_process_gateway_stop.py
+++ b/tests/test_process_gateway_stop.py
@@ -198,3 +198,23 @@
             return received
 
     assert asyncio.run(main()) == [LARGE_BYTES] * 4
+
+
+def test_reloads_during_a_stop_do_not_end_the_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a reload that ends a process while it stops."""
+
+    async def main() -> int | None:
+        fleet = soak.Fleet(tmp_path, random.Random(1))
+        row = fleet.gateways[0]
+        row.grace_s = GRACE_S
+        async with fleet.running():
+            row.signal(signal.SIGTERM)
+            while not await row.wait_exit(0.0):
+                row.signal(signal.SIGHUP)
+                await asyncio.sleep(0.002)
+            assert row.popen is not None
+            return row.popen.returncode
+
+    assert asyncio.run(main()) == 0
--- a/tests/test_soak_days.py
+++ b/tests/test_soak_days.py
@@ -127,7 +127,18 @@
     assert asyncio.run(soak.run_notice_seed(seed, tmp_path)) == []
 
 
-@pytest.mark.parametrize("seed", [0, 1])
+@pytest.mark.parametrize(
+    "seed",
+    [
+        0,
+        1,
+        # A reload reached a gateway in the teardown after its stop, and ended it
+        # by the default action of the signal.
+        103,
+        106,
+        143,
+    ],
+)
 def test_soak_run_with_planned_work_and_silent_upstreams(
     seed: int, tmp_path: pathlib.Path
 ) -> None:
