--- a/tests/test_soak_days.py
+++ b/tests/test_soak_days.py
@@ -132,8 +132,8 @@
     [
         0,
         1,
-        # A reload reached a gateway in the teardown after its stop, and ended it
-        # by the default action of the signal.
+        # A reload reached a gateway in the teardown after its stop, and ended
+        # it by the default action of the signal.
         103,
         106,
         143,
