Ignore reloads in the teardown in all threads

Operators saw: still a planned stop that ends with -1 now and then.

Cause: blocking SIGHUP in the main thread leaves it to the others, whose default action ends the process as well. Ruled out: the start of the stop, where the handler of the event loop is still there.

Change: SIGHUP has a handler of its own, which is replaced by ignoring the signal when the stop has ended; closing the event loop doesn't touch it.

--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -88,19 +88,12 @@
         ),
     ):
         node.start(link)
-        asyncio.get_running_loop().add_signal_handler(
-            signal.SIGHUP, lambda: _reload(node, adapter, "signal")
-        )
-        await stop_event.wait()
-        await graceful_stop.GracefulStop(
-            node.core, node.peers, server, node.cfg.grace_s
-        ).run()
+        with _reload_on_signal(lambda: _reload(node, adapter, "signal")):
+            await stop_event.wait()
+            await graceful_stop.GracefulStop(
+                node.core, node.peers, server, node.cfg.grace_s
+            ).run()
     logs.decision(_LOG, "stop", instance=cfg.instance_id)
-    # Closing the event loop restores the default actions of these signals,
-    # which would end the process before its teardown has.
-    signal.pthread_sigmask(
-        signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
-    )
 
 
 @contextlib.contextmanager
@@ -129,6 +122,25 @@
     return stop_event
 
 
+@contextlib.contextmanager
+def _reload_on_signal(reload: Callable[[], None]) -> Iterator[None]:
+    """Calls a function at each SIGHUP, which is ignored afterwards.
+
+    A handler of the event loop would be replaced by the signal's default action
+    when the loop is closed, and a reload would end the process in its teardown.
+    """
+    loop = asyncio.get_running_loop()
+
+    def on_signal(_number: int, _frame: object) -> None:
+        loop.call_soon_threadsafe(reload)
+
+    signal.signal(signal.SIGHUP, on_signal)
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def _reload(
     node: assembly.GatewayNode, adapter: PlatformAdapter, reason: str
 ) -> None:
