Measure and log delays of a gateway's event loop

A check each 0.25 s observes its own delay (apricottrestle_loop_delay_seconds) and logs "event loop delayed" from 0.1 s on. Delays of 0.25 s and more are always seen, shorter ones if a check falls into them. Ruled out: asyncio's debug mode, which times each callback and costs too much for production.

Figures: none from before, as nothing was measured; four wake-ups a second more.

--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -16,6 +16,7 @@
     clock,
     fleet_config,
     graceful_stop,
+    loop_watch,
     peer_link,
     settings,
     store,
@@ -86,6 +87,7 @@
         clock.Ticker(
             SETTINGS_CHECK_INTERVAL_S, lambda: _reload(node, adapter, "changed")
         ),
+        loop_watch.LoopWatch(),
     ):
         node.start(link)
         with _reload_on_signal(lambda: _reload(node, adapter, "signal")):
--- a/src/apricottrestle/metrics.py
+++ b/src/apricottrestle/metrics.py
@@ -32,6 +32,11 @@
 REFUSALS = Counter(
     "apricottrestle_refusals", "Requests refused before they ran", ["reason"]
 )
+CONNECTIONS_CLOSED = Counter(
+    "apricottrestle_caller_connections_closed",
+    "Connections of callers that a gateway closed without a response",
+    ["reason"],
+)
 RETRIES = Counter(
     "apricottrestle_retries", "Attempts after the first", ["reason"]
 )
@@ -93,6 +98,11 @@
     ["call", "outcome"],
     buckets=(0.005, 0.01, 0.05, 0.1, 0.5, 1, 2, 5),
 )
+LOOP_DELAY_SECONDS = Histogram(
+    "apricottrestle_loop_delay_seconds",
+    "Delay of a periodic callback of a gateway's event loop",
+    buckets=(0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5),
+)
 PEERS = Gauge("apricottrestle_peers", "Gateways heard, this one not included")
 WAITING = Gauge("apricottrestle_waiting", "Requests that wait for an engine")
 UPSTREAMS = Gauge(
