Close a caller's connection only through one owner

Cause: several things closed connections by themselves: Tornado's time limits of heads and bodies, and the stop. Each asked the reader of the request, which gets bytes some callbacks after the socket was read. asyncio runs a timer that is due before these callbacks, so that a busy event loop makes every timer overtake what has arrived. Class of fault: a timer judges by what its consumer has seen, not by what has arrived.

Ruled out: the kernel (the bytes had been read, no reset); the change of the configuration itself, which only keeps the loop busy and changes the idle time.

Change: http_connections.CallerConnection owns the decision, from what the reader has got, what is buffered, what a read has returned and what the socket holds. Idle time, head, body and stop ask it. Requests behind a response that closed their connection are dropped: Tornado went on with them from its buffer, and they ran for nobody.

--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -69,6 +69,7 @@
         config: fleet_config.FleetConfig, _before: int, _source: str
     ) -> None:
         server.set_idle_timeout(config.limits.idle_timeout_s)
+        server.set_head_timeout(config.limits.header_timeout_s)
 
     node.core.state.watch_config(on_config)
     logs.decision(
--- a/src/apricottrestle/http_server.py
+++ b/src/apricottrestle/http_server.py
@@ -36,7 +36,7 @@
         self.port = sockets[0].getsockname()[1]
         for sock in sockets:
             self.configure_socket(sock)
-        self._server.add_sockets(sockets)
+        self.listen(sockets)
         return self
 
     def __exit__(
@@ -48,5 +48,9 @@
         """Stops listening."""
         self._server.stop()
 
+    def listen(self, sockets: list[socket.socket]) -> None:
+        """Begins to accept connections of sockets that listen."""
+        self._server.add_sockets(sockets)
+
     def configure_socket(self, sock: socket.socket) -> None:
         """Sets socket options; accepted sockets inherit them."""
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -2,18 +2,35 @@
 
 Invariants: the handler receives only requests that have been read completely.
 An unfinished response never looks complete to the caller, because its
-connection is closed.
+connection is closed. Whether a connection without a response may be closed is
+decided by its `http_connections.CallerConnection` alone.
 """
 
 import asyncio
+import contextlib
 import http
 import logging
+import socket
 from collections.abc import Callable
+from types import TracebackType
 from typing import Final
 
-from tornado import http1connection, httpserver, httputil, web
+from tornado import (
+    http1connection,
+    httpserver,
+    httputil,
+    iostream,
+    netutil,
+    web,
+)
 
-from apricottrestle import hashing, http_server
+from apricottrestle import (
+    hashing,
+    http_connections,
+    http_server,
+    logs,
+    metrics,
+)
 from apricottrestle.gateway import calls, clock, graceful_stop
 from apricottrestle.platform import names
 
@@ -38,17 +55,21 @@
 READING_RETRY_AFTER_S: Final = 1.0
 """Retry-After of a request that this limit leaves no room for."""
 
-LINGER_S: Final = 2.0
-"""Time for which the rest of a refused body is read and dropped. Closing before
-would reset the connection, and the caller might not get the refusal."""
-
 BODY_TIMEOUT_S: Final = 20.0
 """Time in which a body must arrive; longer than callers wait for an answer."""
 
+IDLE_TIMEOUT_S: Final = 15.0
+HEAD_TIMEOUT_S: Final = 3.0
+"""Time limits of idle connections and of heads until there is a configuration;
+the defaults of the configuration."""
+
 BUSY_READING: Final = calls.Refusal(
     503, "reading_too_much", READING_RETRY_AFTER_S
 )
 
+TOO_SLOW: Final = calls.Refusal(408, "request_too_slow")
+"""Refusal of a request whose head or body doesn't arrive in its time."""
+
 MAX_SHARED_PARTS: Final = 128
 """Number of parts of a prompt that are kept, the first ones."""
 
@@ -166,17 +187,47 @@
     )
 
 
+def _reason(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
+def _make_refusal(
+    refusal: calls.Refusal,
+) -> tuple[httputil.HTTPHeaders, bytes]:
+    """Returns headers and body of a refusal."""
+    body = refusal.reason.encode() + b"\n"
+    headers = httputil.HTTPHeaders(
+        {"Content-Type": "text/plain", "Content-Length": str(len(body))}
+    )
+    if refusal.retry_after_s is not None:
+        headers[names.RETRY_AFTER] = f"{refusal.retry_after_s:.3f}"
+    return headers, body
+
+
 class _HttpResponder(calls.Responder):
     """Writes one response to a caller's connection."""
 
     def __init__(
-        self, conn: http1connection.HTTP1Connection, req_id: str
+        self,
+        conn: http1connection.HTTP1Connection,
+        req_id: str,
+        is_last: Callable[[], bool],
     ) -> None:
+        """Prepares the response.
+
+        Args:
+            conn: The caller's connection.
+            req_id: Id of the request.
+            is_last: Returns whether the response closes the connection.
+        """
         self._conn = conn
         self._req_id = req_id
+        self._is_last = is_last
         self._close_callback: Callable[[], None] | None = None
         self.closed = False
-        self.close_after_response = False
         conn.set_close_callback(self.on_connection_lost)
 
     def on_close(self, callback: Callable[[], None]) -> None:
@@ -227,16 +278,10 @@
         """Writes an error response, but doesn't end it."""
         if self.closed:
             return
-        body = message.encode() + b"\n"
-        headers = httputil.HTTPHeaders(
-            {
-                "Content-Type": "text/plain",
-                "Content-Length": str(len(body)),
-                names.REQUEST_ID: self._req_id,
-            }
+        headers, body = _make_refusal(
+            calls.Refusal(status, message, retry_after_s)
         )
-        if retry_after_s is not None:
-            headers[names.RETRY_AFTER] = f"{retry_after_s:.3f}"
+        headers[names.REQUEST_ID] = self._req_id
         self._write_head(status, headers)
         self.write(body)
 
@@ -249,43 +294,44 @@
     def _write_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
         if self.closed:
             return
-        if self.close_after_response:
+        if self._is_last():
             # Tornado has no public way to close a persistent connection after
             # the response that is being written.
             self._conn._disconnect_on_finish = True
-        try:
-            reason = http.HTTPStatus(status).phrase
-        except ValueError:
-            reason = "Unknown"
         self._conn.write_headers(
-            httputil.ResponseStartLine("HTTP/1.1", status, reason), headers
+            httputil.ResponseStartLine("HTTP/1.1", status, _reason(status)),
+            headers,
         )
 
 
-class _RequestReader(httputil.HTTPMessageDelegate):
+class _RequestReader(
+    httputil.HTTPMessageDelegate, http_connections.ArrivingRequest
+):
     """Reads one request and passes it to the handler when complete."""
 
     def __init__(
         self,
         server: "CallerServer",
+        owner: http_connections.CallerConnection,
         conn: http1connection.HTTP1Connection,
-        on_complete: Callable[[], None],
     ) -> None:
         """Creates the reader.
 
         Args:
             server: The server.
+            owner: Decides whether the connection may be closed.
             conn: The connection.
-            on_complete: Called before the request is answered.
         """
         self._server = server
+        self._owner = owner
         self._conn = conn
-        self._on_complete = on_complete
         self._chunks: list[bytes] = []
         self._read_bytes = 0
         self._checked_bytes = 0
+        self._start_line: httputil.RequestStartLine | None = None
+        self._headers = httputil.HTTPHeaders()
         self._responder: _HttpResponder | None = None
-        self.is_idle = True
+        self._refused = False
 
     def headers_received(
         self,
@@ -293,8 +339,13 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         """Stores the start line and the headers, and checks them."""
+        if self._owner.stream.closed():
+            # Tornado goes on with what it has read from a closed connection.
+            self._refused = True
+        if self._refused:
+            return
         assert isinstance(start_line, httputil.RequestStartLine)
-        self.is_idle = False
+        self._owner.head_read()
         self._start_line = start_line
         self._headers = headers
         # Tornado refuses any other length before it reads a body.
@@ -304,7 +355,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Stores a chunk of the body."""
-        if self._responder is not None:
+        if self._refused:
             return
         if (
             self._read_bytes + len(chunk) > CHECKED_BODY_BYTES
@@ -324,38 +375,78 @@
         self._server.reading_bytes += len(chunk)
         self._check(self._read_bytes)
 
+    def _make_head(self, body_bytes: int) -> calls.RequestHead | None:
+        """Returns the request's head, or None before it has been read."""
+        if self._start_line is None:
+            return None
+        return calls.RequestHead(
+            self._headers.get(names.REQUEST_ID, ""),
+            self._start_line.path,
+            self._headers.get("Host", ""),
+            _parse_api_key(self._headers),
+            body_bytes,
+        )
+
     def _check(self, body_bytes: int) -> None:
         """Refuses the request if its head and length are enough for that."""
         if body_bytes < self._checked_bytes + CHECKED_BODY_BYTES:
             return
         self._checked_bytes = body_bytes
-        refusal = self._server.handler.check_head(
-            calls.RequestHead(
-                self._headers.get(names.REQUEST_ID, ""),
-                self._start_line.path,
-                self._headers.get("Host", ""),
-                _parse_api_key(self._headers),
-                body_bytes,
-            )
-        )
+        head = self._make_head(body_bytes)
+        assert head is not None
+        refusal = self._server.handler.check_head(head)
         if refusal is not None:
             self._refuse(refusal)
 
+    def refuse_slow(self) -> None:
+        """See ArrivingRequest.refuse_slow."""
+        metrics.REFUSALS.labels(TOO_SLOW.reason).inc()
+        logs.decision(
+            _LOG,
+            "request refused",
+            request_id=self._headers.get(names.REQUEST_ID),
+            status=TOO_SLOW.status,
+            reason=TOO_SLOW.reason,
+            phase=self._owner.phase,
+            body_bytes=self._read_bytes,
+            silent_s=round(self._owner.silent_s, 3),
+        )
+        self._refuse(TOO_SLOW)
+
     def _refuse(self, refusal: calls.Refusal) -> None:
-        """Answers before the body has been read, and drops the rest of it."""
+        """Answers before the request has been read, and drops its rest."""
+        self._refused = True
         self._drop_body()
-        self._server.readers.discard(self)
+        self._owner.respond()
+        if self._start_line is None:
+            self._refuse_without_head(refusal)
+            return
         self._responder = _HttpResponder(
-            self._conn, self._headers.get(names.REQUEST_ID, "")
+            self._conn,
+            self._headers.get(names.REQUEST_ID, ""),
+            is_last=lambda: True,
         )
-        self._responder.close_after_response = True
-        self._on_complete()
         self._responder.write_refusal(*refusal)
         if "Expect" in self._headers:
             # Tornado would ask for the body, which the caller hasn't sent.
             self._responder.finish()
             return
-        asyncio.get_running_loop().call_later(LINGER_S, self._responder.finish)
+        asyncio.get_running_loop().call_later(
+            http_connections.LINGER_S, self._responder.finish
+        )
+
+    def _refuse_without_head(self, refusal: calls.Refusal) -> None:
+        """Answers a request that Tornado doesn't know of yet."""
+        headers, body = _make_refusal(refusal)
+        headers["Connection"] = "close"
+        lines = [f"HTTP/1.1 {refusal.status} {_reason(refusal.status)}"]
+        lines += [f"{name}: {value}" for name, value in headers.get_all()]
+        head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+        with contextlib.suppress(iostream.StreamClosedError):
+            self._owner.stream.write(head + body)
+        asyncio.get_running_loop().call_later(
+            http_connections.LINGER_S, self._owner.close
+        )
 
     def _drop_body(self) -> None:
         self._chunks = []
@@ -364,9 +455,14 @@
 
     def finish(self) -> None:
         """Passes the complete request to the handler."""
-        if self._responder is not None:
-            self._responder.finish()
+        if self._refused or self._owner.stream.closed():
+            self._drop_body()
+            if self._responder is not None:
+                self._responder.finish()
+            else:
+                self._owner.close()
             return
+        assert self._start_line is not None
         req = decode_request(
             self._start_line,
             self._headers,
@@ -374,20 +470,22 @@
             clock.now(),
         )
         self._drop_body()
-        self._responder = _HttpResponder(self._conn, req.request_id)
-        self._responder.close_after_response = self._server.stopping
-        self._server.readers.discard(self)
-        self._on_complete()
+        self._responder = _HttpResponder(
+            self._conn, req.request_id, self._is_last_response
+        )
+        self._owner.respond()
         self._server.handler.handle(req, self._responder)
 
+    def _is_last_response(self) -> bool:
+        """Returns whether a shutdown closes the connection with a response.
+
+        Requests that have arrived behind this one are answered first.
+        """
+        return self._server.stopping and not self._owner.stream.has_unread
+
     def on_connection_close(self) -> None:
         """Drops a request whose connection closed before it was complete."""
         self._drop_body()
-        self._server.readers.discard(self)
-
-    def close(self) -> None:
-        """Closes the connection."""
-        self._conn.close()
 
 
 class _HttpServer(httpserver.HTTPServer):
@@ -410,8 +508,7 @@
 
     Attributes:
         handler: Receives the requests.
-        readers: Readers of requests that are expected or partly read, one for
-            each connection without an open request.
+        connections: The open connections, by their sockets.
         stopping: Whether each response closes its connection, as it must
             during shutdown.
         reading_bytes: Bytes of all bodies that are being read.
@@ -425,62 +522,98 @@
             handler: Receives the requests.
         """
         self.handler = handler
-        self.readers: set[_RequestReader] = set()
+        self.connections: dict[
+            iostream.IOStream, http_connections.CallerConnection
+        ] = {}
         self.stopping = False
         self.reading_bytes = 0
-        self._responding: set[object] = set()
-        self._reader_of: dict[object, _RequestReader] = {}
+        self._limits = http_connections.ArrivalLimits(
+            IDLE_TIMEOUT_S, HEAD_TIMEOUT_S, BODY_TIMEOUT_S
+        )
+        self._accepting: dict[socket.socket, Callable[[], None]] = {}
         self._http = _HttpServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
-            max_buffer_size=MAX_BODY_BYTES,
-            body_timeout=BODY_TIMEOUT_S,
         )
         super().__init__(address, self._http)
 
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops listening."""
+        self.stop_listening()
+
+    def listen(self, sockets: list[socket.socket]) -> None:
+        """See ListeningServer.listen."""
+        for sock in sockets:
+            self._accepting[sock] = netutil.add_accept_handler(
+                sock, self._accept
+            )
+
+    def _accept(self, sock: socket.socket, address: object) -> None:
+        stream = http_connections.CallerStream(sock, MAX_BODY_BYTES)
+        self.connections[stream] = http_connections.CallerConnection(
+            stream, lambda: self._limits
+        )
+        assert isinstance(address, tuple)
+        self._http.handle_stream(stream, address)
+
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
-        """Creates the reader of the next request of a connection."""
+        """Creates the reader of the next request of a connection.
+
+        Tornado asks for it once the response to the previous one is written.
+        """
         assert isinstance(request_conn, http1connection.HTTP1Connection)
-        # Tornado asks for the next request once a response is written.
-        self._responding.discard(server_conn)
-        reader = _RequestReader(
-            self, request_conn, lambda: self._responding.add(server_conn)
-        )
-        self.readers.add(reader)
-        self._reader_of[server_conn] = reader
+        owner = self.connections[request_conn.stream]
+        reader = _RequestReader(self, owner, request_conn)
+        owner.expect(reader)
         return reader
 
     def on_close(self, server_conn: object) -> None:
-        """Forgets the reader and the response of a closed connection.
-
-        Tornado doesn't tell a reader that has got nothing of a request.
-        """
-        self._responding.discard(server_conn)
-        reader = self._reader_of.pop(server_conn, None)
-        if reader is not None:
-            self.readers.discard(reader)
+        """Forgets a closed connection."""
+        assert isinstance(server_conn, http1connection.HTTP1ServerConnection)
+        owner = self.connections.pop(server_conn.stream, None)
+        if owner is not None:
+            owner.forget()
 
     @property
     def open_responses(self) -> int:
         """See Listener.open_responses."""
-        return len(self._responding)
+        return sum(
+            conn.phase == "responding" and not conn.stream.closed()
+            for conn in self.connections.values()
+        )
+
+    @property
+    def arriving(self) -> int:
+        """See Listener.arriving."""
+        return sum(conn.is_arriving for conn in self.connections.values())
 
     def set_idle_timeout(self, idle_s: float) -> None:
         """Sets the time after which an idle connection is closed."""
-        self._http.conn_params.header_timeout = idle_s
+        self._limits = self._limits._replace(idle_s=idle_s)
+
+    def set_head_timeout(self, head_s: float) -> None:
+        """Sets the time in which the head of a request must arrive."""
+        self._limits = self._limits._replace(head_s=head_s)
 
     def stop_listening(self) -> None:
         """See Listener.stop_listening."""
-        self._http.stop()
+        accepting, self._accepting = self._accepting, {}
+        for sock, remove_handler in accepting.items():
+            remove_handler()
+            sock.close()
 
     def close_idle(self) -> None:
         """See Listener.close_idle."""
-        for reader in list(self.readers):
-            if reader.is_idle:
-                reader.close()
+        for conn in list(self.connections.values()):
+            conn.close_if_idle("stop")
 
 
 class _ReadyHandler(web.RequestHandler):
