Answer requests that still arrive when their gateway stops

Cause: a stop waited for exchanges and responses, not for requests of which a part had been read; half a head even counted as an idle connection. Ruled out: the time limit of bodies (20 s) and the load balancer.

Change: what has begun to arrive keeps a stopping gateway. It is refused at once, with 503 and the time to return, if its caller has been silent for 1 s, if another gateway can take it, or if it could no longer end before the grace period does; the rest of it is then dropped for at most 2 s, so that the caller reads the refusal. A new connection counts as a request that begins for 0.5 s.

--- a/src/apricottrestle/gateway/accept.py
+++ b/src/apricottrestle/gateway/accept.py
@@ -60,7 +60,7 @@
     """Returns the refusal of a request that needs none of its body."""
     return _check_head(
         head.host,
-        head.target.partition("?")[0],
+        head.path,
         head.api_key,
         head.body_bytes,
         compiled,
@@ -87,6 +87,21 @@
     return None, route, team
 
 
+def time_limit_s(
+    route: fleet_config.Route | None, caller_limit_s: float | None
+) -> float:
+    """Returns the time limit of a request.
+
+    Args:
+        route: Its route, or None if it has none.
+        caller_limit_s: The caller's limit, or None if the caller set none.
+    """
+    limit_s = MAX_TIME_LIMIT_S
+    if route is not None and route.timeout_s > 0:
+        limit_s = route.timeout_s
+    return limit_s if caller_limit_s is None else min(limit_s, caller_limit_s)
+
+
 def decide_request(
     req: calls.CallerRequest, compiled: CompiledConfig, rng: random.Random
 ) -> Accepted | Refused:
@@ -108,9 +123,7 @@
     service = config.services.get(target.service)
     if service is None:
         service = fleet_config.Service(target.service, 0, None)
-    limit_s = route.timeout_s if route.timeout_s > 0 else MAX_TIME_LIMIT_S
-    if req.time_left_s is not None:
-        limit_s = min(limit_s, req.time_left_s)
+    limit_s = time_limit_s(route, req.time_left_s)
     priority = route.priority
     if team is not None and team.priority is not None:
         priority = team.priority
--- a/src/apricottrestle/gateway/calls.py
+++ b/src/apricottrestle/gateway/calls.py
@@ -77,6 +77,7 @@
         api_key: Bearer key, or None.
         body_bytes: Length of the body, or what has been read of it so far if it
             has none.
+        time_left_s: The caller's time limit, or None if the caller set none.
     """
 
     request_id: str
@@ -84,6 +85,24 @@
     host: str
     api_key: str | None
     body_bytes: int
+    time_left_s: float | None = None
+
+    @property
+    def path(self) -> str:
+        """Path without the query string."""
+        return self.target.partition("?")[0]
+
+
+class Arrival(NamedTuple):
+    """A request that has been read in part.
+
+    Attributes:
+        head: Its head, or None if that isn't complete.
+        silent_s: Time since the last bytes of it came.
+    """
+
+    head: RequestHead | None
+    silent_s: float
 
 
 class Refusal(NamedTuple):
@@ -155,6 +174,10 @@
     def check_head(self, head: RequestHead) -> Refusal | None:
         """Returns the refusal of a request whose body needn't be read."""
 
+    @abc.abstractmethod
+    def check_arrival(self, arrival: Arrival) -> Refusal | None:
+        """Returns the refusal of a request that a shutdown can't wait for."""
+
     @abc.abstractmethod
     def handle(self, req: CallerRequest, responder: Responder) -> None:
         """Handles a request and writes its response to the responder."""
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -144,6 +144,10 @@
 MISDIRECTED: Final = 421
 """HTTP status of an upstream that isn't the one the request is for."""
 
+ARRIVAL_SILENCE_S: Final = 1.0
+"""Silence after which a stopping gateway refuses a request that has arrived in
+part. Callers send a request at once, and lost packets come again sooner."""
+
 STOPPING: Final = "stopping"
 """Reason of the refusal of a request that a shutdown leaves no time for."""
 
@@ -359,6 +363,53 @@
             )
         return refusal
 
+    def check_arrival(self, arrival: calls.Arrival) -> calls.Refusal | None:
+        """See RequestHandler.check_arrival.
+
+        A request that would be refused once it is complete is refused at once,
+        and one whose caller has fallen silent too.
+        """
+        now = clock.now()
+        head = arrival.head
+        if math.isinf(self.serve_until):
+            return None
+        if (
+            not self.stopping
+            and arrival.silent_s < ARRIVAL_SILENCE_S
+            and (
+                now <= self.estimate_until
+                or (
+                    head is not None
+                    and now + self._time_limit_s(head) <= self.serve_until
+                )
+            )
+        ):
+            return None
+        refusal = accept.Refused(
+            accept.UNAVAILABLE,
+            STOPPING,
+            self._stopping_retry_after_s(head.time_left_s if head else None),
+        )
+        metrics.REFUSALS.labels(refusal.reason).inc()
+        logs.decision(
+            _LOG,
+            "request refused",
+            request_id=head.request_id if head else None,
+            status=refusal.status,
+            reason=refusal.reason,
+            arrived="head" if head else "part of the head",
+            body_bytes=head.body_bytes if head else 0,
+            silent_s=round(arrival.silent_s, 3),
+            grace_left_s=round(self.serve_until - now, 3),
+        )
+        return refusal
+
+    def _time_limit_s(self, head: calls.RequestHead) -> float:
+        """Returns the time limit that a request gets when it is complete."""
+        compiled = self.state.compiled
+        route = compiled.routes.find(head.host, head.path) if compiled else None
+        return accept.time_limit_s(route, head.time_left_s)
+
     def handle(
         self, req: calls.CallerRequest, responder: calls.Responder
     ) -> None:
--- a/src/apricottrestle/gateway/graceful_stop.py
+++ b/src/apricottrestle/gateway/graceful_stop.py
@@ -8,7 +8,7 @@
 Invariants: a request that has been accepted, or a response that its caller
 still reads, is not cut before the end of the grace period, and none is cut that
 was accepted later than ESTIMATE_S after the signal. A request without a
-response gets one before the process ends.
+response gets one before the process ends, also one that has arrived in part.
 """
 
 import abc
@@ -32,6 +32,10 @@
 FINAL_FLUSH_S: Final = 0.4
 """End of the grace period that is reserved for flushing the last responses."""
 
+LAST_ARRIVALS_S: Final = 1.0
+"""Time for which connections that came last are answered, if the grace period
+leaves it; twice the time that a new connection has for its first request."""
+
 CHECK_INTERVAL_S: Final = 0.05
 """Interval at which a stopping gateway checks its peers and open requests."""
 
@@ -47,6 +51,15 @@
 
     stopping: bool = False
 
+    @property
+    @abc.abstractmethod
+    def arriving(self) -> int:
+        """Number of connections on which a request has begun to arrive.
+
+        A new connection counts for a short time, as its caller has opened it to
+        send a request.
+        """
+
     @property
     @abc.abstractmethod
     def open_responses(self) -> int:
@@ -61,7 +74,11 @@
 
     @abc.abstractmethod
     def close_idle(self) -> None:
-        """Closes the connections on which no request has started."""
+        """Closes the connections on which no request has begun to arrive."""
+
+    @abc.abstractmethod
+    def check_arrivals(self) -> None:
+        """Refuses requests whose rest the shutdown can't wait for."""
 
 
 class GracefulStop:
@@ -102,6 +119,7 @@
             _LOG,
             "stop requested",
             requests=len(self._core.active),
+            arriving=self._listener.arriving,
             responses=self._listener.open_responses,
             grace_s=self._grace_s,
             stop_order=self._peers.stop_order,
@@ -110,23 +128,47 @@
         )
         self._core.begin_stop(ends_at, started_at + ESTIMATE_S)
         await self._leave_rotation(started_at, ends_at)
-        while self._is_busy() and clock.now() < ends_at:
+        while True:
             self._stop_accepting_for_peers()
+            self._listener.check_arrivals()
+            if not self._is_busy() or clock.now() >= ends_at:
+                break
             await asyncio.sleep(CHECK_INTERVAL_S)
         self._core.stopping = True
         self._stop_accepting_for_peers()
         self._core.end_requests()
-        await self._flush()
+        await self._flush(ends_at)
 
-    async def _flush(self) -> None:
-        """Waits a short time until the last responses are written."""
-        flush_until = clock.now() + FINAL_FLUSH_S / 2
+    async def _flush(self, ends_at: float) -> None:
+        """Waits until the last responses are written, for a short time.
+
+        Callers who find no other gateway are refused until the end, with the
+        time to return, rather than not being listened to.
+        """
+        now = clock.now()
         await asyncio.sleep(CHECK_INTERVAL_S)
-        while self._listener.open_responses and clock.now() < flush_until:
+        while (
+            self._listener.open_responses
+            and clock.now() < now + FINAL_FLUSH_S / 2
+        ):
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        self._listener.stop_listening()
+        last_until = max(
+            now + FINAL_FLUSH_S / 2, min(now + LAST_ARRIVALS_S, ends_at)
+        )
+        while True:
+            self._listener.check_arrivals()
+            self._listener.close_idle()
+            if not self._is_busy() or clock.now() >= last_until:
+                return
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _is_busy(self) -> bool:
-        return bool(self._core.active) or self._listener.open_responses > 0
+        return (
+            bool(self._core.active)
+            or self._listener.open_responses > 0
+            or self._listener.arriving > 0
+        )
 
     def _stop_accepting_for_peers(self) -> None:
         """Stops accepting if callers find another gateway."""
@@ -161,4 +203,5 @@
             elif now >= left_at + ACCEPT_AFTER_LEAVING_S or now >= ends_at:
                 return
             was_in_rotation = in_rotation
+            self._listener.check_arrivals()
             await asyncio.sleep(CHECK_INTERVAL_S)
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -385,6 +385,7 @@
             self._headers.get("Host", ""),
             _parse_api_key(self._headers),
             body_bytes,
+            _parse_milliseconds(self._headers.get(names.DEADLINE_MS)),
         )
 
     def _check(self, body_bytes: int) -> None:
@@ -398,6 +399,16 @@
         if refusal is not None:
             self._refuse(refusal)
 
+    def check_arrival(self) -> None:
+        """Refuses the request if a shutdown can't wait for the rest of it."""
+        refusal = self._server.handler.check_arrival(
+            calls.Arrival(
+                self._make_head(self._read_bytes), self._owner.silent_s
+            )
+        )
+        if refusal is not None:
+            self._refuse(refusal)
+
     def refuse_slow(self) -> None:
         """See ArrivingRequest.refuse_slow."""
         metrics.REFUSALS.labels(TOO_SLOW.reason).inc()
@@ -615,6 +626,12 @@
         for conn in list(self.connections.values()):
             conn.close_if_idle("stop")
 
+    def check_arrivals(self) -> None:
+        """See Listener.check_arrivals."""
+        for conn in list(self.connections.values()):
+            if conn.has_part and isinstance(conn.request, _RequestReader):
+                conn.request.check_arrival()
+
 
 class _ReadyHandler(web.RequestHandler):
     def initialize(self, is_ready: Callable[[], bool]) -> None:
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -105,6 +105,11 @@
         self.listening = True
         self.unread = 0
 
+    @property
+    def arriving(self) -> int:
+        """See Listener.arriving; simulated requests arrive at once."""
+        return 0
+
     @property
     def open_responses(self) -> int:
         """See Listener.open_responses."""
@@ -117,6 +122,9 @@
     def close_idle(self) -> None:
         """See Listener.close_idle."""
 
+    def check_arrivals(self) -> None:
+        """See Listener.check_arrivals."""
+
 
 class Gateway(NamedTuple):
     """A simulated gateway process."""
--- a/tests/test_platform_caller_closes.py
+++ b/tests/test_platform_caller_closes.py
@@ -75,6 +75,9 @@
     def check_head(self, head: calls.RequestHead) -> calls.Refusal | None:
         return None
 
+    def check_arrival(self, arrival: "calls.Arrival") -> calls.Refusal | None:
+        return None
+
     def handle(
         self, req: calls.CallerRequest, responder: calls.Responder
     ) -> None:
--- a/tests/test_platform_caller_server.py
+++ b/tests/test_platform_caller_server.py
@@ -24,6 +24,8 @@
         self.closed_targets: list[str] = []
         self._respond = respond
         self.checked: list[calls.RequestHead] = []
+        self.arrivals: list[calls.Arrival] = []
+        self.arrival_refusal: calls.Refusal | None = None
 
     def check_head(self, head: calls.RequestHead) -> calls.Refusal | None:
         self.checked.append(head)
@@ -33,6 +35,10 @@
             return calls.Refusal(413, "body_too_large")
         return None
 
+    def check_arrival(self, arrival: calls.Arrival) -> calls.Refusal | None:
+        self.arrivals.append(arrival)
+        return self.arrival_refusal
+
     def handle(
         self, req: calls.CallerRequest, responder: calls.Responder
     ) -> None:
@@ -328,6 +334,41 @@
     assert len(handler.requests) == 1
 
 
+@pytest.mark.parametrize(
+    ("part", "has_head"),
+    [(GET[:9], False), (POST[:-2], True), (CHUNKED[:-7], True)],
+    ids=["head", "body", "chunks"],
+)
+@async_helpers.async_test
+async def test_parts_of_requests_are_refused_in_a_shutdown(
+    part: bytes, has_head: bool
+) -> None:
+    """Guards against a shutdown that resets requests which still arrive."""
+    handler = _Handler(_echo)
+    async with _serving(handler) as (server, reader, writer):
+        writer.write(part)
+        await async_helpers.wait_until(
+            lambda: any(conn.has_part for conn in server.connections.values())
+        )
+        server.stopping = True
+        server.stop_listening()
+        server.close_idle()
+        server.check_arrivals()
+        assert server.arriving == 1
+        assert (handler.arrivals[0].head is not None) == has_head
+        handler.arrival_refusal = calls.Refusal(503, "stopping", 0.25)
+        server.check_arrivals()
+        async with asyncio.timeout(5):
+            head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After: 0.250" in head
+        assert b"Connection: close" in head
+        assert server.open_responses == 1
+        writer.close()
+        await async_helpers.wait_until(lambda: server.open_responses == 0)
+    assert handler.requests == []
+
+
 @async_helpers.async_test
 async def test_requests_behind_a_closed_connection_are_dropped() -> None:
     """Guards against requests that run although nobody can get their answers.
--- a/tests/test_process_gateway_stop.py
+++ b/tests/test_process_gateway_stop.py
@@ -218,3 +218,85 @@
             return row.popen.returncode
 
     assert asyncio.run(main()) == 0
+
+
+BODY_BYTES: Final = 50_000
+PIECE_INTERVAL_S: Final = 0.1
+
+
+async def _send_in_pieces(
+    address: str, number: int, send_s: float, sent_share: float
+) -> int | None:
+    """Sends a request slowly, or a part of it, and returns the status.
+
+    Args:
+        address: The gateway.
+        number: Number of the caller.
+        send_s: Time in which a whole body is sent.
+        sent_share: Share of the body after which the caller falls silent;
+            negative for half of the head.
+
+    Returns:
+        The status, or None if the connection ended without an answer.
+    """
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = (
+        f"POST /lookup/5 HTTP/1.1\r\nHost: fleet.example\r\n"
+        f"Apricottrestle-Attempt-Id: slow-{number}\r\n"
+        f"Authorization: Bearer key-1\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+    ).encode()
+
+    async def send() -> None:
+        if sent_share < 0:
+            writer.write(head[: len(head) // 2])
+            return
+        writer.write(head)
+        pieces = int(send_s / PIECE_INTERVAL_S)
+        for _ in range(int(pieces * sent_share)):
+            writer.write(b"x" * (BODY_BYTES // pieces))
+            await asyncio.sleep(PIECE_INTERVAL_S)
+
+    sending = asyncio.ensure_future(send())
+    status = None
+    with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+        answer = await reader.readuntil(b"\r\n\r\n")
+        status = int(answer.split(b" ")[1])
+    sending.cancel()
+    writer.close()
+    return status
+
+
+@pytest.mark.parametrize(
+    ("send_s", "sent_share"),
+    [(2.0, 1.0), (5.0, 1.0), (2.0, 0.5), (2.0, -1.0)],
+    ids=["body over 2 s", "body over 5 s", "half a body", "half a head"],
+)
+def test_requests_that_still_arrive_are_answered(
+    send_s: float, sent_share: float, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a stop that resets requests which are still sent."""
+
+    async def main() -> list[int | None]:
+        fleet = soak.Fleet(tmp_path, random.Random(1))
+        row = fleet.gateways[0]
+        row.grace_s = GRACE_S
+        async with fleet.running():
+            calls = [
+                asyncio.ensure_future(
+                    _send_in_pieces(
+                        row.caller_address, number, send_s, sent_share
+                    )
+                )
+                for number in range(10)
+            ]
+            await asyncio.sleep(STOP_AFTER_S)
+            row.signal(signal.SIGTERM)
+            assert await row.wait_exit(GRACE_S)
+            return await asyncio.gather(*calls)
+
+    statuses = asyncio.run(main())
+    assert len(statuses) == 10
+    assert set(statuses) <= {200, 503}
+    if sent_share == 1.0 and send_s < ALLOWED_CUT_S:
+        assert set(statuses) == {200}
