Accept queued connections before a listener closes

Change: what the queue holds is accepted before the socket is closed, and answered as any other connection of a stop. What Linux leaves open, a handshake that ends between the last accept and the close, is reset as before; no call closes a listener's door without its queue (shutdown and listen(0) drop or reset as well).

Evidence: test_queued_connections_are_served_when_the_listener_closes, 20 callers in the queue, all served; without the change it fails with a reset.

--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -615,10 +615,17 @@
         self._limits = self._limits._replace(head_s=head_s)
 
     def stop_listening(self) -> None:
-        """See Listener.stop_listening."""
+        """See Listener.stop_listening.
+
+        Closing a listening socket resets the connections in its queue, so that
+        they are accepted first.
+        """
         accepting, self._accepting = self._accepting, {}
         for sock, remove_handler in accepting.items():
             remove_handler()
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    self._accept(*sock.accept())
             sock.close()
 
     def close_idle(self) -> None:
--- a/tests/test_platform_caller_server.py
+++ b/tests/test_platform_caller_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator, Callable
 
 import pytest
@@ -384,6 +385,28 @@
     assert [req.method for req in handler.requests] == ["GET"]
 
 
+@async_helpers.async_test
+async def test_queued_connections_are_served_when_the_listener_closes() -> None:
+    """Guards against resets of connections that nobody has accepted yet."""
+    handler = _Handler(_echo)
+    async with _serving(handler) as (server, _reader, _writer):
+        socks = [
+            socket.create_connection(("127.0.0.1", server.port))
+            for _ in range(20)
+        ]
+        for sock in socks:
+            sock.sendall(GET)
+        server.stopping = True
+        server.stop_listening()
+        server.close_idle()
+        for sock in socks:
+            reader, writer = await asyncio.open_connection(sock=sock)
+            answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 200 OK\r\n")
+            writer.close()
+    assert len(handler.requests) == 20
+
+
 @pytest.mark.parametrize(("ready", "status"), [(True, b"200"), (False, b"503")])
 @async_helpers.async_test
 async def test_readiness_status_follows_the_callback(
