Count the grace period of a stop from its signal

A loop that is busy moved every bound of the stop by its delay, and the process could be killed with answers on it.

Change: Python's own signal handler, which runs between two instructions of what keeps the loop busy, notes the time; the stop counts from it, and "stop requested" logs the difference (signal_delay_s). The signals are ignored once the stop has ended: a second SIGTERM in the teardown ended the process with its default action. Left: a call into C that doesn't return delays the handler as before.

--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -6,8 +6,9 @@
 import random
 import secrets
 import signal
+import types
 from collections.abc import Callable, Iterator
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, NamedTuple, Self
 
 from apricottrestle import errors, logs, ops_http
 from apricottrestle.gateway import (
@@ -59,7 +60,6 @@
 async def _run(cfg: settings.GatewaySettings, adapter: PlatformAdapter) -> None:
     incarnation = secrets.token_hex(4)
     rng = random.Random(secrets.randbits(128))
-    stop_event = _stop_on_signal()
     node = assembly.GatewayNode(
         cfg, adapter.store, adapter.make_client(), rng, incarnation
     )
@@ -80,6 +80,7 @@
         data_centre=cfg.data_centre,
     )
     with (
+        _StopSignal() as stop_signal,
         node,
         peer_link.PeerLink(cfg.peers, node.peers.receive) as link,
         server,
@@ -92,9 +93,9 @@
     ):
         node.start(link)
         with _reload_on_signal(lambda: _reload(node, adapter, "signal")):
-            await stop_event.wait()
+            signal_at = await stop_signal.wait()
             await graceful_stop.GracefulStop(
-                node.core, node.peers, server, node.cfg.grace_s
+                node.core, node.peers, server, node.cfg.grace_s, signal_at
             ).run()
     logs.decision(_LOG, "stop", instance=cfg.instance_id)
 
@@ -115,14 +116,43 @@
         yield
 
 
-def _stop_on_signal() -> asyncio.Event:
-    """Returns an event that is set by SIGTERM or SIGINT."""
-    stop_event = asyncio.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(
-            signal_number, stop_event.set
-        )
-    return stop_event
+class _StopSignal:
+    """Waits for SIGTERM or SIGINT; a context manager.
+
+    The grace period counts from the signal. A handler of the event loop would
+    run, and note the time, only when the loop is free. After the context has
+    ended the signals are ignored, as the process is about to end.
+    """
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._received = asyncio.Event()
+        self._received_at: float | None = None
+
+    def __enter__(self) -> Self:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.SIG_IGN)
+
+    def _on_signal(self, _number: int, _frame: object) -> None:
+        if self._received_at is None:
+            self._received_at = self._loop.time()
+            self._loop.call_soon_threadsafe(self._received.set)
+
+    async def wait(self) -> float:
+        """Returns the monotonic time of the first signal, once it has come."""
+        await self._received.wait()
+        assert self._received_at is not None
+        return self._received_at
 
 
 @contextlib.contextmanager
--- a/src/apricottrestle/gateway/graceful_stop.py
+++ b/src/apricottrestle/gateway/graceful_stop.py
@@ -90,6 +90,7 @@
         peers: peer_sync.PeerSync,
         listener: Listener,
         grace_s: float,
+        signal_at: float | None = None,
     ) -> None:
         """Prepares the shutdown of a gateway.
 
@@ -98,7 +99,10 @@
             peers: Tells the other gateways of the stop.
             listener: Accepts the callers' connections.
             grace_s: Time until the process is killed.
+            signal_at: Monotonic time of the signal, from which the grace period
+                counts; by default the shutdown begins with it.
         """
+        self._signal_at = signal_at
         self._core = core
         self._peers = peers
         self._listener = listener
@@ -106,7 +110,7 @@
 
     async def run(self) -> None:
         """Returns when all responses are written, or the grace period ends."""
-        started_at = clock.now()
+        started_at = clock.now() if self._signal_at is None else self._signal_at
         ends_at = started_at + self._grace_s - FINAL_FLUSH_S
         self._listener.stopping = True
         self._peers.begin_stop(
@@ -118,6 +122,7 @@
         logs.decision(
             _LOG,
             "stop requested",
+            signal_delay_s=round(clock.now() - started_at, 3),
             requests=len(self._core.active),
             arriving=self._listener.arriving,
             responses=self._listener.open_responses,
