--- a/src/apricottrestle_standins/platform/soak.py
+++ b/src/apricottrestle_standins/platform/soak.py
@@ -281,6 +281,9 @@
         gateways: The gateway processes.
         upstreams: The upstreams, engines first.
         route_timeout_s: Time limit of all routes; None for that of the kinds.
+        idle_timeout_s: Idle time of callers' connections; None for the default.
+        spare_routes: Routes of the configuration that nobody uses.
+        spare_teams: Teams of the configuration without callers.
     """
 
     def __init__(
@@ -294,6 +297,9 @@
         self.problems: list[str] = []
         self.rotation: list[str] = []
         self.route_timeout_s: float | None = None
+        self.idle_timeout_s: float | None = None
+        self.spare_routes = 0
+        self.spare_teams = 0
         self._rng = rng
         self._version = 1
         ports = _free_ports(4)
@@ -402,6 +408,18 @@
             for kind in soak_callers.KINDS
         ]
         routes.append(routes[-1] | {"path_prefix": f"/new-{self._version}/"})
+        routes += [
+            routes[-1] | {"path_prefix": f"/spare-{number}/"}
+            for number in range(self.spare_routes)
+        ]
+        teams = [{"name": "team-1", "api_keys": ["key-1"]}]
+        teams += [
+            {"name": f"spare-{number}", "api_keys": [f"spare-key-{number}"]}
+            for number in range(self.spare_teams)
+        ]
+        limits = {}
+        if self.idle_timeout_s is not None:
+            limits["idle_timeout_ms"] = self.idle_timeout_s * 1000
         engine = {
             "slots": 8,
             "kv_capacity": 315_000,
@@ -421,7 +439,8 @@
                     {"name": "engines", "engine": engine},
                     {"name": "plain"},
                 ],
-                "tenants": [{"name": "team-1", "api_keys": ["key-1"]}],
+                "tenants": teams,
+                "limits": limits,
             },
         )
 
