Keep connections of an entry that a drain would close under a request

Change: all HTTP servers accept connections by themselves, as http_connections' streams, and accept what is queued before they close their listener; the entry asks the stream as the gateway does. Left: Tornado's own idle time of 75 s in the entry and requests behind a closed connection there; the agents' servers aren't for callers.

--- a/src/apricottrestle/entry_server.py
+++ b/src/apricottrestle/entry_server.py
@@ -10,6 +10,7 @@
     entry_accept,
     entry_completions,
     entry_http,
+    http_connections,
     http_server,
 )
 
@@ -44,10 +45,13 @@
     """HTTP server that records its open connections."""
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
-        self.streams: weakref.WeakSet[iostream.IOStream] = weakref.WeakSet()
+        self.streams: weakref.WeakSet[http_connections.CallerStream] = (
+            weakref.WeakSet()
+        )
         super().initialize(*args, **kwargs)
 
     def handle_stream(self, stream: iostream.IOStream, address: Any) -> None:
+        assert isinstance(stream, http_connections.CallerStream)
         self.streams.add(stream)
         super().handle_stream(stream, address)
 
@@ -71,7 +75,14 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
     def close_idle(self) -> None:
-        """Closes the connections without a request in progress."""
+        """Closes the connections without a request in progress.
+
+        A request may have arrived that its handler hasn't got yet.
+        """
         for stream in list(self._http_server.streams):
-            if stream not in self._ctx.busy_streams and not stream.closed():
+            if (
+                stream not in self._ctx.busy_streams
+                and not stream.closed()
+                and stream.is_idle
+            ):
                 stream.close()
--- a/src/apricottrestle/http_connections.py
+++ b/src/apricottrestle/http_connections.py
@@ -65,7 +65,9 @@
         last_read_at: Monotonic time at which bytes were last read.
     """
 
-    def __init__(self, sock: socket.socket, max_buffer_size: int) -> None:
+    def __init__(
+        self, sock: socket.socket, max_buffer_size: int | None
+    ) -> None:
         """Wraps an accepted socket."""
         super().__init__(sock, max_buffer_size=max_buffer_size)
         self.last_read_at = time.monotonic()
@@ -82,6 +84,11 @@
         """Whether bytes have been read that aren't enough for the reader."""
         return self._read_buffer_size > 0
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether a stream that waits for a request has got nothing of it."""
+        return not (self.has_partial or self.has_arrivals)
+
     @property
     def has_unread(self) -> bool:
         """Whether bytes have come behind those that the reader has got."""
--- a/src/apricottrestle/http_server.py
+++ b/src/apricottrestle/http_server.py
@@ -1,11 +1,15 @@
 """Base class of the daemons' HTTP servers."""
 
+import contextlib
 import socket
+from collections.abc import Callable
 from types import TracebackType
-from typing import Self
+from typing import Any, Self
 
 from tornado import httpserver, netutil
 
+from apricottrestle import http_connections
+
 
 class ListeningServer:
     """HTTP server that listens at an address; a context manager.
@@ -25,6 +29,7 @@
         self._host = host
         self.port = int(port)
         self._server = server
+        self._accepting: dict[socket.socket, Callable[[], None]] = {}
 
     def __enter__(self) -> Self:
         """Starts listening; must run on the event loop.
@@ -36,7 +41,9 @@
         self.port = sockets[0].getsockname()[1]
         for sock in sockets:
             self.configure_socket(sock)
-        self.listen(sockets)
+            self._accepting[sock] = netutil.add_accept_handler(
+                sock, self.accept
+            )
         return self
 
     def __exit__(
@@ -46,11 +53,28 @@
         traceback: TracebackType | None,
     ) -> None:
         """Stops listening."""
-        self._server.stop()
+        self.stop_listening()
+
+    def accept(self, sock: socket.socket, address: Any) -> None:
+        """Serves an accepted connection."""
+        self._server.handle_stream(
+            http_connections.CallerStream(sock, self._server.max_buffer_size),
+            address,
+        )
 
-    def listen(self, sockets: list[socket.socket]) -> None:
-        """Begins to accept connections of sockets that listen."""
-        self._server.add_sockets(sockets)
+    def stop_listening(self) -> None:
+        """Stops accepting connections; the open ones continue.
+
+        Closing a listening socket resets the connections in its queue, so that
+        they are accepted first.
+        """
+        accepting, self._accepting = self._accepting, {}
+        for sock, remove_handler in accepting.items():
+            remove_handler()
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    self.accept(*sock.accept())
+            sock.close()
 
     def configure_socket(self, sock: socket.socket) -> None:
         """Sets socket options; accepted sockets inherit them."""
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -12,15 +12,13 @@
 import logging
 import socket
 from collections.abc import Callable
-from types import TracebackType
-from typing import Final
+from typing import Any, Final
 
 from tornado import (
     http1connection,
     httpserver,
     httputil,
     iostream,
-    netutil,
     web,
 )
 
@@ -541,7 +539,6 @@
         self._limits = http_connections.ArrivalLimits(
             IDLE_TIMEOUT_S, HEAD_TIMEOUT_S, BODY_TIMEOUT_S
         )
-        self._accepting: dict[socket.socket, Callable[[], None]] = {}
         self._http = _HttpServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
@@ -549,28 +546,12 @@
         )
         super().__init__(address, self._http)
 
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Stops listening."""
-        self.stop_listening()
-
-    def listen(self, sockets: list[socket.socket]) -> None:
-        """See ListeningServer.listen."""
-        for sock in sockets:
-            self._accepting[sock] = netutil.add_accept_handler(
-                sock, self._accept
-            )
-
-    def _accept(self, sock: socket.socket, address: object) -> None:
+    def accept(self, sock: socket.socket, address: Any) -> None:
+        """See ListeningServer.accept."""
         stream = http_connections.CallerStream(sock, MAX_BODY_BYTES)
         self.connections[stream] = http_connections.CallerConnection(
             stream, lambda: self._limits
         )
-        assert isinstance(address, tuple)
         self._http.handle_stream(stream, address)
 
     def start_request(
@@ -614,20 +595,6 @@
         """Sets the time in which the head of a request must arrive."""
         self._limits = self._limits._replace(head_s=head_s)
 
-    def stop_listening(self) -> None:
-        """See Listener.stop_listening.
-
-        Closing a listening socket resets the connections in its queue, so that
-        they are accepted first.
-        """
-        accepting, self._accepting = self._accepting, {}
-        for sock, remove_handler in accepting.items():
-            remove_handler()
-            with contextlib.suppress(BlockingIOError):
-                while True:
-                    self._accept(*sock.accept())
-            sock.close()
-
     def close_idle(self) -> None:
         """See Listener.close_idle."""
         for conn in list(self.connections.values()):
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import socket
+import time
 import weakref
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any, NamedTuple
@@ -19,6 +21,7 @@
     messages,
     platform_instances,
 )
+from tests import async_helpers
 from tests import test_entry_fakes as fakes
 from tests import test_entry_world as worlds
 
@@ -74,6 +77,7 @@
         self.core = entry_core.StepRunner(self.tables, _FakeTransport(self))  # type: ignore[arg-type]
         self.tables.last_tick = None
         self.port = 0
+        self.server: entry_server.ApiServer | None = None
 
     def to_entry(
         self,
@@ -107,6 +111,7 @@
     )
     with entry_server.ApiServer("127.0.0.1:0", ctx) as server:
         api.port = server.port
+        api.server = server
         rows = [
             platform_instances.InstanceRow(
                 name, "agent", "dc", f"c-{name}", "", ""
@@ -523,3 +528,31 @@
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(entry_server.ApiServer, "__enter__", enter)
         asyncio.run(main())
+
+
+@pytest.mark.parametrize("held_up_s", [0.0, 0.004, 0.12])
+@async_helpers.async_test
+async def test_requests_that_cross_a_drain_are_answered(
+    held_up_s: float,
+) -> None:
+    """Guards against requests that are read, and dropped by a drain."""
+    request = b"GET /v1/models HTTP/1.1\r\nHost: x\r\n" + b"".join(
+        f"{name}: {value}\r\n".encode() for name, value in _AUTH.items()
+    )
+    loop = asyncio.get_running_loop()
+    async with _open() as api:
+        assert api.server is not None
+        with socket.create_connection(("127.0.0.1", api.port)) as sock:
+            sock.setblocking(False)
+            for crosses in (False, True):
+                sock.send(request + b"\r\n")
+                if crosses:
+                    time.sleep(held_up_s)
+                    api.server.close_idle()
+                async with asyncio.timeout(5):
+                    got = await loop.sock_recv(sock, 65_536)
+                assert got.startswith(b"HTTP/1.1 200 ")
+                await asyncio.sleep(0.05)
+            api.server.close_idle()
+            async with asyncio.timeout(5):
+                assert await loop.sock_recv(sock, 65_536) == b""
