Go on with a stop if a queued connection can't be accepted

A caller that has left is passed over; any other error, such as no free descriptor, is logged, and the rest of the queue is reset as before the queue was accepted at all.

Evidence: test_shutdown_goes_on_if_a_queued_connection_fails, both rows; it raised before.

--- a/src/apricottrestle/http_server.py
+++ b/src/apricottrestle/http_server.py
@@ -1,15 +1,17 @@
 """Base class of the daemons' HTTP servers."""
 
-import contextlib
+import logging
 import socket
 from collections.abc import Callable
 from types import TracebackType
-from typing import Any, Self
+from typing import Any, Final, Self
 
 from tornado import httpserver, netutil
 
 from apricottrestle import http_connections
 
+_LOG: Final = logging.getLogger(__name__)
+
 
 class ListeningServer:
     """HTTP server that listens at an address; a context manager.
@@ -71,10 +73,26 @@
         accepting, self._accepting = self._accepting, {}
         for sock, remove_handler in accepting.items():
             remove_handler()
-            with contextlib.suppress(BlockingIOError):
-                while True:
-                    self.accept(*sock.accept())
+            self._accept_queued(sock)
             sock.close()
 
+    def _accept_queued(self, sock: socket.socket) -> None:
+        while True:
+            try:
+                conn, address = sock.accept()
+            except BlockingIOError:
+                return
+            except ConnectionAbortedError:
+                # This one has left; others may be behind it.
+                continue
+            except OSError as exc:
+                # Most likely no descriptor is left; the stop must go on.
+                _LOG.warning(
+                    "queued connections are reset",
+                    extra={"problem": str(exc)},
+                )
+                return
+            self.accept(conn, address)
+
     def configure_socket(self, sock: socket.socket) -> None:
         """Sets socket options; accepted sockets inherit them."""
--- a/tests/test_platform_caller_server.py
+++ b/tests/test_platform_caller_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 from collections.abc import AsyncIterator, Callable
 
@@ -407,6 +408,37 @@
     assert len(handler.requests) == 20
 
 
+@pytest.mark.parametrize(
+    ("failures", "served"),
+    [
+        ([ConnectionAbortedError()], True),
+        ([OSError(errno.EMFILE, "Too many open files")], False),
+    ],
+    ids=["caller left", "no descriptors"],
+)
+@async_helpers.async_test
+async def test_shutdown_goes_on_if_a_queued_connection_fails(
+    failures: list[OSError], served: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a stop that an error of the accept queue ends."""
+    handler = _Handler(_echo)
+    async with _serving(handler) as (server, _reader, _writer):
+        with socket.create_connection(("127.0.0.1", server.port)) as sock:
+            sock.sendall(GET)
+            accept = socket.socket.accept
+
+            def fail_first(listener: socket.socket) -> object:
+                if failures:
+                    raise failures.pop()
+                return accept(listener)
+
+            with monkeypatch.context() as patch:
+                patch.setattr(socket.socket, "accept", fail_first)
+                server.stop_listening()
+            await asyncio.sleep(0.1)
+    assert len(handler.requests) == int(served)
+
+
 @pytest.mark.parametrize(("ready", "status"), [(True, b"200"), (False, b"503")])
 @async_helpers.async_test
 async def test_readiness_status_follows_the_callback(
