Keep one caller's request from ending a whole stop

Tornado raises if a body is written to a HEAD response; the same in refusals of whole HEAD requests, also on.

Change: no body for HEAD; the shortcut for Expect holds only before the caller was asked for its body; an exception of one connection or request is logged and doesn't end the others' stop. The queue of a listener is accepted up to a bound.

Evidence: test_refused_head_request_has_no_body, the row HEAD of test_parts_of_requests_are_refused_in_a_shutdown and test_refusal_reaches_a_caller_that_was_asked_for_its_body failed before, pass now.

--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -120,8 +120,10 @@
     """Waits for SIGTERM or SIGINT; a context manager.
 
     The grace period counts from the signal. A handler of the event loop would
-    run, and note the time, only when the loop is free. After the context has
-    ended the signals are ignored, as the process is about to end.
+    run, and note the time, only when the loop is free. A signal that comes just
+    before the loop begins to wait is handled when it wakes, which LoopWatch
+    bounds. After the context has ended the signals are ignored, as the process
+    is about to end.
     """
 
     def __init__(self) -> None:
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -334,13 +334,20 @@
                 response_started=request.response_started,
             )
             self.withdraw_request(request)
-            request.end_with_error(
-                accept.UNAVAILABLE,
-                STOPPING,
-                self._stopping_retry_after_s(
-                    max(request.time_left_s(clock.now()), 0.0)
-                ),
-            )
+            try:
+                request.end_with_error(
+                    accept.UNAVAILABLE,
+                    STOPPING,
+                    self._stopping_retry_after_s(
+                        max(request.time_left_s(clock.now()), 0.0)
+                    ),
+                )
+            except Exception:
+                # The others must get their answers in any case.
+                _LOG.exception(
+                    "request can't be answered",
+                    extra={"request_id": request.req.request_id},
+                )
 
     # Requests.
 
--- a/src/apricottrestle/gateway/graceful_stop.py
+++ b/src/apricottrestle/gateway/graceful_stop.py
@@ -56,8 +56,8 @@
     def arriving(self) -> int:
         """Number of connections on which a request has begun to arrive.
 
-        A new connection counts for a short time, as its caller has opened it to
-        send a request.
+        Once the server doesn't listen, a new connection counts for a short
+        time, as its caller has opened it to send a request.
         """
 
     @property
--- a/src/apricottrestle/http_connections.py
+++ b/src/apricottrestle/http_connections.py
@@ -6,9 +6,9 @@
 reader of a request gets bytes that arrived earlier, so what a reader knows is
 not enough to decide.
 
-Invariants: a connection is closed without an answer only if nothing of a
-request has been read from it and nothing can be read. A request that has
-arrived in part when its time is up is refused.
+Invariants: neither a time limit nor a shutdown closes a connection without an
+answer if something of a request has been read from it or can be read. A request
+that has arrived in part when its time is up is refused.
 """
 
 import abc
@@ -49,7 +49,8 @@
 
     Attributes:
         idle_s: Time until a request begins to arrive.
-        head_s: Time from its first byte until its head is complete.
+        head_s: Time from its last bytes until its head is complete, if it
+            isn't at the end of the idle time.
         body_s: Time from then until its body is complete.
     """
 
@@ -174,18 +175,17 @@
 
     @property
     def is_arriving(self) -> bool:
-        """Whether a request has begun to arrive, or its caller just came."""
+        """Whether a request has begun to arrive."""
         if self.phase == "responding" or self.stream.closed():
             return False
-        return (
-            self.has_part
-            or self.stream.has_arrivals
-            or self._expects_first_request()
-        )
+        return self.has_part or self.stream.has_arrivals
 
-    def _expects_first_request(self) -> bool:
+    @property
+    def expects_first_request(self) -> bool:
+        """Whether the caller came so recently that it is about to send."""
         return (
             self._is_new
+            and not self.stream.closed()
             and time.monotonic() < self._accepted_at + NEW_CONNECTION_S
         )
 
@@ -202,7 +202,11 @@
         Args:
             reason: Label for the metrics.
         """
-        if self.phase == "waiting" and not self.is_arriving:
+        if (
+            self.phase == "waiting"
+            and not self.is_arriving
+            and not self.expects_first_request
+        ):
             metrics.CONNECTIONS_CLOSED.labels(reason).inc()
             self.close()
 
--- a/src/apricottrestle/http_server.py
+++ b/src/apricottrestle/http_server.py
@@ -10,6 +10,10 @@
 
 from apricottrestle import http_connections
 
+MAX_QUEUED: Final = 1024
+"""Connections that are accepted when a listener closes; several times as many
+as its queue holds, as callers may come faster than they are accepted."""
+
 _LOG: Final = logging.getLogger(__name__)
 
 
@@ -57,6 +61,11 @@
         """Stops listening."""
         self.stop_listening()
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether new connections are accepted."""
+        return bool(self._accepting)
+
     def accept(self, sock: socket.socket, address: Any) -> None:
         """Serves an accepted connection."""
         self._server.handle_stream(
@@ -77,7 +86,7 @@
             sock.close()
 
     def _accept_queued(self, sock: socket.socket) -> None:
-        while True:
+        for _ in range(MAX_QUEUED):
             try:
                 conn, address = sock.accept()
             except BlockingIOError:
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -211,6 +211,7 @@
     def __init__(
         self,
         conn: http1connection.HTTP1Connection,
+        method: str,
         req_id: str,
         is_last: Callable[[], bool],
     ) -> None:
@@ -218,10 +219,12 @@
 
         Args:
             conn: The caller's connection.
+            method: Method of the request.
             req_id: Id of the request.
             is_last: Returns whether the response closes the connection.
         """
         self._conn = conn
+        self._has_body = method != "HEAD"
         self._req_id = req_id
         self._is_last = is_last
         self._close_callback: Callable[[], None] | None = None
@@ -254,7 +257,7 @@
 
     def write(self, data: bytes) -> None:
         """See Responder.write."""
-        if data and not self.closed:
+        if data and self._has_body and not self.closed:
             self._conn.write(data)
 
     def finish(self) -> None:
@@ -330,6 +333,7 @@
         self._headers = httputil.HTTPHeaders()
         self._responder: _HttpResponder | None = None
         self._refused = False
+        self._reads_body = False
 
     def headers_received(
         self,
@@ -350,6 +354,7 @@
         length = headers.get("Content-Length", "")
         is_length = length.isdecimal() and len(length) <= MAX_LENGTH_DIGITS
         self._check(int(length) if is_length else 0)
+        self._reads_body = True
 
     def data_received(self, chunk: bytes) -> None:
         """Stores a chunk of the body."""
@@ -432,11 +437,12 @@
             return
         self._responder = _HttpResponder(
             self._conn,
+            self._start_line.method,
             self._headers.get(names.REQUEST_ID, ""),
             is_last=lambda: True,
         )
         self._responder.write_refusal(*refusal)
-        if "Expect" in self._headers:
+        if "Expect" in self._headers and not self._reads_body:
             # Tornado would ask for the body, which the caller hasn't sent.
             self._responder.finish()
             return
@@ -480,7 +486,7 @@
         )
         self._drop_body()
         self._responder = _HttpResponder(
-            self._conn, req.request_id, self._is_last_response
+            self._conn, req.method, req.request_id, self._is_last_response
         )
         self._owner.respond()
         self._server.handler.handle(req, self._responder)
@@ -585,7 +591,13 @@
     @property
     def arriving(self) -> int:
         """See Listener.arriving."""
-        return sum(conn.is_arriving for conn in self.connections.values())
+        # While the server listens, new connections come without end.
+        is_listening = self.is_listening
+        return sum(
+            conn.is_arriving
+            or (not is_listening and conn.expects_first_request)
+            for conn in self.connections.values()
+        )
 
     def set_idle_timeout(self, idle_s: float) -> None:
         """Sets the time after which an idle connection is closed."""
@@ -603,8 +615,16 @@
     def check_arrivals(self) -> None:
         """See Listener.check_arrivals."""
         for conn in list(self.connections.values()):
-            if conn.has_part and isinstance(conn.request, _RequestReader):
+            if not conn.has_part or not isinstance(
+                conn.request, _RequestReader
+            ):
+                continue
+            try:
                 conn.request.check_arrival()
+            except Exception:
+                # One connection must not end the shutdown of the others.
+                _LOG.exception("closed a connection that can't be refused")
+                conn.close()
 
 
 class _ReadyHandler(web.RequestHandler):
--- a/tests/test_platform_caller_server.py
+++ b/tests/test_platform_caller_server.py
@@ -338,8 +338,13 @@
 
 @pytest.mark.parametrize(
     ("part", "has_head"),
-    [(GET[:9], False), (POST[:-2], True), (CHUNKED[:-7], True)],
-    ids=["head", "body", "chunks"],
+    [
+        (GET[:9], False),
+        (POST[:-2], True),
+        (CHUNKED[:-7], True),
+        (POST[:-2].replace(b"POST", b"HEAD"), True),
+    ],
+    ids=["head", "body", "chunks", "HEAD"],
 )
 @async_helpers.async_test
 async def test_parts_of_requests_are_refused_in_a_shutdown(
@@ -371,6 +376,44 @@
     assert handler.requests == []
 
 
+@async_helpers.async_test
+async def test_refused_head_request_has_no_body() -> None:
+    """Guards against a refusal that raises, and resets its connection."""
+    async with _serving(_Handler(_refuse)) as (_, reader, writer):
+        for _ in range(2):
+            writer.write(GET.replace(b"GET", b"HEAD"))
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 503 ")
+        writer.write(GET)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 503 ")
+
+
+@async_helpers.async_test
+async def test_refusal_reaches_a_caller_that_was_asked_for_its_body() -> None:
+    """Guards against a refusal that a reset overtakes.
+
+    The caller sends on before it reads, as it was told to continue.
+    """
+    handler = _Handler(_echo)
+    async with _serving(handler) as (server, reader, writer):
+        writer.write(
+            b"POST /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+            b"Content-Length: 9000\r\n\r\n"
+        )
+        assert b" 100 " in await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"x" * 1000)
+        await async_helpers.wait_until(lambda: server.reading_bytes == 1000)
+        handler.arrival_refusal = calls.Refusal(503, "stopping", 0.25)
+        server.check_arrivals()
+        for _ in range(5):
+            await asyncio.sleep(0.01)
+            writer.write(b"x" * 1000)
+        async with asyncio.timeout(5):
+            head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 503 ")
+
+
 @async_helpers.async_test
 async def test_requests_behind_a_closed_connection_are_dropped() -> None:
     """Guards against requests that run although nobody can get their answers.
