Let the soak's callers come back at the idle time and send in pieces

They return 12 ms before to 4 ms after the idle time, send some requests in two pieces, and check that nothing that a gateway has read ends without an answer. Gateways are stopped and rolled, reloaded, held up (stopped and continued, 0 to 0.2 s, 20 times in a row), and the idle time changes. Not in it: pipelined requests and slow bodies, which the tests of CallerServer have.

--- a/bench/kept_connections.py
+++ b/bench/kept_connections.py
@@ -10,17 +10,12 @@
 import asyncio
 import pathlib
 import random
-import select
 import signal
-import socket
 import statistics
 import tempfile
 from typing import Final, NamedTuple
 
-from apricottrestle_standins.platform import soak
-
-RETURNS_S: Final = (-0.012, 0.004)
-"""Times of return, relative to the idle time."""
+from apricottrestle_standins.platform import soak, soak_callers
 
 WARM_UP_S: Final = 1.0
 
@@ -94,9 +89,10 @@
                 streams = await asyncio.open_connection(host, int(port))
             elif self._options.pause:
                 await asyncio.sleep(
-                    self._options.idle_s + self._rng.uniform(*RETURNS_S)
+                    self._options.idle_s
+                    + self._rng.uniform(*soak_callers.RETURNS_S)
                 )
-            if _has_ended(streams[1]):
+            if soak_callers.has_ended(streams[1]):
                 streams[1].close()
                 streams = None
                 continue
@@ -129,11 +125,7 @@
             length = head.lower().partition("content-length: ")[2]
             await reader.readexactly(int(length.split("\r\n")[0]))
         except asyncio.IncompleteReadError:
-            # The end of the stream is seen first also if the request came too
-            # late and was answered with a reset.
-            sock = writer.get_extra_info("socket")
-            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            return "reset" if error else "ended"
+            return "reset" if soak_callers.has_error(writer) else "ended"
         except OSError:
             return "reset"
         return int(head.split(" ")[1])
@@ -150,16 +142,6 @@
             self.crossed += 1
 
 
-def _has_ended(writer: asyncio.StreamWriter) -> bool:
-    """Returns whether the gateway has closed a connection without a request.
-
-    The event loop may not know yet.
-    """
-    poll = select.poll()
-    poll.register(writer.get_extra_info("socket").fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 async def measure(options: Options) -> Result:
     """Runs one gateway's callers, and returns what they got."""
     loop = asyncio.get_running_loop()
--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -119,6 +119,8 @@
         disconnected: Whether the caller disconnected before the end of the
             response.
         gateway: Address of the gateway that received it, or empty.
+        dropped: Whether its connection ended without an answer and without a
+            reset: the gateway had read what was sent.
     """
 
     def __init__(
@@ -138,6 +140,7 @@
         self.ended_s: float | None = None
         self.disconnected = False
         self.gateway = ""
+        self.dropped = False
 
 
 class Ledger:
@@ -323,6 +326,20 @@
     ]
 
 
+def find_dropped_requests(ledger: Ledger) -> list[str]:
+    """Returns requests that a gateway has read and never answered.
+
+    For runs in which no gateway is killed.
+    """
+    return [
+        f"LOST {attempt.arrival.kind.name} {attempt.request_id}: read and not "
+        f"answered, by {attempt.gateway}"
+        for attempts in ledger.requests
+        for attempt in attempts
+        if attempt.dropped
+    ]
+
+
 ENDED_STATUSES = (500, 502)
 
 
--- a/src/apricottrestle_standins/platform/soak.py
+++ b/src/apricottrestle_standins/platform/soak.py
@@ -134,6 +134,25 @@
 what comes, longest silence, and share of silent upstreams that turn other
 requests away meanwhile."""
 
+KEPT_TRAFFIC_S: Final = 14.0
+KEPT_CALLERS: Final = 30
+KEPT_IDLE_S: Final = (0.3, 0.6, 1.0)
+KEPT_FAULTS: Final = (
+    "roll",
+    "term",
+    "hup",
+    "new_config",
+    "change_idle",
+    "change_idle",
+    "hold_up",
+    "hold_up",
+)
+MAX_HOLD_UP_S: Final = 0.2
+HOLD_UPS: Final = 20
+"""Runs with callers that come back at the idle time: duration, callers, idle
+times, and what comes; longest time for which a gateway does nothing, and how
+often in a row."""
+
 SETTLE_S: Final = 3.0
 """Time after a disturbance in which a gateway may act on old state, by the
 platform's rules."""
@@ -449,6 +468,7 @@
         length_s: float,
         prompts: Sequence[tuple[str, ...]] = ((),) * CALLER_COUNT,
         repeated: Sequence[bytes] = (),
+        caller_class: type[soak_callers.Caller] = soak_callers.Caller,
     ) -> None:
         """Lets callers send requests, one at a time each.
 
@@ -456,13 +476,14 @@
             length_s: Duration of the traffic.
             prompts: Shared parts of each caller's prompts.
             repeated: Bodies of further callers that repeat one request each.
+            caller_class: Behaviour of the callers.
         """
         deadline = asyncio.get_running_loop().time() + length_s
         rows = [(parts, b"") for parts in prompts]
         rows += [((), body) for body in repeated]
         await asyncio.gather(
             *(
-                soak_callers.Caller(
+                caller_class(
                     f"caller-{n}",
                     self.run_ledger,
                     self.rotation,
@@ -535,6 +556,20 @@
     async def _new_config(self, _duration_s: float) -> None:
         self.publish()
 
+    async def _change_idle(self, _duration_s: float) -> None:
+        """Changes the idle time of callers' connections."""
+        self.idle_timeout_s = self._rng.choice(KEPT_IDLE_S)
+        self.publish()
+
+    async def _hold_up(self, _duration_s: float) -> None:
+        """Holds a gateway up, as a long computation of its own would."""
+        row = self._any_gateway()
+        for _ in range(HOLD_UPS):
+            row.signal(signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(0.0, MAX_HOLD_UP_S))
+            row.signal(signal.SIGCONT)
+            await asyncio.sleep(self._rng.uniform(0.0, MAX_HOLD_UP_S))
+
     async def _store_forgets(self, _duration_s: float) -> None:
         for topic in ("keyed.op", "keyed.servers"):
             self.store.topic(topic).compact()
@@ -972,6 +1007,39 @@
     return problems
 
 
+async def run_kept_seed(seed: int, directory: pathlib.Path) -> list[str]:
+    """Does a run with callers that come back at the idle time.
+
+    Gateways are stopped, reloaded and held up meanwhile, and the idle time
+    changes; no request that has been read may end without an answer.
+    """
+    rng = random.Random(seed + 1)
+    fleet = Fleet(directory, rng)
+    fleet.idle_timeout_s = soak_callers.ReturningCaller.idle_s
+    for row in fleet.gateways:
+        row.grace_s = STOP_GRACE_S
+        row.start_pause_s = STOP_PAUSE_S
+    faults = generate_faults(seed, KEPT_TRAFFIC_S, KEPT_FAULTS)
+    faults += [
+        Fault(rng.uniform(0.5, KEPT_TRAFFIC_S * 0.7), kind, 1.0)
+        for kind in ("change_idle", "hold_up", "term")
+    ]
+    async with fleet.running():
+        await asyncio.gather(
+            fleet.inject(sorted(faults)),
+            fleet.send_requests(
+                KEPT_TRAFFIC_S,
+                ((),) * KEPT_CALLERS,
+                caller_class=soak_callers.ReturningCaller,
+            ),
+        )
+        await fleet.wait_all_ready()
+    problems = fleet.problems + ledger.find_violations(fleet.run_ledger)
+    problems += ledger.find_dropped_requests(fleet.run_ledger)
+    problems += _check_served(fleet.run_ledger, planned=False)
+    return problems
+
+
 async def run_notice_seed(seed: int, directory: pathlib.Path) -> list[str]:
     """Does a run with upstreams that say something of themselves."""
     rng = random.Random(seed + 1)
@@ -1105,6 +1173,11 @@
         action="store_true",
         help="runs with planned work beside upstreams that fall silent",
     )
+    parser.add_argument(
+        "--kept",
+        action="store_true",
+        help="runs with callers that come back at the idle time",
+    )
     args = parser.parse_args()
     run, length_s = run_seed, TRAFFIC_S
     kinds: tuple[str, ...] = ()
@@ -1123,6 +1196,8 @@
     elif args.planned:
         run, length_s = run_planned_seed, PLANNED_TRAFFIC_S
         kinds = PLANNED_FAULTS
+    elif args.kept:
+        run, length_s, kinds = run_kept_seed, KEPT_TRAFFIC_S, KEPT_FAULTS
     failed = 0
     for seed in range(args.first, args.first + args.seeds):
         with tempfile.TemporaryDirectory() as temp:
--- a/src/apricottrestle_standins/platform/soak_callers.py
+++ b/src/apricottrestle_standins/platform/soak_callers.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import random
+import select
+import socket
 from typing import Final, NamedTuple
 
 from apricottrestle_standins.platform import ledger, workload
@@ -13,6 +15,14 @@
 
 REQUESTS_PER_CONNECTION: Final = 6
 
+RETURNING_SHARE: Final = 0.5
+RETURNS_S: Final = (-0.012, 0.004)
+PIECES_SHARE: Final = 0.3
+MAX_PIECE_PAUSE_S: Final = 0.4
+"""Callers that come back at the idle time: share of such pauses, and how far
+they are from it; share of requests that are sent in two pieces, and the longest
+pause between them."""
+
 REPEATED_EVENTS: Final = 5
 """Length of the answers to a caller that repeats one request, in events."""
 
@@ -87,9 +97,17 @@
         loop = asyncio.get_running_loop()
         while loop.time() < end_s:
             await self._request()
-            await asyncio.sleep(self._rng.uniform(0.0, 0.06))
+            await self._pause()
         self._close()
 
+    async def _pause(self) -> None:
+        """Waits between two requests."""
+        await asyncio.sleep(self._rng.uniform(0.0, 0.06))
+
+    async def _write(self, conn: _Conn, data: bytes) -> None:
+        """Sends a request."""
+        conn.writer.write(data)
+
     async def _request(self) -> None:
         loop = asyncio.get_running_loop()
         is_prompt = bool(self._shared_parts or self._body)
@@ -136,10 +154,16 @@
             async with asyncio.timeout(max(deadline - loop.time(), 0.01)):
                 conn = await self._connect()
                 attempt.gateway = self._address
-                conn.writer.write(self._request_head(attempt, deadline))
+                await self._write(conn, self._request_head(attempt, deadline))
                 await self._read_response(attempt, conn)
         except (TimeoutError, asyncio.IncompleteReadError, OSError) as exc:
             attempt.broken = not isinstance(exc, TimeoutError)
+            attempt.dropped = (
+                attempt.status is None
+                and isinstance(exc, asyncio.IncompleteReadError)
+                and self._conn is not None
+                and not has_error(self._conn.writer)
+            )
             attempt.disconnected = isinstance(exc, TimeoutError)
             self._close()
         attempt.ended_s = loop.time()
@@ -221,6 +245,53 @@
                 attempt.event_times.append(loop.time())
 
 
+def has_ended(writer: asyncio.StreamWriter) -> bool:
+    """Returns whether the peer has closed a connection that awaits nothing.
+
+    The event loop may not know yet.
+    """
+    poll = select.poll()
+    poll.register(writer.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def has_error(writer: asyncio.StreamWriter) -> bool:
+    """Returns whether what was sent last has been answered with a reset.
+
+    The end of a stream that came before is read first. A second write gets the
+    error, and asyncio closes the connection.
+    """
+    sock = writer.get_extra_info("socket")
+    return writer.is_closing() or bool(
+        sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    )
+
+
+class ReturningCaller(Caller):
+    """Comes back at about the idle time, and sends some requests in pieces."""
+
+    idle_s = 1.0
+
+    async def _pause(self) -> None:
+        if self._rng.random() < RETURNING_SHARE:
+            await asyncio.sleep(self.idle_s + self._rng.uniform(*RETURNS_S))
+        else:
+            await super()._pause()
+
+    async def _connect(self) -> _Conn:
+        if self._conn is not None and has_ended(self._conn.writer):
+            self._close()
+        return await super()._connect()
+
+    async def _write(self, conn: _Conn, data: bytes) -> None:
+        if self._rng.random() < PIECES_SHARE:
+            cut = self._rng.randrange(1, len(data))
+            conn.writer.write(data[:cut])
+            await asyncio.sleep(self._rng.uniform(0.0, MAX_PIECE_PAUSE_S))
+            data = data[cut:]
+        conn.writer.write(data)
+
+
 def _should_retry(attempt: ledger.Attempt) -> bool:
     if attempt.complete or attempt.status in (400, 401, 404, 413):
         return False
