--- a/tests/test_soak_days.py
+++ b/tests/test_soak_days.py
@@ -148,3 +148,22 @@
     upstreams are silent for up to 1.4 s.
     """
     assert asyncio.run(soak.run_planned_seed(seed, tmp_path)) == []
+
+
+@pytest.mark.parametrize(
+    "seed",
+    [
+        # A second write took the error of a reset from the socket, and the
+        # check took a connection that was closed before for a dropped request.
+        1,
+        5,
+    ],
+)
+def test_soak_run_with_callers_that_return_at_the_idle_time(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    """Guards against requests that are read and never answered.
+
+    Gateways are stopped, reloaded and held up, and the idle time changes.
+    """
+    assert asyncio.run(soak.run_kept_seed(seed, tmp_path)) == []
