Run the tests in parallel, in three phases

Change: tests/run_suite.py runs the tests without processes in as many workers as there are processors, those of real processes four at a time, and those that judge a process's memory (mark 'alone') one by one, and prints one summary as the last line. Workers allocate their ports from ranges of their own. KNOWN-RED rows are passed over as before, by PYTEST_ADDOPTS.

Ruled out: one session with a group for the tests of processes; they would then run beside tests that use all processors, and break their time limits.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	$(BIN)/mypy
 
 unit: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m tests.run_suite
 
 fuzz: $(STAMP)
 	HYPOTHESIS_PROFILE=fuzz $(BIN)/python -m pytest -m "not process"
--- a/src/apricottrestle_standins/fleet.py
+++ b/src/apricottrestle_standins/fleet.py
@@ -47,14 +47,18 @@
     """
 
     def __init__(self) -> None:
-        self._next = random.SystemRandom().randrange(_MIN_PORT, _END_PORT)
+        self.use_range(_MIN_PORT, _END_PORT)
+
+    def use_range(self, first: int, end: int) -> None:
+        self._first, self._end = first, end
+        self._next = random.SystemRandom().randrange(first, end)
 
     def allocate(self) -> int:
-        for _ in range(_END_PORT - _MIN_PORT):
+        for _ in range(self._end - self._first):
             port = self._next
             self._next += 1
-            if self._next >= _END_PORT:
-                self._next = _MIN_PORT
+            if self._next >= self._end:
+                self._next = self._first
             if _is_free(port):
                 return port
         raise FleetError("no free port on loopback")
@@ -73,6 +77,18 @@
 _PORT_ALLOCATOR: Final = _PortAllocator()
 
 
+def use_ports(part: int, parts: int) -> None:
+    """Limits this process to one of several equal parts of the ports.
+
+    Args:
+        part: Number of the part, from 0.
+        parts: Number of processes that share the ports.
+    """
+    size = (_END_PORT - _MIN_PORT) // parts
+    first = _MIN_PORT + part * size
+    _PORT_ALLOCATOR.use_range(first, first + size)
+
+
 def free_ports(count: int) -> list[int]:
     """Returns distinct loopback ports that are currently free."""
     return [_PORT_ALLOCATOR.allocate() for _ in range(count)]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,7 @@
-"""Hypothesis profiles: deterministic "ci", and "fuzz" with a random seed."""
+"""Hypothesis profiles, ports of parallel workers, and checks of marks.
+
+The profiles are the deterministic "ci" and "fuzz" with a random seed.
+"""
 
 import os
 import random
@@ -6,6 +9,8 @@
 import hypothesis
 import pytest
 
+from apricottrestle_standins import fleet
+
 hypothesis.settings.register_profile(
     "ci", derandomize=True, max_examples=60, deadline=None, database=None
 )
@@ -18,6 +23,7 @@
 
 def pytest_configure(config: pytest.Config) -> None:
     """Prints the seed of a fuzz run, and chooses one unless it is given."""
+    _divide_ports()
     if _PROFILE != "fuzz":
         return
     seed = config.getoption("--hypothesis-seed", default=None)
@@ -25,3 +31,23 @@
         seed = random.SystemRandom().randrange(2**32)
         config.option.hypothesis_seed = seed
     print(f"hypothesis seed: {seed}")
+
+
+def _divide_ports() -> None:
+    """Gives each parallel worker ports of its own.
+
+    Two workers could otherwise allocate the same port before either binds it.
+    """
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "")
+    count = int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1"))
+    if worker:
+        fleet.use_ports(int(worker.removeprefix("gw")), count)
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Requires the mark `process` beside `alone`; `run_suite` relies on it."""
+    for item in items:
+        if item.get_closest_marker("alone") and not item.get_closest_marker(
+            "process"
+        ):
+            raise pytest.UsageError(f"{item.nodeid}: alone without process")
