Move the queue of model requests out of the gateway

Change: the waiting set, scheduling passes, staggering, claims, slot reservations, refusals of waiting requests, runs and the memory that starts them are in engine_queue.py, behind QueueHost and Tables, which a test can supply without a network. Reasons of refusals that two modules use are in accept.py. No behaviour changes; the loggers of the moved lines have the names of their new modules.

Ruled out: passing the gateway itself to the queue, which would keep the cycle; one module for plain services too, which have no queue.

Tests change only in private names that moved.

--- a/bench/fleet_days.py
+++ b/bench/fleet_days.py
@@ -19,8 +19,8 @@
 
 from apricottrestle.gateway import (
     engine_claims,
+    engine_queue,
     engine_routing,
-    gateway,
     peer_sync,
 )
 from apricottrestle_standins.platform import (
@@ -97,7 +97,7 @@
 def _arrival_order() -> contextlib.AbstractContextManager[object]:
     """Schedules waiting requests in order of arrival."""
     return mock.patch.object(
-        gateway,
+        engine_queue,
         "_scheduling_order",
         lambda waiting, _now: (0, 0, waiting.req.arrived_at),
     )
@@ -118,7 +118,7 @@
 
 def _no_reserved_slots() -> contextlib.AbstractContextManager[object]:
     """Reserves no slots for requests that are on time."""
-    return mock.patch.object(gateway, "ON_TIME_RESERVED_SLOTS", 0)
+    return mock.patch.object(engine_queue, "ON_TIME_RESERVED_SLOTS", 0)
 
 
 def _no_claims() -> contextlib.AbstractContextManager[object]:
--- a/src/apricottrestle/gateway/accept.py
+++ b/src/apricottrestle/gateway/accept.py
@@ -18,6 +18,16 @@
 TOO_LARGE = 413
 UNAVAILABLE = 503
 
+OVERLOAD_RETRY_AFTER_S: Final = 0.2
+"""Retry-After when a service has no capacity or no upstream, or when a request
+can no longer meet its deadline; a few calls of a plain service take as long."""
+
+LIMITED: Final = "limited"
+"""Reason of the refusal of a request that limits keep from all upstreams."""
+
+STOPPING: Final = "stopping"
+"""Reason of the refusal of a request that a shutdown leaves no time for."""
+
 
 class Accepted(NamedTuple):
     """An accepted request's route and limits.
--- a/src/apricottrestle/gateway/assembly.py
+++ b/src/apricottrestle/gateway/assembly.py
@@ -13,6 +13,7 @@
     calls,
     clock,
     crash_store,
+    engine_queue,
     gateway,
     peer_link,
     peer_sync,
@@ -92,7 +93,8 @@
         self.crash_store.start()
         self._stack.enter_context(
             clock.Ticker(
-                gateway.SCHEDULING_INTERVAL_S, self.core.run_scheduling_pass
+                engine_queue.SCHEDULING_INTERVAL_S,
+                self.core.run_scheduling_pass,
             )
         )
         self._stack.enter_context(
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -26,6 +26,7 @@
     peer_messages,
     peers,
     rotation,
+    run_listener,
     settings,
     store,
     store_duty,
@@ -79,7 +80,7 @@
 _LOG: Final = logging.getLogger(__name__)
 
 
-class PeerSync(gateway.RunListener, store_sync.ReaderGroup):
+class PeerSync(run_listener.RunListener, store_sync.ReaderGroup):
     """Exchanges heartbeats, configuration and upstream list with the peers.
 
     Attributes:
--- a/tests/gateway_steps.py
+++ b/tests/gateway_steps.py
@@ -304,7 +304,7 @@
             injector.is_tracked(request.req.request_id)
             and not injector.fault_injected
         ):
-            self._waiting.append(request)
+            self._queue._waiting.append(request)
             injector.schedule()
             return
         original_place(self, request)
--- a/tests/test_world_loads.py
+++ b/tests/test_world_loads.py
@@ -12,7 +12,7 @@
 import pytest
 from bench import fleet_days
 
-from apricottrestle.gateway import gateway
+from apricottrestle.gateway import engine_queue
 from apricottrestle_standins.platform import ledger, workload
 
 NOMINAL_LOAD_WORTH = 0.92
@@ -124,12 +124,12 @@
     """
     failed_by_pass: list[int] = []
     pump, place = (
-        gateway.Gateway.run_scheduling_pass,
-        gateway.Gateway._place_engine_request,
+        engine_queue.EngineQueue.run_scheduling_pass,
+        engine_queue.EngineQueue._place_engine_request,
     )
     failed = 0
 
-    def counted_place(self: gateway.Gateway, *args: Any) -> None:
+    def counted_place(self: engine_queue.EngineQueue, *args: Any) -> None:
         nonlocal failed
         failed += 1
         before = len(self._waiting)
@@ -137,7 +137,7 @@
         # A request that was placed or refused has left the queue.
         failed -= len(self._waiting) < before
 
-    def counted_pump(self: gateway.Gateway) -> None:
+    def counted_pump(self: engine_queue.EngineQueue) -> None:
         nonlocal failed
         failed = 0
         claims = len(self._own_claims)
@@ -146,9 +146,11 @@
 
     with (
         mock.patch.object(
-            gateway.Gateway, "_place_engine_request", counted_place
+            engine_queue.EngineQueue, "_place_engine_request", counted_place
+        ),
+        mock.patch.object(
+            engine_queue.EngineQueue, "run_scheduling_pass", counted_pump
         ),
-        mock.patch.object(gateway.Gateway, "run_scheduling_pass", counted_pump),
     ):
         _flood_worth(SEVERE_FLOOD, 1.3)
     assert max(failed_by_pass) <= MAX_FAILED_PLACEMENTS
