Count a peer's silence only while its messages could be read

Cause: the check for silent peers compared the clock with the time at which a peer's last message was read. After a delay of the event loop it runs when ZMQStream has read one message, so that the other peers are lost although their messages wait in the socket.

Change: of the time between two checks, 0.2 s at most count as silence.

Ruled out: reading the socket before the check, which doesn't help after a suspension, and counting anew after each delay, which never loses a peer that is gone under repeated delays.

--- a/src/apricottrestle/gateway/peers.py
+++ b/src/apricottrestle/gateway/peers.py
@@ -1,7 +1,8 @@
 """Table of the other gateways of the fleet, with failure detection.
 
 Invariant: a peer counts as alive only while its last message is at most
-PEER_TIMEOUT_S old. `peer_sync` drops the runs of a peer that timed out.
+PEER_TIMEOUT_S old, not counting the time in which this gateway could not read
+messages. `peer_sync` drops the runs of a peer that timed out.
 """
 
 from typing import Final, NamedTuple
@@ -16,6 +17,13 @@
 intervals. Another gateway must take over the peer's reads of the store early
 enough that a new configuration is in force within two seconds."""
 
+MAX_COUNTED_S: Final = 0.2
+"""Part of the time between two checks that counts as silence; twice the
+interval of the checks. If more has passed, the event loop was blocked or the
+process suspended, and messages wait unread. After that a peer has half of
+PEER_TIMEOUT_S to be heard, which is longer than a heartbeat interval and the
+time in which ZeroMQ connects again."""
+
 FORGET_AFTER_S: Final = 30.0
 """Time without a message after which the connection to a peer is closed. The
 peer sends a hello when it restarts."""
@@ -28,7 +36,8 @@
         address: "ip:port" of its peer socket.
         instance_id: Id of its instance.
         incarnation: Random id of its process.
-        last_heard_at: Monotonic time of its last message.
+        last_heard_at: Monotonic time of its last message, moved forward by the
+            time in which this gateway could not read messages since then.
         alive: Whether it counts as alive; see PEER_TIMEOUT_S.
         reaches_store: Whether its last call to the store was answered, as it
             reported.
@@ -55,6 +64,7 @@
     def __init__(self) -> None:
         """Starts empty."""
         self._peers: dict[str, Peer] = {}
+        self._checked_at: float | None = None
 
     def record_message(
         self,
@@ -104,12 +114,16 @@
     def expire(self, now: float) -> tuple[list[Peer], list[str]]:
         """Removes peers without recent messages.
 
+        A peer that is gone is lost after PEER_TIMEOUT_S / MAX_COUNTED_S calls
+        at the latest.
+
         Returns:
             The peers that timed out since the last call, and the addresses
             whose connections should be closed.
         """
         lost = []
         forgotten = []
+        self._discount_unread(now)
         for address, peer in list(self._peers.items()):
             silence_s = now - peer.last_heard_at
             if peer.alive and silence_s > PEER_TIMEOUT_S:
@@ -120,6 +134,17 @@
                 forgotten.append(address)
         return lost, forgotten
 
+    def _discount_unread(self, now: float) -> None:
+        """Leaves the time in which messages were not read out of silences."""
+        checked_at, self._checked_at = self._checked_at, now
+        if checked_at is None or now <= checked_at + MAX_COUNTED_S:
+            return
+        unread_s = now - checked_at - MAX_COUNTED_S
+        for address, peer in self._peers.items():
+            # A message may have been read after the delay, before this check.
+            heard_at = min(peer.last_heard_at + unread_s, now)
+            self._peers[address] = peer._replace(last_heard_at=heard_at)
+
     def alive(self) -> list[Peer]:
         """Returns the peers that count as alive."""
         return [peer for peer in self._peers.values() if peer.alive]
