End a call whose response head is malformed

Cause: the client drops a malformed head by emptying its lines, but looks at it again at the end; that raised IndexError, and on_end wasn't called. The request waited for its deadline with its place at the upstream.

Ruled out: an error of libcurl, which reports each end.

Change: such a head no longer counts as complete.

--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -247,7 +247,8 @@
                     "reason": str(exc),
                 },
             )
-            self._header_lines = []
+            # Asked for again with each part of the body and at the end.
+            self._head_complete = False
             return
         if head is not None:
             self._head_delivered = True
--- a/tests/test_platform_upstream_client.py
+++ b/tests/test_platform_upstream_client.py
@@ -162,6 +162,41 @@
     assert (sink.head is not None and sink.head.not_run) == not_run
 
 
+@pytest.mark.parametrize("body", [b"", b"body"])
+@pytest.mark.parametrize("closes", [False, True], ids=["keeps", "closes"])
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 2000 X\r\n",
+        b"HTTP/1.1 200X X\r\n",
+        b"HTTP/1.1 200 OK\r\nA: a\x00b\r\n",
+        b"HTTP/1.1 200 OK\r\nA: a\rb\r\n",
+        b"HTTP/1.1 200 OK\r\n a: folded\r\n",
+    ],
+    ids=repr,
+)
+@async_helpers.async_test
+async def test_call_with_a_malformed_head_ends(
+    head: bytes, closes: bool, body: bytes
+) -> None:
+    """Guards against a call whose end nobody hears of.
+
+    libcurl takes heads that can't be parsed. The second look at one failed, and
+    the request waited for its deadline with its place at the upstream.
+    """
+
+    async def script(
+        _received: scripted_upstream.Received,
+        conn: scripted_upstream.Connection,
+    ) -> None:
+        conn.write(head + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        if closes:
+            conn.writer.close()
+
+    sink, _ = await _run(script)
+    assert (sink.head, sink.ends) == (None, ["broken"])
+
+
 @async_helpers.async_test
 async def test_refused_connection_is_reported_as_not_sent() -> None:
     """Guards against an unsent request that is reported as possibly run."""
