Take only statuses from 100 to 599 from upstreams

Cause: libcurl takes any three digits, and the client passed them on. 600 and 999 reached callers of unsafe requests; after 101 libcurl waited for another head until the deadline.

Ruled out: 000, 099, 20, 1000 and abc, which libcurl refuses or which were taken for informational and ended as broken.

Change: the client ends a transfer at the first line that can't be a status line, and drops an informational head when it ends, so that a trailer is never taken for a head. HttpUpstreamClient.close ends its connections.

--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -94,7 +94,11 @@
 are logged once."""
 
 
-_HEADER_LINE: Final = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+:|[ \t]")
+_STATUS_LINE: Final = re.compile(rb"HTTP/1\.[01] (?!101)([1-5])[0-9]{2}[ \r\n]")
+"""Status line of an answer that may be passed on, or precede one. libcurl takes
+any three digits and more. No call asks for another protocol with status 101."""
+
+_HEADER_LINE: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:|[ \t]")
 """Start of a header line, or of the continuation of one."""
 
 
@@ -164,8 +168,10 @@
         self._call = call
         self._header_lines: list[str] = []
         self._head_bytes = 0
+        self._is_informational = False
         self._head_complete = False
         self._head_delivered = False
+        self._invalid_line: bytes | None = None
         self._cancelled = False
         self._http_req = self._make_request()
         fut = client.fetch(self._http_req, raise_error=False)
@@ -213,25 +219,35 @@
         """Stores a header line; must do no more inside libcurl's callback.
 
         Returns -1 to make libcurl fail the transfer at the first line that
-        can't belong to a response head.
+        can't belong to the head of an answer.
         """
-        if line.startswith(b"HTTP/"):
+        if self._head_complete:
+            # A trailer.
+            return None
+        if not self._is_valid_line(line):
+            self._invalid_line = line
+            return -1
+        self._head_bytes += len(line)
+        text = line.decode("latin-1")
+        if text.strip():
+            self._header_lines.append(text)
+        elif self._is_informational:
             self._header_lines = []
             self._head_bytes = 0
-            self._head_complete = False
-        text = line.decode("latin-1")
-        self._header_lines.append(text)
-        self._head_bytes += len(line)
-        if not text.strip():
+        else:
             self._head_complete = True
-            return None
-        is_field = len(self._header_lines) > 1 and not self._head_complete
-        if self._head_bytes > MAX_HEAD_BYTES or (
-            is_field and not _HEADER_LINE.match(text)
-        ):
-            return -1
         return None
 
+    def _is_valid_line(self, line: bytes) -> bool:
+        """Returns whether a line may follow those of the head so far."""
+        if not self._header_lines:
+            status = _STATUS_LINE.match(line)
+            self._is_informational = status is not None and status[1] == b"1"
+            return status is not None
+        if self._head_bytes + len(line) > MAX_HEAD_BYTES:
+            return False
+        return not line.strip() or _HEADER_LINE.match(line) is not None
+
     def _deliver_head(self) -> None:
         """Passes the response head to the sink, once, before data or end."""
         if self._head_delivered or not self._head_complete or self._cancelled:
@@ -278,6 +294,9 @@
         if exc is None and self._head_delivered and not self._cancelled:
             return "complete", ""
         detail = str(exc) if exc is not None else "no valid answer"
+        if self._invalid_line is not None:
+            line = self._invalid_line[:MAX_LOGGED_CHARS]
+            detail = f"invalid line in a head: {line!r}"
         if not isinstance(exc, curl_httpclient.CurlError):
             # Tornado rejects a malformed method or header before it connects.
             is_invalid_request = isinstance(exc, ValueError)
@@ -407,6 +426,11 @@
             max_body_size=MAX_REPORT_BYTES,
         )
 
+    def close(self) -> None:
+        """Closes all connections; calls under way don't end."""
+        self._client.close()
+        self._reports.close()
+
     def send(
         self, call: calls.UpstreamCall, sink: calls.ResponseSink
     ) -> calls.Transfer:
--- a/tests/test_platform_upstream_client.py
+++ b/tests/test_platform_upstream_client.py
@@ -197,6 +197,26 @@
     assert (sink.head, sink.ends) == (None, ["broken"])
 
 
+@pytest.mark.parametrize("trailer", ["HTTP/1.1 404: X\r\n", "A: b\r\n", ""])
+@async_helpers.async_test
+async def test_trailers_are_no_head(trailer: str) -> None:
+    """Guards against a trailer that takes the place of the answer's head."""
+
+    async def script(
+        received: scripted_upstream.Received,
+        conn: scripted_upstream.Connection,
+    ) -> None:
+        head = scripted_upstream.signed_response(received).replace(
+            b"Content-Length: 0", b"Transfer-Encoding: chunked"
+        )
+        conn.write(head + f"0\r\n{trailer}\r\n".encode())
+
+    sink, _ = await _run(script)
+    assert sink.ends == ["complete"]
+    assert sink.head is not None
+    assert sink.head.status == 200
+
+
 @async_helpers.async_test
 async def test_refused_connection_is_reported_as_not_sent() -> None:
     """Guards against an unsent request that is reported as possibly run."""
