Take an answer that ends during the upload for broken

Transfer-Encoding: identity counted as a framing.

Ruled out: resets, and closes with unread bytes: no row failed.

Change: such an answer is broken if libcurl has not taken the whole request. Only a length, chunks, and statuses without a body count as a framing.

tests/test_gateway_early_answers.py: 54 of 582 rows failed before, all with an orderly end (FIN) during the upload; none after.

--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+import io
 import logging
 import re
 import socket
@@ -71,6 +72,7 @@
 _HTTP_OK: Final = 200
 _HTTP_MISDIRECTED_REQUEST: Final = 421
 _HTTP_UNAVAILABLE: Final = 503
+_BODILESS_STATUSES: Final = frozenset((204, 304))
 _LOG: Final = logging.getLogger(__name__)
 
 _NOT_SENT: Final = frozenset(
@@ -172,6 +174,8 @@
         self._head_complete = False
         self._head_delivered = False
         self._invalid_line: bytes | None = None
+        self._is_framed = False
+        self._upload = io.BytesIO(call.req.body)
         self._cancelled = False
         self._http_req = self._make_request()
         fut = client.fetch(self._http_req, raise_error=False)
@@ -186,12 +190,11 @@
     def _make_request(self) -> httpclient.HTTPRequest:
         call = self._call
         req = call.req
-        has_body = bool(req.body) or req.method in ("POST", "PUT", "PATCH")
         return httpclient.HTTPRequest(
             f"http://{call.address}/",
             method=req.method,
             headers=request_headers(call),
-            body=req.body if has_body else None,
+            body=req.body if call_has_body(req) else None,
             allow_nonstandard_methods=True,
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=call.time_left_s + DEADLINE_MARGIN_S,
@@ -204,6 +207,10 @@
     def _set_curl_options(self, curl: Any) -> None:
         # Sets the target verbatim; libcurl normalises dot segments of a URL.
         curl.setopt(pycurl.REQUEST_TARGET, self._call.req.target)
+        if call_has_body(self._call.req):
+            # Replaces tornado's buffer, whose position can't be seen.
+            curl.setopt(pycurl.READFUNCTION, self._upload.read)
+            curl.setopt(pycurl.SEEKFUNCTION, self._seek_upload)
         # Replaces tornado's header callback, which runs after the data callback
         # when headers and data arrive together.
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header_line)
@@ -215,6 +222,10 @@
         if self._call.new_connection:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
 
+    def _seek_upload(self, offset: int, origin: int) -> int:
+        self._upload.seek(offset, origin)
+        return pycurl.SEEKFUNC_OK
+
     def _on_header_line(self, line: bytes) -> int | None:
         """Stores a header line; must do no more inside libcurl's callback.
 
@@ -268,6 +279,7 @@
             return
         if head is not None:
             self._head_delivered = True
+            self._is_framed = head.framed
             self._sink.on_head(head)
 
     def _on_data(self, data: bytes) -> None:
@@ -292,6 +304,9 @@
         self, exc: BaseException | None
     ) -> tuple[calls.EndKind, str]:
         if exc is None and self._head_delivered and not self._cancelled:
+            if not self._is_framed and self._upload.read(1):
+                # libcurl also ends here after a reset that a write has seen.
+                return "broken", "connection ended during the upload"
             return "complete", ""
         detail = str(exc) if exc is not None else "no valid answer"
         if self._invalid_line is not None:
@@ -311,6 +326,11 @@
         return "broken", detail
 
 
+def call_has_body(req: calls.CallerRequest) -> bool:
+    """Returns whether a request is sent with a body, which may be empty."""
+    return bool(req.body) or req.method in ("POST", "PUT", "PATCH")
+
+
 def request_headers(call: calls.UpstreamCall) -> httputil.HTTPHeaders:
     """Returns the headers of a request to an upstream."""
     headers = httputil.HTTPHeaders()
@@ -356,7 +376,7 @@
         names.NOT_RUN in headers or start.code == _HTTP_MISDIRECTED_REQUEST,
         "Content-Encoding" in headers,
         headers.get(names.FAILED_ADDRESS),
-        "Content-Length" in headers or "Transfer-Encoding" in headers,
+        _is_framed(start.code, headers),
         _parse_limit(headers.get_list(names.REQUEST_LIMIT)),
         _parse_leaving(headers.get_list(names.LEAVING)),
         _parse_wait_s(headers.get_list(names.RETRY_AFTER))
@@ -365,6 +385,16 @@
     )
 
 
+def _is_framed(status: int, headers: httputil.HTTPHeaders) -> bool:
+    """Returns whether an answer's end doesn't depend on its connection's."""
+    codings = headers.get("Transfer-Encoding")
+    if status in _BODILESS_STATUSES:
+        return True
+    if codings is not None:
+        return codings.rpartition(",")[2].strip().lower() == "chunked"
+    return "Content-Length" in headers
+
+
 def _parse_limit(values: list[str]) -> calls.NamedLimit | None:
     """Decodes the limit that an upstream names; the least if there are several.
 
--- a/tests/test_gateway_early_answers.py
+++ b/tests/test_gateway_early_answers.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from typing import Final
+from typing import Final, Literal
 
 import pytest
 
@@ -17,6 +17,8 @@
 """Longer than the buffers of both sockets, so that it is under way when the
 answer arrives."""
 
+End = Literal["reset", "fin", "close"]
+
 PATHS: Final = {"unsafe": "/order/x", "safe": "/lookup/x", "stream": "/short/x"}
 
 
@@ -59,6 +61,95 @@
     assert len(heads) <= (1 if route == "unsafe" else 2)
 
 
+def _early(
+    end: End,
+    delay_s: float,
+    *,
+    framing: str = "",
+    status_line: str = "HTTP/1.1 200 OK",
+    before: bytes = b"",
+    part: bytes = gateway_on_sockets.PART,
+) -> gateway_on_sockets.Script:
+    """Returns a script that answers at once, in part, and reads nothing."""
+
+    async def script(
+        head: gateway_on_sockets.Head, conn: gateway_on_sockets.Connection
+    ) -> None:
+        conn.write(before)
+        conn.write(
+            gateway_on_sockets.signed_head(
+                head, status_line=status_line, framing=framing
+            )
+        )
+        conn.write(part)
+        await conn.writer.drain()
+        await asyncio.sleep(delay_s)
+        if end == "reset":
+            conn.reset()
+        elif end == "fin":
+            await conn.send_fin()
+        else:
+            conn.writer.close()
+
+    return script
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+@pytest.mark.parametrize("route", PATHS)
+@pytest.mark.parametrize("delay_s", [0, 0.005, 0.15, 0.4])
+@pytest.mark.parametrize("end", ["reset", "fin", "close"])
+@async_helpers.async_test
+async def test_part_of_an_answer_to_an_upload_is_no_answer(
+    end: End, delay_s: float, route: str, chunked: bool
+) -> None:
+    """Guards against a part that passes for a whole answer.
+
+    The answer has no length, and its connection ends while the upload is still
+    being written. Seen elsewhere: the failed write takes the socket's error,
+    and the read after it finds an orderly end.
+    """
+    answers, heads = await _call(
+        [_early(end, delay_s)], route, UPLOAD, chunked=chunked
+    )
+    _assert_sound(route, answers[0], heads)
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        f"Content-Length: {len(gateway_on_sockets.WHOLE)}\r\n",
+        "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: gzip\r\n",
+        "Connection: close\r\n",
+    ],
+)
+@pytest.mark.parametrize("route", PATHS)
+@pytest.mark.parametrize("end", ["reset", "fin", "close"])
+@async_helpers.async_test
+async def test_part_with_another_framing_is_no_answer(
+    end: End, route: str, framing: str
+) -> None:
+    """Guards against a framing that hides that an answer may be cut."""
+    answers, heads = await _call(
+        [_early(end, 0.05, framing=framing)], route, UPLOAD
+    )
+    _assert_sound(route, answers[0], heads)
+
+
+@pytest.mark.parametrize("status", ["201 X", "206 X", "404 X", "302 X"])
+@pytest.mark.parametrize("route", PATHS)
+@pytest.mark.parametrize("end", ["reset", "fin", "close"])
+@async_helpers.async_test
+async def test_part_of_an_answer_with_another_status_is_no_answer(
+    end: End, route: str, status: str
+) -> None:
+    """Guards against a check that only answers with status 200 get."""
+    answers, heads = await _call(
+        [_early(end, 0.05, status_line=f"HTTP/1.1 {status}")], route, UPLOAD
+    )
+    _assert_sound(route, answers[0], heads)
+
+
 INFORMATIONAL: Final = {
     "100": b"HTTP/1.1 100 Continue\r\n\r\n",
     "102": b"HTTP/1.1 102 Processing\r\n\r\n",
@@ -67,6 +158,20 @@
 }
 
 
+@pytest.mark.parametrize("before", INFORMATIONAL)
+@pytest.mark.parametrize("route", PATHS)
+@pytest.mark.parametrize("end", ["reset", "fin"])
+@async_helpers.async_test
+async def test_part_after_an_informational_answer_is_no_answer(
+    end: End, route: str, before: str
+) -> None:
+    """Guards against an informational head that hides the next one."""
+    answers, heads = await _call(
+        [_early(end, 0.05, before=INFORMATIONAL[before])], route, UPLOAD
+    )
+    _assert_sound(route, answers[0], heads)
+
+
 @pytest.mark.parametrize("before", INFORMATIONAL)
 @pytest.mark.parametrize("route", PATHS)
 @async_helpers.async_test
