Ask whether an upstream runs for each status of an unframed answer

Cause: the gateway asked only for status 200. A killed upstream's part of a 201, 206, 302 or 404, and of an error for an unsafe request, got a length of its own and passed for whole.

Ruled out: refusals that say that the request has not run; nothing depends on their bodies, and a question would delay the next attempt.

--- a/src/apricottrestle/gateway/upstream_response.py
+++ b/src/apricottrestle/gateway/upstream_response.py
@@ -284,8 +284,7 @@
             end == "complete"
             and head is not None
             and not head.framed
-            and head.status == _HTTP_OK
-            and self.result(end) is None
+            and self.result(end) in (None, retry_policy.AttemptResult.FAILED)
         )
 
     def _ends_before_its_body(self, head: calls.ResponseHead) -> bool:
--- a/tests/gateway_on_sockets.py
+++ b/tests/gateway_on_sockets.py
@@ -119,11 +119,13 @@
 
     Attributes:
         heads: Heads of the requests, in order of arrival.
+        started_at_ms: Start time of its process, as it reports it.
     """
 
     def __init__(self, scripts: list[Script]) -> None:
         """Prepares the upstream."""
         self.heads: list[Head] = []
+        self.started_at_ms = STARTED_AT_MS
         self._scripts = scripts
 
     async def serve(
@@ -145,7 +147,7 @@
         )
         if names.REPORT_PATH in line:
             report = b'{"stage":"colocated","active":1,"born":%d}' % (
-                STARTED_AT_MS
+                self.started_at_ms
             )
             conn.write(
                 b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
--- a/tests/test_gateway_early_answers.py
+++ b/tests/test_gateway_early_answers.py
@@ -27,12 +27,14 @@
     route: str,
     *bodies: bytes,
     chunked: bool = False,
+    restarted: bool = False,
 ) -> tuple[list[gateway_on_sockets.Received], list[gateway_on_sockets.Head]]:
     """Sends requests with the given bodies; returns answers and requests.
 
     The upstream is in the list twice, so that a second attempt reaches it.
     """
     upstream = gateway_on_sockets.Upstream(scripts)
+    upstream.started_at_ms += restarted
     service = "engines" if route == "stream" else "plain"
     async with gateway_on_sockets.listening(upstream) as address:
         with gateway_on_sockets.serving(
@@ -150,6 +152,66 @@
     _assert_sound(route, answers[0], heads)
 
 
+@pytest.mark.parametrize(
+    "framing", ["", "Transfer-Encoding: identity\r\n"], ids=["none", "identity"]
+)
+@pytest.mark.parametrize(
+    "status", ["200 X", "201 X", "206 X", "302 X", "404 X", "500 X", "503 X"]
+)
+@pytest.mark.parametrize("route", PATHS)
+@async_helpers.async_test
+async def test_part_from_a_killed_upstream_is_no_answer(
+    route: str, status: str, framing: str
+) -> None:
+    """Guards against a cut body that is passed on with a length of its own.
+
+    The upstream has read the request; the kernel of a killed process closes its
+    connections in order.
+    """
+
+    async def script(
+        head: gateway_on_sockets.Head, conn: gateway_on_sockets.Connection
+    ) -> None:
+        await conn.read_body(head)
+        conn.write(
+            gateway_on_sockets.signed_head(
+                head, status_line=f"HTTP/1.1 {status}", framing=framing
+            )
+            + gateway_on_sockets.PART
+        )
+        conn.writer.close()
+
+    answers, heads = await _call([script], route, b"body", restarted=True)
+    _assert_sound(route, answers[0], heads)
+
+
+@pytest.mark.parametrize("status", ["200 X", "201 X", "404 X", "500 X"])
+@async_helpers.async_test
+async def test_whole_answer_that_ends_with_its_connection_is_served(
+    status: str,
+) -> None:
+    """Guards against a sound answer that is taken for a part."""
+
+    async def script(
+        head: gateway_on_sockets.Head, conn: gateway_on_sockets.Connection
+    ) -> None:
+        await conn.read_body(head)
+        conn.write(
+            gateway_on_sockets.signed_head(
+                head, status_line=f"HTTP/1.1 {status}"
+            )
+            + gateway_on_sockets.WHOLE
+        )
+        conn.writer.close()
+
+    answers, _ = await _call([script], "unsafe", b"body")
+    assert answers[0] == (
+        int(status.split(maxsplit=1)[0]),
+        gateway_on_sockets.WHOLE,
+        True,
+    )
+
+
 INFORMATIONAL: Final = {
     "100": b"HTTP/1.1 100 Continue\r\n\r\n",
     "102": b"HTTP/1.1 102 Processing\r\n\r\n",
