Refuse invalid statuses in all HTTP clients

Cause: the clients of agents and platform services took what libcurl takes: 600, 999 and 101 passed for answers of a service, 2000 and 200X for 200, and an engine's report with 2000 was believed.

Ruled out: bytes behind a complete answer of a service; each call has a connection of its own.

Change: http_answers.py has the checks of the gateway's client, and a tornado client that ends a call at an invalid status line.

--- a/src/apricottrestle/agent_upstream.py
+++ b/src/apricottrestle/agent_upstream.py
@@ -11,9 +11,8 @@
 from typing import Any, Final, Self
 
 import pycurl
-from tornado import curl_httpclient
 
-from apricottrestle import agent_events
+from apricottrestle import agent_events, http_answers
 
 CONNECT_TIMEOUT_S: Final = 1.0
 _SPARE_CONNECTIONS: Final = 16
@@ -84,9 +83,9 @@
         """
 
 
-def new_http_client(max_clients: int) -> curl_httpclient.CurlAsyncHTTPClient:
+def new_http_client(max_clients: int) -> http_answers.StrictCurlClient:
     """Returns an HTTP client with at most `max_clients` connections."""
-    return curl_httpclient.CurlAsyncHTTPClient(
+    return http_answers.StrictCurlClient(
         force_instance=True, max_clients=max_clients
     )
 
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import functools
-import io
 import logging
 import re
 import socket
@@ -17,7 +16,7 @@
 import pycurl
 from tornado import curl_httpclient, httpclient, httputil
 
-from apricottrestle import errors
+from apricottrestle import errors, http_answers
 from apricottrestle.gateway import calls
 from apricottrestle.platform import codec, names
 
@@ -72,7 +71,6 @@
 _HTTP_OK: Final = 200
 _HTTP_MISDIRECTED_REQUEST: Final = 421
 _HTTP_UNAVAILABLE: Final = 503
-_BODILESS_STATUSES: Final = frozenset((204, 304))
 _LOG: Final = logging.getLogger(__name__)
 
 _NOT_SENT: Final = frozenset(
@@ -96,10 +94,6 @@
 are logged once."""
 
 
-_STATUS_LINE: Final = re.compile(rb"HTTP/1\.[01] (?!101)([1-5])[0-9]{2}[ \r\n]")
-"""Status line of an answer that may be passed on, or precede one. libcurl takes
-any three digits and more. No call asks for another protocol with status 101."""
-
 _HEADER_LINE: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:|[ \t]")
 """Start of a header line, or of the continuation of one."""
 
@@ -175,7 +169,7 @@
         self._head_delivered = False
         self._invalid_line: bytes | None = None
         self._is_framed = False
-        self._upload = io.BytesIO(call.req.body)
+        self._upload = http_answers.Upload(call.req.body)
         self._cancelled = False
         self._http_req = self._make_request()
         fut = client.fetch(self._http_req, raise_error=False)
@@ -208,9 +202,7 @@
         # Sets the target verbatim; libcurl normalises dot segments of a URL.
         curl.setopt(pycurl.REQUEST_TARGET, self._call.req.target)
         if call_has_body(self._call.req):
-            # Replaces tornado's buffer, whose position can't be seen.
-            curl.setopt(pycurl.READFUNCTION, self._upload.read)
-            curl.setopt(pycurl.SEEKFUNCTION, self._seek_upload)
+            self._upload.attach(curl)
         # Replaces tornado's header callback, which runs after the data callback
         # when headers and data arrive together.
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header_line)
@@ -222,10 +214,6 @@
         if self._call.new_connection:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
 
-    def _seek_upload(self, offset: int, origin: int) -> int:
-        self._upload.seek(offset, origin)
-        return pycurl.SEEKFUNC_OK
-
     def _on_header_line(self, line: bytes) -> int | None:
         """Stores a header line; must do no more inside libcurl's callback.
 
@@ -252,7 +240,7 @@
     def _is_valid_line(self, line: bytes) -> bool:
         """Returns whether a line may follow those of the head so far."""
         if not self._header_lines:
-            status = _STATUS_LINE.match(line)
+            status = http_answers.STATUS_LINE.match(line)
             self._is_informational = status is not None and status[1] == b"1"
             return status is not None
         if self._head_bytes + len(line) > MAX_HEAD_BYTES:
@@ -304,7 +292,7 @@
         self, exc: BaseException | None
     ) -> tuple[calls.EndKind, str]:
         if exc is None and self._head_delivered and not self._cancelled:
-            if not self._is_framed and self._upload.read(1):
+            if not self._is_framed and not self._upload.is_sent:
                 # libcurl also ends here after a reset that a write has seen.
                 return "broken", "connection ended during the upload"
             return "complete", ""
@@ -376,7 +364,7 @@
         names.NOT_RUN in headers or start.code == _HTTP_MISDIRECTED_REQUEST,
         "Content-Encoding" in headers,
         headers.get(names.FAILED_ADDRESS),
-        _is_framed(start.code, headers),
+        http_answers.is_framed(start.code, headers),
         _parse_limit(headers.get_list(names.REQUEST_LIMIT)),
         _parse_leaving(headers.get_list(names.LEAVING)),
         _parse_wait_s(headers.get_list(names.RETRY_AFTER))
@@ -385,16 +373,6 @@
     )
 
 
-def _is_framed(status: int, headers: httputil.HTTPHeaders) -> bool:
-    """Returns whether an answer's end doesn't depend on its connection's."""
-    codings = headers.get("Transfer-Encoding")
-    if status in _BODILESS_STATUSES:
-        return True
-    if codings is not None:
-        return codings.rpartition(",")[2].strip().lower() == "chunked"
-    return "Content-Length" in headers
-
-
 def _parse_limit(values: list[str]) -> calls.NamedLimit | None:
     """Decodes the limit that an upstream names; the least if there are several.
 
@@ -450,7 +428,7 @@
             max_clients=MAX_CONCURRENT_TRANSFERS,
             max_body_size=MAX_BODY_BYTES,
         )
-        self._reports = curl_httpclient.CurlAsyncHTTPClient(
+        self._reports = http_answers.StrictCurlClient(
             force_instance=True,
             max_clients=MAX_CONCURRENT_REPORTS,
             max_body_size=MAX_REPORT_BYTES,
--- a/src/apricottrestle/platform_http.py
+++ b/src/apricottrestle/platform_http.py
@@ -12,7 +12,7 @@
 import pycurl
 from tornado import curl_httpclient, httpclient
 
-from apricottrestle import decoding, errors
+from apricottrestle import decoding, errors, http_answers
 
 _CONNECT_TIMEOUT_S: Final = 1.0
 _DEFAULT_RETRY_AFTER_S: Final = 1.0
@@ -172,7 +172,7 @@
         # Created at first use, because the client needs the running event loop.
         if self._client is None:
             self._closed = asyncio.get_running_loop().create_future()
-            self._client = curl_httpclient.CurlAsyncHTTPClient(
+            self._client = http_answers.StrictCurlClient(
                 force_instance=True,
                 max_clients=_MAX_CONCURRENT_CALLS,
                 max_body_size=_MAX_BODY_BYTES,
