--- a/tests/test_agent_early_answers.py
+++ b/tests/test_agent_early_answers.py
@@ -80,6 +80,32 @@
     return script
 
 
+@pytest.mark.parametrize("before", [b"", b"HTTP/1.1 103 X\r\nA: b\r\n\r\n"])
+@pytest.mark.parametrize(
+    ("status", "framing"),
+    [
+        ("200 X", ""),
+        ("200 X", LENGTH),
+        ("200 X", "Transfer-Encoding: identity\r\n"),
+        ("201 X", ""),
+        ("404 X", ""),
+        ("500 X", ""),
+    ],
+)
+@pytest.mark.parametrize("delay_s", [0, 0.005, 0.15, 0.4])
+@pytest.mark.parametrize("end", ["reset", "fin", "close"])
+@async_helpers.async_test
+async def test_part_of_an_answer_to_an_upload_is_no_answer(
+    end: End, delay_s: float, status: str, framing: str, before: bytes
+) -> None:
+    """Guards against a part that is stored and returned as a whole answer.
+
+    The connection ends while the request is still being written.
+    """
+    data = before + _head(f"HTTP/1.1 {status}", framing) + PART
+    assert await _call(_early(end, delay_s, data), UPLOAD) == [LOST]
+
+
 @pytest.mark.parametrize("body", [b"body", UPLOAD], ids=["read", "early"])
 @pytest.mark.parametrize("keeps", [False, True], ids=["closes", "keeps"])
 @pytest.mark.parametrize(
