Give each poll of an engine a connection of its own

Cause: nothing in a report names its poll, and libcurl doesn't look for bytes on a connection that was used within about a second. A report that an engine sent twice answered the next poll.

Ruled out: bytes that come with the first report, for which libcurl closes the connection.

--- a/src/apricottrestle/engine_client.py
+++ b/src/apricottrestle/engine_client.py
@@ -386,7 +386,6 @@
         *,
         on_data: Callable[[bytes], None] | None = None,
     ) -> bytes:
-        prepare_curl = agent_upstream.disable_connection_reuse if body else None
         req = httpclient.HTTPRequest(
             self._url + path,
             method=method,
@@ -396,7 +395,9 @@
             request_timeout=timeout_s,
             follow_redirects=False,
             streaming_callback=on_data,
-            prepare_curl_callback=prepare_curl,
+            # Nothing in a report names its poll: one that is left on a kept
+            # connection would answer the next poll.
+            prepare_curl_callback=agent_upstream.disable_connection_reuse,
         )
         client = self._control_client if on_data is None else self._client
         try:
--- a/tests/test_agent_early_answers.py
+++ b/tests/test_agent_early_answers.py
@@ -194,6 +194,7 @@
     b'{"running": 1, "waiting": 2, "prefill_tokens_left": 3, '
     b'"kv_blocks_total": 4, "kv_blocks_free": 5, "age_ms": 6}'
 )
+OTHER: Final = LOAD.replace(b"1", b"9")
 
 
 @pytest.mark.parametrize(
@@ -230,3 +231,42 @@
             client.execute(agent_events.PollLoad())
             await client.wait_for_commands(10)
     assert [type(event) for event in events] == [agent_events.EnginePollFailed]
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.02])
+@async_helpers.async_test
+async def test_report_behind_another_is_not_the_next_one(
+    delay_s: float,
+) -> None:
+    """Guards against an old load that passes for the answer to a later poll."""
+    report = _head(framing=f"Content-Length: {len(LOAD)}\r\n")
+
+    async def first(
+        _head: gateway_on_sockets.Head, conn: gateway_on_sockets.Connection
+    ) -> None:
+        conn.write(report + LOAD)
+        await conn.writer.drain()
+        await asyncio.sleep(delay_s)
+        conn.write(report + LOAD)
+
+    async def second(
+        _head: gateway_on_sockets.Head, conn: gateway_on_sockets.Connection
+    ) -> None:
+        conn.write(report + OTHER)
+
+    upstream = gateway_on_sockets.Upstream([first, second])
+    events: list[agent_events.Event] = []
+    async with gateway_on_sockets.listening(upstream) as address:
+        with engine_client.EngineClient(
+            f"http://{address}", 1, events.append
+        ) as client:
+            for _ in range(2):
+                client.execute(agent_events.PollLoad())
+                await client.wait_for_commands(10)
+                await asyncio.sleep(0.05)
+    loads = [
+        event.running
+        for event in events
+        if isinstance(event, agent_events.EngineLoad)
+    ]
+    assert loads == [1, 9]
