Send an append to a platform service once

Cause: libcurl repeats a request whose kept connection ends before the first byte of the answer, so that a record could be stored twice by one append.

Ruled out: the project's own retries, which repeat reads only.

Change: appends open a connection each, one round trip more.

--- a/src/apricottrestle/platform_http.py
+++ b/src/apricottrestle/platform_http.py
@@ -1,8 +1,8 @@
 """HTTP client of the platform's services, with typed errors.
 
 Invariants: a call with `appends` raises a plain PlatformError only if the
-service can't have processed it. Each call ends within its time limit, and when
-the client is closed.
+service can't have processed it, and is sent once. Each call ends within its
+time limit, and when the client is closed.
 """
 
 import asyncio
@@ -117,6 +117,7 @@
             connect_timeout=_CONNECT_TIMEOUT_S,
             request_timeout=timeout_s or self._timeout_s,
             follow_redirects=False,
+            prepare_curl_callback=_use_new_connection if appends else None,
         )
         try:
             response = await self._fetch(req)
@@ -244,6 +245,15 @@
         ) from exc
 
 
+def _use_new_connection(curl: pycurl.Curl) -> None:
+    """Keeps libcurl from sending a request twice.
+
+    It repeats one whose kept connection ends before the first byte of the
+    response, although the service may have stored the record.
+    """
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+
 def _may_have_been_sent(exc: httpclient.HTTPError) -> bool:
     if isinstance(exc, curl_httpclient.CurlError):
         return exc.errno not in _NOT_SENT
