--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -16,7 +16,7 @@
 import pycurl
 from tornado import curl_httpclient, httpclient, httputil
 
-from apricottrestle import errors
+from apricottrestle import errors, http_answers
 from apricottrestle.gateway import calls
 from apricottrestle.platform import codec, names
 
@@ -94,7 +94,7 @@
 are logged once."""
 
 
-_HEADER_LINE: Final = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+:|[ \t]")
+_HEADER_LINE: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:|[ \t]")
 """Start of a header line, or of the continuation of one."""
 
 
@@ -164,8 +164,12 @@
         self._call = call
         self._header_lines: list[str] = []
         self._head_bytes = 0
+        self._is_informational = False
         self._head_complete = False
         self._head_delivered = False
+        self._invalid_line: bytes | None = None
+        self._is_framed = False
+        self._upload = http_answers.Upload(call.req.body)
         self._cancelled = False
         self._http_req = self._make_request()
         fut = client.fetch(self._http_req, raise_error=False)
@@ -180,12 +184,11 @@
     def _make_request(self) -> httpclient.HTTPRequest:
         call = self._call
         req = call.req
-        has_body = bool(req.body) or req.method in ("POST", "PUT", "PATCH")
         return httpclient.HTTPRequest(
             f"http://{call.address}/",
             method=req.method,
             headers=request_headers(call),
-            body=req.body if has_body else None,
+            body=req.body if call_has_body(req) else None,
             allow_nonstandard_methods=True,
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=call.time_left_s + DEADLINE_MARGIN_S,
@@ -198,6 +201,8 @@
     def _set_curl_options(self, curl: Any) -> None:
         # Sets the target verbatim; libcurl normalises dot segments of a URL.
         curl.setopt(pycurl.REQUEST_TARGET, self._call.req.target)
+        if call_has_body(self._call.req):
+            self._upload.attach(curl)
         # Replaces tornado's header callback, which runs after the data callback
         # when headers and data arrive together.
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header_line)
@@ -213,25 +218,35 @@
         """Stores a header line; must do no more inside libcurl's callback.
 
         Returns -1 to make libcurl fail the transfer at the first line that
-        can't belong to a response head.
+        can't belong to the head of an answer.
         """
-        if line.startswith(b"HTTP/"):
+        if self._head_complete:
+            # A trailer.
+            return None
+        if not self._is_valid_line(line):
+            self._invalid_line = line
+            return -1
+        self._head_bytes += len(line)
+        text = line.decode("latin-1")
+        if text.strip():
+            self._header_lines.append(text)
+        elif self._is_informational:
             self._header_lines = []
             self._head_bytes = 0
-            self._head_complete = False
-        text = line.decode("latin-1")
-        self._header_lines.append(text)
-        self._head_bytes += len(line)
-        if not text.strip():
+        else:
             self._head_complete = True
-            return None
-        is_field = len(self._header_lines) > 1 and not self._head_complete
-        if self._head_bytes > MAX_HEAD_BYTES or (
-            is_field and not _HEADER_LINE.match(text)
-        ):
-            return -1
         return None
 
+    def _is_valid_line(self, line: bytes) -> bool:
+        """Returns whether a line may follow those of the head so far."""
+        if not self._header_lines:
+            status = http_answers.STATUS_LINE.match(line)
+            self._is_informational = status is not None and status[1] == b"1"
+            return status is not None
+        if self._head_bytes + len(line) > MAX_HEAD_BYTES:
+            return False
+        return not line.strip() or _HEADER_LINE.match(line) is not None
+
     def _deliver_head(self) -> None:
         """Passes the response head to the sink, once, before data or end."""
         if self._head_delivered or not self._head_complete or self._cancelled:
@@ -247,10 +262,12 @@
                     "reason": str(exc),
                 },
             )
-            self._header_lines = []
+            # Asked for again with each part of the body and at the end.
+            self._head_complete = False
             return
         if head is not None:
             self._head_delivered = True
+            self._is_framed = head.framed
             self._sink.on_head(head)
 
     def _on_data(self, data: bytes) -> None:
@@ -275,8 +292,14 @@
         self, exc: BaseException | None
     ) -> tuple[calls.EndKind, str]:
         if exc is None and self._head_delivered and not self._cancelled:
+            if not self._is_framed and not self._upload.is_sent:
+                # libcurl also ends here after a reset that a write has seen.
+                return "broken", "connection ended during the upload"
             return "complete", ""
         detail = str(exc) if exc is not None else "no valid answer"
+        if self._invalid_line is not None:
+            line = self._invalid_line[:MAX_LOGGED_CHARS]
+            detail = f"invalid line in a head: {line!r}"
         if not isinstance(exc, curl_httpclient.CurlError):
             # Tornado rejects a malformed method or header before it connects.
             is_invalid_request = isinstance(exc, ValueError)
@@ -291,6 +314,11 @@
         return "broken", detail
 
 
+def call_has_body(req: calls.CallerRequest) -> bool:
+    """Returns whether a request is sent with a body, which may be empty."""
+    return bool(req.body) or req.method in ("POST", "PUT", "PATCH")
+
+
 def request_headers(call: calls.UpstreamCall) -> httputil.HTTPHeaders:
     """Returns the headers of a request to an upstream."""
     headers = httputil.HTTPHeaders()
@@ -336,7 +364,7 @@
         names.NOT_RUN in headers or start.code == _HTTP_MISDIRECTED_REQUEST,
         "Content-Encoding" in headers,
         headers.get(names.FAILED_ADDRESS),
-        "Content-Length" in headers or "Transfer-Encoding" in headers,
+        http_answers.is_framed(start.code, headers),
         _parse_limit(headers.get_list(names.REQUEST_LIMIT)),
         _parse_leaving(headers.get_list(names.LEAVING)),
         _parse_wait_s(headers.get_list(names.RETRY_AFTER))
@@ -400,12 +428,17 @@
             max_clients=MAX_CONCURRENT_TRANSFERS,
             max_body_size=MAX_BODY_BYTES,
         )
-        self._reports = curl_httpclient.CurlAsyncHTTPClient(
+        self._reports = http_answers.StrictCurlClient(
             force_instance=True,
             max_clients=MAX_CONCURRENT_REPORTS,
             max_body_size=MAX_REPORT_BYTES,
         )
 
+    def close(self) -> None:
+        """Closes all connections; calls under way don't end."""
+        self._client.close()
+        self._reports.close()
+
     def send(
         self, call: calls.UpstreamCall, sink: calls.ResponseSink
     ) -> calls.Transfer:
