--- a/tests/gateway_on_sockets.py
+++ b/tests/gateway_on_sockets.py
@@ -302,6 +302,8 @@
         contextlib.closing(client),
         contextlib.closing(core),
         caller_server.CallerServer("127.0.0.1:0", core) as server,
-        clock.Ticker(engine_queue.SCHEDULING_INTERVAL_S, core.run_scheduling_pass),
+        clock.Ticker(
+            engine_queue.SCHEDULING_INTERVAL_S, core.run_scheduling_pass
+        ),
     ):
         yield Caller(server.port)
