Read evacuations with the configuration and tell peers

The reads of the configuration now return the evacuations too, without new calls. A gateway that reads new ones sends all it knows with a heartbeat at once. Each message has the digest of the sender's evacuations, and a gateway asks a peer whose digest has differed for 0.3 s; answers to a gateway that starts include them. A gateway is ready once it has configuration, upstream list and evacuations. Each evacuation that is believed, withdrawn or ignored is a log line; a gauge counts the evacuated data centres.

Ruled out: readiness without evacuations if all peers run an earlier build, which doesn't know them; such a gateway waits for the store. Fields are appended with defaults, so that both builds decode each other's messages, and a sender without a digest isn't asked.

--- a/src/apricottrestle/gateway/fleet_state.py
+++ b/src/apricottrestle/gateway/fleet_state.py
@@ -10,7 +10,13 @@
 from typing import Final
 
 from apricottrestle import logs, metrics
-from apricottrestle.gateway import accept, fleet_config, upstream_list
+from apricottrestle.gateway import (
+    accept,
+    clock,
+    evacuations,
+    fleet_config,
+    upstream_list,
+)
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -19,6 +25,9 @@
 OnConfig = Callable[[fleet_config.FleetConfig, int, str], None]
 """Called with a new configuration, the previous version, and its source."""
 
+OnEvacuations = Callable[[str], None]
+"""Called after changes of the evacuations, with their source."""
+
 STORE_SOURCE: Final = "store"
 """Source name of data that this process read from the store itself."""
 
@@ -29,6 +38,7 @@
     Attributes:
         compiled: Current configuration, or None before the first one.
         members: Membership of the upstreams.
+        evacuations: Data centres that are evacuated.
         has_upstream_list: Whether an upstream list has been received from the
             store or a peer.
     """
@@ -43,10 +53,13 @@
         """
         self.compiled: accept.CompiledConfig | None = None
         self.members = upstream_list.Membership(lease_s)
+        self.evacuations = evacuations.EvacuationTable()
         self.has_upstream_list = False
         self._on_change = on_change
         self._on_config: list[OnConfig] = []
+        self._on_evacuations: list[OnEvacuations] = []
         self._on_ready: list[Callable[[], None]] = []
+        self._was_ready = False
 
     @property
     def config_version(self) -> int:
@@ -63,12 +76,20 @@
     @property
     def ready(self) -> bool:
         """Whether requests can be routed."""
-        return self.compiled is not None and self.has_upstream_list
+        return (
+            self.compiled is not None
+            and self.has_upstream_list
+            and self.evacuations.known
+        )
 
     def watch_config(self, callback: OnConfig) -> None:
         """Registers a callback for each new configuration."""
         self._on_config.append(callback)
 
+    def watch_evacuations(self, callback: OnEvacuations) -> None:
+        """Registers a callback for each change of the evacuations."""
+        self._on_evacuations.append(callback)
+
     def watch_ready(self, callback: Callable[[], None]) -> None:
         """Registers a callback for the first moment at which it is ready."""
         self._on_ready.append(callback)
@@ -102,10 +123,63 @@
         metrics.CONFIG_REVISION.set(config.version)
         for callback in self._on_config:
             callback(config, before, source)
-        if before < 0 and self.has_upstream_list:
-            self._notify_ready()
+        self._notify_ready()
         return True
 
+    def read_evacuations(
+        self,
+        records: Iterable[evacuations.Record],
+        end: evacuations.Stamp,
+        *,
+        whole: bool,
+    ) -> None:
+        """Applies evacuations that this process read from the store.
+
+        Args:
+            records: What was read.
+            end: History and offset of the next record to read.
+            whole: Whether the whole topic was read, not only what was new.
+        """
+        self._apply_evacuations(
+            self.evacuations.apply_read(records, end, clock.now(), whole=whole),
+            STORE_SOURCE,
+        )
+
+    def merge_evacuations(
+        self, report: evacuations.Report, source: str
+    ) -> None:
+        """Applies the evacuations that a peer knows."""
+        self._apply_evacuations(
+            self.evacuations.merge(report, clock.now()), source
+        )
+
+    def _apply_evacuations(
+        self, changes: list[evacuations.Change], source: str
+    ) -> None:
+        """Logs changes of the evacuations and passes them on."""
+        for change in changes:
+            logs.decision(
+                _LOG,
+                "evacuation",
+                data_centre=change.record.data_centre,
+                written_at=change.record.stamp,
+                before_written_at=change.before.stamp
+                if change.before is not None
+                else None,
+                source=source,
+                age_s=round(change.age_s, 3),
+                upstreams=sum(
+                    entry.data_centre == change.record.data_centre
+                    for entry in self.members.entries()
+                ),
+                outcome=change.outcome,
+            )
+        metrics.EVACUATED_DATA_CENTRES.set(len(self.evacuations.evacuated))
+        if any(change.outcome != "ignored" for change in changes):
+            for callback in self._on_evacuations:
+                callback(source)
+        self._notify_ready()
+
     def apply_upstreams(
         self,
         changes: Iterable[upstream_list.Change],
@@ -146,9 +220,11 @@
                     entry.upstream_id for entry in self.members.entries()
                 ),
             )
-            if self.compiled is not None:
-                self._notify_ready()
+            self._notify_ready()
 
     def _notify_ready(self) -> None:
+        if self._was_ready or not self.ready:
+            return
+        self._was_ready = True
         for callback in self._on_ready:
             callback()
--- a/src/apricottrestle/gateway/peer_messages.py
+++ b/src/apricottrestle/gateway/peer_messages.py
@@ -13,6 +13,7 @@
     crash_evidence,
     engine_claims,
     engine_load,
+    evacuations,
     fleet_config,
     store,
     upstream_limits,
@@ -41,6 +42,8 @@
         config_history: Number of the store's history in which the configuration
             was read.
         config_offset: Offset of its record in that history.
+        evacuation_digest: Hash of the evacuations that the sender knows, or
+            None if it knows nothing of evacuations.
     """
 
     instance_id: str
@@ -55,6 +58,7 @@
     list_position: store.Position | None = None
     config_history: int = 0
     config_offset: int = 0
+    evacuation_digest: int | None = None
 
     @property
     def config_stamp(self) -> fleet_config.ConfigStamp:
@@ -94,6 +98,8 @@
         crashes: Crashes of engines of which the sender has learned more.
         limits: Limits of upstreams that changed, with the sender's requests to
             those upstreams; at times all.
+        evacuation_report: All evacuations that the sender knows, if it has
+            read new ones from the store.
     """
 
     sender: Sender
@@ -106,6 +112,7 @@
     released: list[str] = []
     crashes: list[crash_evidence.CrashReport] = []
     limits: list[upstream_limits.LimitReport] = []
+    evacuation_report: evacuations.Report | None = None
 
 
 class Hello(msgspec.Struct, array_like=True, tag="hello", frozen=True):
@@ -136,6 +143,8 @@
             knows others or none.
         limits: All limits of upstreams that the sender knows.
         lapsed: Ids of the upstreams whose entry has lapsed.
+        evacuation_report: All evacuations that the sender knows, if the
+            receiver knows others or none.
     """
 
     sender: Sender
@@ -146,6 +155,7 @@
     crashes: list[crash_evidence.CrashReport] = []
     limits: list[upstream_limits.LimitReport] = []
     lapsed: list[str] = []
+    evacuation_report: evacuations.Report | None = None
 
 
 class ConfigUpdate(msgspec.Struct, array_like=True, tag="config", frozen=True):
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -57,6 +57,11 @@
 """Time for which a peer may know other crashes of engines before it is asked
 for them: longer than the delay of a message."""
 
+EVACUATION_SYNC_S: Final = 0.3
+"""Time for which a peer may know other evacuations before it is asked for them:
+longer than the delay of a message, and a small part of the time in which an
+evacuation must be in force."""
+
 LIMITS_INTERVAL_S: Final = 2.0
 """Interval at which all limits are sent, for peers that missed a change."""
 
@@ -123,6 +128,8 @@
         self._changed_limits: dict[str, None] = {}
         self._all_limits_sent_at = 0.0
         self._crashes_differ_since: dict[str, float] = {}
+        self._evacuations_differ_since: dict[str, float] = {}
+        self._sends_evacuations = False
         self._heartbeat_scheduled = False
         self._last_heartbeat_at = 0.0
         self._link: peer_link.Link | None = None
@@ -133,6 +140,7 @@
         self._started_at = 0.0
         self._send_tasks: set[asyncio.Task[None]] = set()
         core.state.watch_config(self._on_config)
+        core.state.watch_evacuations(self._on_evacuations)
         core.state.watch_ready(self._schedule_heartbeat)
 
     def start(self, link: peer_link.Link, sync: store_sync.StoreSync) -> None:
@@ -336,8 +344,12 @@
                 self._core.limits.reports(
                     now, None if sends_all_limits else self._changed_limits
                 ),
+                self._core.state.evacuations.report(now)
+                if self._sends_evacuations
+                else None,
             )
         )
+        self._sends_evacuations = False
         self._changed_crashes, self._changed_limits = {}, {}
         self._new_claims, self._released_claims = [], []
         self._started_runs, self._first_events, self._ended_runs = [], [], []
@@ -357,6 +369,9 @@
             self._store_sync.list_position if self._store_sync else None,
             self._core.state.config_stamp.history,
             self._core.state.config_stamp.offset,
+            self._core.state.evacuations.digest
+            if self._core.state.evacuations.known
+            else None,
         )
 
     def tick(self) -> None:
@@ -367,6 +382,7 @@
         self._core.limits.expire(now)
         for peer in lost:
             self._crashes_differ_since.pop(peer.address, None)
+            self._evacuations_differ_since.pop(peer.address, None)
             logs.decision(
                 _LOG,
                 "peer lost",
@@ -425,6 +441,7 @@
             case peer_messages.UpstreamUpdate():
                 self._on_upstreams(message)
         self._request_unknown_crashes(sender, now)
+        self._request_evacuations(sender, now)
         self._request_newer_list(sender, now)
 
     def _request_newer_list(
@@ -468,6 +485,25 @@
             self._crashes_differ_since[sender.address] = now
             self._send_hello(sender.address)
 
+    def _request_evacuations(
+        self, sender: peer_messages.Sender, now: float
+    ) -> None:
+        """Asks a peer that knows other evacuations for all that it knows.
+
+        Guards against messages that were lost, and a gateway that the store
+        turns away.
+        """
+        table = self._core.state.evacuations
+        if sender.evacuation_digest is None or (
+            table.known and sender.evacuation_digest == table.digest
+        ):
+            self._evacuations_differ_since.pop(sender.address, None)
+            return
+        since = self._evacuations_differ_since.setdefault(sender.address, now)
+        if now >= since + EVACUATION_SYNC_S:
+            self._evacuations_differ_since[sender.address] = now
+            self._send_hello(sender.address)
+
     def _record_sender(self, sender: peer_messages.Sender, now: float) -> None:
         is_new, ended_incarnation = self._peers.record_message(
             sender.address,
@@ -534,6 +570,10 @@
                 heartbeat.crashes, heartbeat.sender.instance_id
             )
         self._merge_limits(heartbeat.sender, heartbeat.limits, now)
+        if heartbeat.evacuation_report is not None:
+            self._core.state.merge_evacuations(
+                heartbeat.evacuation_report, heartbeat.sender.instance_id
+            )
         for engine, slowdown in heartbeat.slowdowns.items():
             self._core.slowdowns.merge_peer(engine, slowdown, now)
         if heartbeat.calls:
@@ -551,6 +591,10 @@
 
     def _on_welcome(self, welcome: peer_messages.Welcome, now: float) -> None:
         source = welcome.sender.instance_id
+        if welcome.evacuation_report is not None:
+            self._core.state.merge_evacuations(
+                welcome.evacuation_report, source
+            )
         if welcome.config is not None:
             self._core.state.adopt_config(welcome.config, source)
         if not self._core.state.has_upstream_list and welcome.upstreams:
@@ -714,6 +758,10 @@
                 else [],
                 self._core.limits.reports(now),
                 state.members.lapsed() if wants_lists else [],
+                state.evacuations.report(now)
+                if state.evacuations.known
+                and sender.evacuation_digest != state.evacuations.digest
+                else None,
             ),
         )
 
@@ -738,6 +786,12 @@
                 RELAY_CHECK_S, self._relay_to_older, config
             )
 
+    def _on_evacuations(self, source: str) -> None:
+        """Sends evacuations that this gateway read from the store."""
+        if source == fleet_state.STORE_SOURCE:
+            self._sends_evacuations = True
+            self._schedule_heartbeat()
+
     def _relay_to_older(self, config: fleet_config.FleetConfig) -> None:
         """Sends a configuration to the peers that report an older version."""
         self._relay_config(
--- a/src/apricottrestle/gateway/store.py
+++ b/src/apricottrestle/gateway/store.py
@@ -11,6 +11,7 @@
 from apricottrestle import errors
 from apricottrestle.gateway import (
     crash_evidence,
+    evacuations,
     fleet_config,
     upstream_list,
 )
@@ -39,15 +40,18 @@
 
 
 class ConfigRead(NamedTuple):
-    """Result of a read of the configuration.
+    """Result of a read of the configuration and the evacuations.
 
     Attributes:
         config: Newest configuration read, or None if there was none.
         position: Position from which to continue.
+        evacuation_records: Evacuations, and ends of evacuations, that were
+            read.
     """
 
     config: fleet_config.FleetConfig | None
     position: Position
+    evacuation_records: tuple[evacuations.Record, ...] = ()
 
 
 class UpstreamsRead(NamedTuple):
@@ -86,17 +90,17 @@
 
     @abc.abstractmethod
     async def read_config(self) -> ConfigRead:
-        """Returns the newest configuration."""
+        """Returns the newest configuration and all evacuations."""
 
     @abc.abstractmethod
     async def wait_for_config(
         self, position: Position, wait_s: float
     ) -> ConfigRead:
-        """Waits for a newer configuration (long poll).
+        """Waits for a newer configuration or evacuation (long poll).
 
         Args:
             position: Position of the last read.
-            wait_s: Longest wait; the result then has no configuration.
+            wait_s: Longest wait; the result is empty if nothing was written.
 
         Raises:
             HistoryLostError: The records after the position are gone.
--- a/src/apricottrestle/gateway/store_sync.py
+++ b/src/apricottrestle/gateway/store_sync.py
@@ -16,6 +16,7 @@
 from apricottrestle import errors, logs
 from apricottrestle.gateway import (
     clock,
+    evacuations,
     fleet_state,
     store,
     store_duty,
@@ -300,6 +301,11 @@
             if not self._is_in_time(config_read.position, at_call, position):
                 position = None
                 continue
+            self._state.read_evacuations(
+                config_read.evacuation_records,
+                evacuations.Stamp(*config_read.position),
+                whole=position is None,
+            )
             position = config_read.position
             if config_read.config is not None:
                 self._state.adopt_config(
--- a/src/apricottrestle/metrics.py
+++ b/src/apricottrestle/metrics.py
@@ -48,6 +48,10 @@
     "apricottrestle_bad_prompt_parts",
     "Sets of prompt parts that are refused because they crash engines",
 )
+EVACUATED_DATA_CENTRES = Gauge(
+    "apricottrestle_evacuated_data_centres",
+    "Data centres that the operator has evacuated",
+)
 LIMITED_UPSTREAMS = Gauge(
     "apricottrestle_limited_upstreams",
     "Upstreams that name a limit of requests per second",
--- a/src/apricottrestle/platform/names.py
+++ b/src/apricottrestle/platform/names.py
@@ -39,6 +39,10 @@
 
 CONFIG_TOPIC: Final = "keyed.op"
 CONFIG_KEY: Final = "config"
+EVACUATION_PREFIX: Final = "evacuate/"
+"""Start of the keys of evacuations, in the topic of the configuration; the name
+of the data centre follows."""
+
 UPSTREAMS_TOPIC: Final = "keyed.servers"
 CRASHES_TOPIC: Final = "keyed.crashes"
 """Topic that only gateways use, for the crashes that prove a part of a prompt
--- a/src/apricottrestle/platform/store_client.py
+++ b/src/apricottrestle/platform/store_client.py
@@ -15,7 +15,12 @@
 from tornado import httpclient
 
 from apricottrestle import decoding, errors, metrics, platform_http
-from apricottrestle.gateway import crash_evidence, store, upstream_list
+from apricottrestle.gateway import (
+    crash_evidence,
+    evacuations,
+    store,
+    upstream_list,
+)
 from apricottrestle.platform import codec, names
 
 CALL_TIMEOUT_S: Final = 1.0
@@ -340,7 +345,9 @@
                 continue
             if newest is None or config.stamp > newest.stamp:
                 newest = config
-        return store.ConfigRead(newest, position)
+        return store.ConfigRead(
+            newest, position, _decode_evacuations(records, position)
+        )
 
 
 def _require_history(answer: _Answer, position: store.Position) -> None:
@@ -381,6 +388,38 @@
         ) from exc
 
 
+def _decode_evacuations(
+    records: list[KeyedRecord], position: store.Position
+) -> tuple[evacuations.Record, ...]:
+    """Returns the evacuations among the records of the configuration's topic.
+
+    The key alone names the data centre: an evacuation must not fail because of
+    what else the operator wrote.
+    """
+    decoded = []
+    for record in records:
+        if not record.key.startswith(names.EVACUATION_PREFIX):
+            continue
+        data_centre = record.key.removeprefix(names.EVACUATION_PREFIX)
+        if not 1 <= len(data_centre) <= codec.MAX_NAME_CHARS:
+            _LOG.warning(
+                "ignored an evacuation without a valid name",
+                extra={
+                    "key": record.key[: codec.MAX_NAME_CHARS],
+                    "offset": record.offset,
+                },
+            )
+            continue
+        decoded.append(
+            evacuations.Record(
+                data_centre,
+                evacuations.Stamp(position.history, record.offset),
+                bool(record.value),
+            )
+        )
+    return tuple(decoded)
+
+
 def _decode_upstreams(
     records: list[KeyedRecord],
 ) -> list[tuple[str, upstream_list.UpstreamEntry | None]]:
--- a/src/apricottrestle_standins/platform/virtual_store.py
+++ b/src/apricottrestle_standins/platform/virtual_store.py
@@ -10,6 +10,7 @@
 from apricottrestle import errors
 from apricottrestle.gateway import (
     crash_evidence,
+    evacuations,
     fleet_config,
     store,
     upstream_list,
@@ -21,6 +22,9 @@
 
 ListRecord = tuple[str, upstream_list.UpstreamEntry | None]
 
+Evacuation = tuple[str, bool]
+"""A data centre, and whether its evacuation begins or ends."""
+
 
 class Lost(NamedTuple):
     """What others than gateways wrote and a return from a copy lost.
@@ -28,17 +32,20 @@
     Attributes:
         configs: Versions of the configuration, in order.
         list_records: Changes of the upstream list, in order.
+        evacuations: Beginnings and ends of evacuations, in order.
     """
 
     configs: list[fleet_config.FleetConfig]
     list_records: list[ListRecord]
+    evacuations: list[Evacuation]
 
 
 class SharedLog:
     """The records of the store, which all clients share.
 
     Attributes:
-        configs: Versions of the configuration, in order.
+        operator_records: Versions of the configuration and evacuations, in
+            order.
         list_records: Changes of the upstream list, in order.
         first: Offset of the first retained list record.
         gateways: Entries of the gateways by instance id.
@@ -51,23 +58,37 @@
     def __init__(self) -> None:
         """Creates an empty store."""
         self.down = False
-        self.configs: list[fleet_config.FleetConfig] = []
+        self.operator_records: list[fleet_config.FleetConfig | Evacuation] = []
         self.list_records: list[ListRecord] = []
         self.first = 0
         self.gateways: dict[str, store.GatewayEntry] = {}
         self.crashes: dict[str, crash_evidence.CrashReport] = {}
         self.calls = 0
         self.history = 1
-        self._config_times: list[float] = []
+        self._operator_times: list[float] = []
         self._list_times: list[float] = []
         # Time, table, key and value of what gateways wrote; None deletes.
         self._own_writes: list[tuple[float, dict[str, Any], str, Any]] = []
         self._changed = asyncio.Event()
 
+    @property
+    def configs(self) -> list[fleet_config.FleetConfig]:
+        """Versions of the configuration, in order."""
+        return _configs_in(self.operator_records)
+
     def publish(self, config: fleet_config.FleetConfig) -> None:
         """Appends a version of the configuration."""
-        self.configs.append(config)
-        self._config_times.append(_now())
+        self._append_operator_record(config)
+
+    def write_evacuation(self, data_centre: str, evacuated: bool) -> None:
+        """Writes the record of an evacuation, or deletes it."""
+        self._append_operator_record((data_centre, evacuated))
+
+    def _append_operator_record(
+        self, record: fleet_config.FleetConfig | Evacuation
+    ) -> None:
+        self.operator_records.append(record)
+        self._operator_times.append(_now())
         self._notify()
 
     def append_upstream_change(
@@ -86,7 +107,7 @@
         """Comes back from a copy that is `lost_s` older, in a new history."""
         copied_at = _now() - lost_s
         self.history += 1
-        configs = _cut(self.configs, self._config_times, copied_at)
+        written = _cut(self.operator_records, self._operator_times, copied_at)
         records = _cut(self.list_records, self._list_times, copied_at)
         self._own_writes = [
             write for write in self._own_writes if write[0] <= copied_at
@@ -97,7 +118,7 @@
             self._apply_own(table, key, value)
         self.first = min(self.first, len(self.list_records))
         self._notify()
-        return Lost(configs, records)
+        return Lost(_configs_in(written), records, _evacuations_in(written))
 
     def _apply_own(self, table: dict[str, Any], key: str, value: Any) -> None:
         if value is None:
@@ -127,6 +148,26 @@
     return asyncio.get_running_loop().time()
 
 
+def _configs_in(
+    records: list[fleet_config.FleetConfig | Evacuation],
+) -> list[fleet_config.FleetConfig]:
+    return [
+        record
+        for record in records
+        if isinstance(record, fleet_config.FleetConfig)
+    ]
+
+
+def _evacuations_in(
+    records: list[fleet_config.FleetConfig | Evacuation],
+) -> list[Evacuation]:
+    return [
+        record
+        for record in records
+        if not isinstance(record, fleet_config.FleetConfig)
+    ]
+
+
 def _cut(records: list[Any], times: list[float], copied_at: float) -> list[Any]:
     """Removes the records after a time, and returns them."""
     kept = sum(written_at <= copied_at for written_at in times)
@@ -153,7 +194,13 @@
     async def read_config(self) -> store.ConfigRead:
         """See FleetStore.read_config."""
         await self._simulate_response()
-        return self._newest_config(0)
+        listed: dict[str, evacuations.Record] = {}
+        read = self._read_operator_records(0)
+        for record in read.evacuation_records:
+            listed.pop(record.data_centre, None)
+            if record.evacuated:
+                listed[record.data_centre] = record
+        return read._replace(evacuation_records=tuple(listed.values()))
 
     async def wait_for_config(
         self, position: store.Position, wait_s: float
@@ -161,24 +208,37 @@
         """See FleetStore.wait_for_config."""
         await self._simulate_response()
         history = self._log.history
-        self._check_position(position, 0, len(self._log.configs))
-        if position.offset >= len(self._log.configs):
+        self._check_position(position, 0, len(self._log.operator_records))
+        if position.offset >= len(self._log.operator_records):
             await self._log.wait_for_config_change(wait_s)
         if self._log.history != history:
             raise errors.PlatformError("reset", step="read", peer="store")
         if self.fault or self._log.down:
             await self._simulate_response()
-        return self._newest_config(position.offset)
+        return self._read_operator_records(position.offset)
 
-    def _newest_config(self, offset: int) -> store.ConfigRead:
-        """Returns the newest configuration after an offset."""
-        configs = self._log.configs
+    def _read_operator_records(self, offset: int) -> store.ConfigRead:
+        """Returns what the operator has written from an offset on."""
         newest = None
-        if len(configs) > offset:
-            newest = configs[-1]._replace(
-                history=self._log.history, offset=len(configs) - 1
+        evacuated = []
+        records = self._log.operator_records
+        for number in range(offset, len(records)):
+            record = records[number]
+            if isinstance(record, fleet_config.FleetConfig):
+                newest = record._replace(
+                    history=self._log.history, offset=number
+                )
+                continue
+            evacuated.append(
+                evacuations.Record(
+                    record[0],
+                    evacuations.Stamp(self._log.history, number),
+                    record[1],
+                )
             )
-        return store.ConfigRead(newest, self._position(len(configs)))
+        return store.ConfigRead(
+            newest, self._position(len(records)), tuple(evacuated)
+        )
 
     async def read_upstreams(self) -> store.UpstreamsRead:
         """See FleetStore.read_upstreams."""
