Send nothing new to evacuated data centres

A request whose upstreams are all evacuated is refused at once with 503, and the queue is passed at each change. Work under way goes on, with the renewals of its memory.

The stand-ins learn evacuations: the store keeps them in the topic of the configuration, and the ledger judges what arrives at upstreams.

--- a/src/apricottrestle/gateway/engine_queue.py
+++ b/src/apricottrestle/gateway/engine_queue.py
@@ -296,7 +296,10 @@
         usable = self._engine_candidates(service, model, request, now)
         if not usable:
             if not self._tables.send_gate.usable(service.name, now):
-                self._refuse_waiting(request, "no_upstream")
+                self._refuse_waiting(
+                    request,
+                    self._tables.send_gate.refusal_reason(service.name),
+                )
             else:
                 self._refuse_limited(request, now)
             return
@@ -593,9 +596,14 @@
         if (
             not request.needs_upstream
             or entry is None
-            or None in helpers
-            # An upstream may have said so while memory was reserved.
+            # An upstream may have said so, or its data centre been evacuated,
+            # while memory was reserved.
             or not self._tables.send_gate.may_send(entry, now)
+            or not all(
+                helper is not None
+                and self._tables.send_gate.may_send(helper, now)
+                for helper in helpers
+            )
         ):
             self._cancel_run(request, run)
             return
@@ -638,7 +646,7 @@
         reservations: list[calls.Reservation] = []
         for helper in run.helpers:
             entry = self._tables.members.get(helper)
-            if entry is None:
+            if entry is None or self._tables.send_gate.is_evacuated(entry):
                 self._cancel_run(request, run)
                 return
             reservations.append(
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -148,6 +148,7 @@
         self.state = fleet_state.FleetState(
             self._on_upstream_change, cfg.upstream_lease_s
         )
+        self.state.watch_evacuations(self._on_evacuations)
         self.load = engine_load.EngineLoad()
         self.slowdowns = engine_pace.EngineSlowdowns()
         self.claims = engine_claims.EngineClaims()
@@ -161,6 +162,7 @@
             self.limits,
             self.notices,
             self.state.members,
+            self.state.evacuations,
             self._placement_rank,
         )
         self.peer_calls: dict[str, collections.Counter[str]] = {}
@@ -390,7 +392,9 @@
     def _missing_state(self) -> str:
         if self.state.compiled is None:
             return "no_configuration"
-        return "no_upstream_list"
+        if not self.state.has_upstream_list:
+            return "no_upstream_list"
+        return "no_evacuations"
 
     def _release_held(self) -> None:
         """Handles the held requests, whether or not they can be routed."""
@@ -406,7 +410,7 @@
         if self.stopping:
             return self._refuse_stopping(req)
         compiled = self.state.compiled
-        if compiled is None or not self.state.has_upstream_list:
+        if compiled is None or not self.state.ready:
             return accept.Refused(
                 accept.UNAVAILABLE,
                 self._missing_state(),
@@ -423,6 +427,9 @@
             )
         return decision
 
+    def _on_evacuations(self, _source: str) -> None:
+        self._queue.request_scheduling_pass()
+
     def _placement_rank(self, upstream_id: str) -> int:
         return self.listener.placement_rank(upstream_id)
 
@@ -780,7 +787,11 @@
         if best is None:
             limit_wait_s = self._send_gate.wait_s(service, now)
             if candidates or limit_wait_s <= 0:
-                reason = "full" if candidates else "no_upstream"
+                reason = (
+                    "full"
+                    if candidates
+                    else self._send_gate.refusal_reason(service)
+                )
                 retry_after_s = accept.OVERLOAD_RETRY_AFTER_S
             else:
                 reason, retry_after_s = accept.LIMITED, limit_wait_s
--- a/src/apricottrestle/gateway/send_gate.py
+++ b/src/apricottrestle/gateway/send_gate.py
@@ -1,19 +1,28 @@
 """Decides whether this gateway may send requests to upstreams now, and when.
 
-It combines the upstream list, the limits that upstreams name and what they say
-of themselves; all three are updated by others. Routing, the queue, the choice
-of helpers and the Retry-After of refusals read it.
+It combines the upstream list, the evacuated data centres, the limits that
+upstreams name and what they say of themselves; all are updated by others.
+Routing, the queue, the choice of helpers and the Retry-After of refusals read
+it.
 """
 
 import math
 from collections.abc import Callable
+from typing import Final
 
 from apricottrestle.gateway import (
+    evacuations,
     upstream_limits,
     upstream_list,
     upstream_notices,
 )
 
+NO_UPSTREAM: Final = "no_upstream"
+"""Reason of the refusal of a request whose service has no upstream."""
+
+EVACUATED: Final = "evacuated"
+"""Reason of the refusal of a request whose upstreams are all evacuated."""
+
 
 class SendGate:
     """The upstreams of each service that may get requests, and when."""
@@ -23,6 +32,7 @@
         limits: upstream_limits.UpstreamLimits,
         notices: upstream_notices.UpstreamNotices,
         members: upstream_list.Membership,
+        evacuated: evacuations.EvacuationTable,
         turn: Callable[[str], int],
     ) -> None:
         """Creates a gate.
@@ -31,11 +41,13 @@
             limits: Limits of the upstreams.
             notices: What upstreams say of themselves.
             members: Upstreams of all services.
+            evacuated: Data centres that get no requests.
             turn: Returns the number of gateways that go first at an upstream.
         """
         self._limits = limits
         self._notices = notices
         self._members = members
+        self._evacuated = evacuated
         self._turn = turn
 
     def usable(
@@ -45,7 +57,8 @@
         return [
             entry
             for entry in self._members.usable(service)
-            if self._notice_wait_s(entry, now) < math.inf
+            if not self.is_evacuated(entry)
+            and self._notice_wait_s(entry, now) < math.inf
         ]
 
     def allowed(
@@ -60,7 +73,20 @@
 
     def may_send(self, entry: upstream_list.UpstreamEntry, now: float) -> bool:
         """Returns whether a request may still go to a chosen upstream."""
-        return self._notice_wait_s(entry, now) <= 0
+        return (
+            not self.is_evacuated(entry)
+            and self._notice_wait_s(entry, now) <= 0
+        )
+
+    def is_evacuated(self, entry: upstream_list.UpstreamEntry) -> bool:
+        """Returns whether an upstream's data centre is evacuated."""
+        return entry.data_centre in self._evacuated.evacuated
+
+    def refusal_reason(self, service: str) -> str:
+        """Returns why a service without usable upstreams has none."""
+        if any(map(self.is_evacuated, self._members.usable(service))):
+            return EVACUATED
+        return NO_UPSTREAM
 
     def wait_s(self, service: str, now: float) -> float:
         """Returns the time until an upstream of a service may get a request.
--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -6,7 +6,7 @@
 
 import itertools
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 from apricottrestle_standins.platform import workload
 
@@ -62,6 +62,57 @@
     started_at_ms: int
 
 
+class Placement(NamedTuple):
+    """Use of an upstream that a gateway has chosen.
+
+    Attributes:
+        gateway: Address of the gateway.
+        upstream_id: Id of the upstream.
+        data_centre: Its data centre.
+        at_s: Time at which it reached the upstream.
+        what: "request", "helper" of a prompt that another engine serves, or
+            the first request of a "reservation".
+        request_id: Id of the caller's attempt, or of the reservation.
+    """
+
+    gateway: str
+    upstream_id: str
+    data_centre: str
+    at_s: float
+    what: Literal["request", "helper", "reservation"]
+    request_id: str
+
+
+class Evacuation:
+    """A time in which the store has the record of an evacuation.
+
+    Attributes:
+        data_centre: The data centre.
+        written_s: Time at which the store acknowledged the record.
+        ended_s: Time at which the record was deleted or lost.
+    """
+
+    def __init__(self, data_centre: str, written_s: float) -> None:
+        """Starts an evacuation."""
+        self.data_centre = data_centre
+        self.written_s = written_s
+        self.ended_s = float("inf")
+
+
+class OutOfTouch(NamedTuple):
+    """A time in which a gateway couldn't learn what is in the store.
+
+    Attributes:
+        gateway: Address of the gateway; empty for all of them.
+        start_s: Start of the time.
+        end_s: End of the time.
+    """
+
+    gateway: str
+    start_s: float
+    end_s: float
+
+
 class StopCheck(NamedTuple):
     """A look at a gateway that still runs READY_CHECK_AFTER_S after its signal.
 
@@ -163,6 +214,9 @@
         stops: Gateways that were asked to stop: address and time.
         stop_checks: Looks at gateways some time after their stop signal.
         notices: What upstreams said of themselves.
+        placements: Uses of upstreams that gateways have chosen.
+        evacuations: Evacuations of data centres.
+        out_of_touch: Times in which gateways couldn't learn of evacuations.
     """
 
     def __init__(self) -> None:
@@ -179,6 +233,9 @@
         self.stops: list[tuple[str, float]] = []
         self.stop_checks: list[StopCheck] = []
         self.notices: list[Notice] = []
+        self.placements: list[Placement] = []
+        self.evacuations: list[Evacuation] = []
+        self.out_of_touch: list[OutOfTouch] = []
 
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -235,6 +292,42 @@
     return lines
 
 
+def find_evacuation_violations(ledger: Ledger, evacuate_s: float) -> list[str]:
+    """Returns uses of upstreams of evacuated data centres.
+
+    The time in which a gateway was out of touch doesn't count. One that has
+    started since must know the evacuation before its first request.
+
+    Args:
+        ledger: The records.
+        evacuate_s: Time from the store's acknowledgement in which an evacuation
+            must be in force.
+    """
+    return [
+        f"EVACUATED {row.what} {row.request_id} from {row.gateway} reached "
+        f"{row.upstream_id} in {row.data_centre} "
+        f"{row.at_s - evacuation.written_s:.2f} s after the record"
+        for row in ledger.placements
+        for evacuation in ledger.evacuations
+        if row.data_centre == evacuation.data_centre
+        and evacuation.written_s + evacuate_s < row.at_s < evacuation.ended_s
+        and _in_touch_s(ledger, row.gateway, evacuation.written_s, row.at_s)
+        > evacuate_s
+    ]
+
+
+def _in_touch_s(
+    ledger: Ledger, gateway: str, start_s: float, end_s: float
+) -> float:
+    """Returns the time in an interval in which a gateway was in touch."""
+    in_touch_s, at_s = 0.0, start_s
+    for row in sorted(ledger.out_of_touch, key=lambda row: row.start_s):
+        if row.gateway in ("", gateway) and row.end_s > at_s:
+            in_touch_s += max(min(row.start_s, end_s) - at_s, 0.0)
+            at_s = row.end_s
+    return in_touch_s + max(end_s - at_s, 0.0)
+
+
 READY_CHECK_AFTER_S = 4.0
 """Time after a stop signal at which the gateways that are ready are counted."""
 
--- a/src/apricottrestle_standins/platform/virtual_upstreams.py
+++ b/src/apricottrestle_standins/platform/virtual_upstreams.py
@@ -626,6 +626,7 @@
         arrivals: dict[str, workload.Arrival],
         data_centre: str,
         remote_delay_s: float,
+        gateway: str = "",
     ) -> None:
         """Creates a client without calls."""
         self.by_address = by_address
@@ -633,6 +634,8 @@
         self.closed = False
         self._data_centre = data_centre
         self._remote_delay_s = remote_delay_s
+        self._gateway = gateway
+        self._reservations: set[str] = set()
         self._open: dict[VirtualTransfer, None] = {}
 
     def _delay_s(self, upstream: Upstream) -> float:
@@ -677,6 +680,13 @@
         if call.upstream_id != upstream.upstream_id:
             upstream.reject(transfer, 421)
             return
+        self._record_placement(upstream, "request", call.req.request_id)
+        for text in call.helpers:
+            self._record_placement(
+                self.by_address[text.partition("/")[0]],
+                "helper",
+                call.req.request_id,
+            )
         if (
             upstream.is_full
             or asyncio.get_running_loop().time() < upstream.refuses_until
@@ -700,6 +710,23 @@
                 )
         upstream.start(incoming, arrival, helpers, reserved_tokens)
 
+    def _record_placement(
+        self,
+        upstream: Upstream,
+        what: Literal["request", "helper", "reservation"],
+        request_id: str,
+    ) -> None:
+        upstream.run_ledger.placements.append(
+            ledger.Placement(
+                self._gateway,
+                upstream.upstream_id,
+                upstream.data_centre,
+                asyncio.get_running_loop().time(),
+                what,
+                request_id,
+            )
+        )
+
     def _record_late_dispatch(self, upstream: Upstream) -> None:
         """Records a request sent to an upstream that has been draining."""
         draining_since = upstream.draining_since
@@ -744,6 +771,12 @@
     async def reserve(self, reservation: calls.Reservation) -> bool:
         """See UpstreamClient.reserve."""
         engine = await self._await_engine(reservation)
+        if reservation.reservation_id not in self._reservations:
+            # Later requests with the same id renew the reservation.
+            self._reservations.add(reservation.reservation_id)
+            self._record_placement(
+                engine, "reservation", reservation.reservation_id
+            )
         return engine.reserve(reservation)
 
     async def release(self, reservation: calls.Reservation) -> None:
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -327,6 +327,8 @@
         await asyncio.sleep(outage_s)
         lost = self.log.restore(lost_s + outage_s)
         self.log.down = False
+        for data_centre, evacuated in reversed(lost.evacuations):
+            self._record_evacuation(data_centre, evacuated=not evacuated)
         return lost
 
     def _config(self, version: int) -> fleet_config.FleetConfig:
@@ -447,6 +449,31 @@
         self.config = self.config._replace(version=self.config.version + 1)
         self.log.publish(self.config)
 
+    def evacuate(self, data_centre: str) -> None:
+        """Writes the record that evacuates a data centre."""
+        self.log.write_evacuation(data_centre, True)
+        self._record_evacuation(data_centre, evacuated=True)
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Deletes the record that evacuates a data centre."""
+        self.log.write_evacuation(data_centre, False)
+        self._record_evacuation(data_centre, evacuated=False)
+
+    def _record_evacuation(self, data_centre: str, *, evacuated: bool) -> None:
+        """Records what the store has of an evacuation from now on."""
+        now = asyncio.get_running_loop().time()
+        current = [
+            row
+            for row in self.run_ledger.evacuations
+            if row.data_centre == data_centre and row.ended_s > now
+        ]
+        if evacuated and not current:
+            self.run_ledger.evacuations.append(
+                ledger.Evacuation(data_centre, now)
+            )
+        for row in [] if evacuated else current:
+            row.ended_s = now
+
     def start_gateway(self, number: int) -> Gateway:
         """Starts a gateway at the address of its number, also after a kill."""
         self._start_count += 1
@@ -458,6 +485,7 @@
             self._arrivals,
             self._data_centre_name(number),
             REMOTE_DELAY_S,
+            address,
         )
         cfg = settings.GatewaySettings(
             address,
