Let answers be read before a late timer ends their request

Cause: after a delay of the event loop the deadline's and the stall's timers run before an answer that waits in its socket has got to its exchange, and libcurl's own limit, 0.25 s after the deadline, ends a transfer before it reads. The caller got 504 for an answer that was ready; the upstream was set aside as silent.

Ruled out: the exchange's timers alone; rows late by 0.5 and 1.5 s failed until libcurl's limit was moved.

Change: clock.AnswerTimer waits once for 0.05 s if it is late; libcurl's limit is 3 s after the deadline, at which the exchange ends the transfer.

tests/test_gateway_loop_delays.py: 13 of 24 new rows failed before, none after.

--- a/src/apricottrestle/gateway/clock.py
+++ b/src/apricottrestle/gateway/clock.py
@@ -13,6 +13,14 @@
 TASK_RETRY_S: Final = 0.5
 """Time after which a task that failed unexpectedly starts again."""
 
+LATE_S: Final = 0.05
+"""Lateness from which a timer waits for what was not read meanwhile; well above
+that of a loop which is merely busy, and below each bound on an answer."""
+
+READING_S: Final = 0.05
+"""Time in which a loop that goes on again reads what waits in its sockets; many
+iterations of one."""
+
 _LOG: Final = logging.getLogger(__name__)
 
 
@@ -44,6 +52,40 @@
         await asyncio.sleep(TASK_RETRY_S)
 
 
+class AnswerTimer:
+    """Calls a function unless it is cancelled by an answer that came in time.
+
+    After a delay of the event loop the callbacks of timers run before bytes
+    that arrived earlier have got to their reader. A timer that is late
+    therefore waits once for READING_S more.
+    """
+
+    def __init__(self, delay_s: float, function: Callable[[], None]) -> None:
+        """Starts the timer.
+
+        Args:
+            delay_s: Time until the call in seconds.
+            function: Called on the event loop.
+        """
+        self._function = function
+        self._due_at = now() + delay_s
+        self._handle = asyncio.get_running_loop().call_later(
+            delay_s, self._fire
+        )
+
+    def cancel(self) -> None:
+        """Prevents the call, if it hasn't begun."""
+        self._handle.cancel()
+
+    def _fire(self) -> None:
+        if now() > self._due_at + LATE_S:
+            self._handle = asyncio.get_running_loop().call_later(
+                READING_S, self._function
+            )
+        else:
+            self._function()
+
+
 class Ticker:
     """Calls a function at intervals while its context is open.
 
--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -101,8 +101,7 @@
         self._last_event_at = 0.0
         self._longest_gap_s = 0.0
         self._done = False
-        self._loop = asyncio.get_running_loop()
-        self._stall_timer: asyncio.TimerHandle | None = None
+        self._stall_timer: clock.AnswerTimer | None = None
 
     @property
     def done(self) -> bool:
@@ -169,9 +168,9 @@
         """Starts the deadline timer and requests an upstream."""
         self._responder.on_close(self._on_caller_disconnected)
         left_s = self.time_left_s(clock.now())
-        self._deadline_timer: asyncio.TimerHandle | None = None
+        self._deadline_timer: clock.AnswerTimer | None = None
         if left_s < float("inf"):
-            self._deadline_timer = self._loop.call_later(
+            self._deadline_timer = clock.AnswerTimer(
                 max(left_s, 0.0), self._on_deadline
             )
         self._host.place_request(self)
@@ -616,7 +615,7 @@
                 self._settle_on(second)
 
         if self.is_stream and not self._history.response_started:
-            self._loop.call_later(ACCEPTED_S, settle)
+            asyncio.get_running_loop().call_later(ACCEPTED_S, settle)
 
     def _arm_event_timer(self) -> None:
         """Restarts the timer that detects a stream that has fallen silent."""
@@ -627,7 +626,7 @@
 
     def _arm_stall_timer(self, timeout_s: float) -> None:
         self._cancel_stall_timer()
-        self._stall_timer = self._loop.call_later(timeout_s, self._on_stall)
+        self._stall_timer = clock.AnswerTimer(timeout_s, self._on_stall)
 
     def _abandon_timeout_s(self) -> float:
         """Returns the time without an event after which the caller leaves."""
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -49,9 +49,10 @@
 """Timeout of the question whether an upstream is running; as CONNECT_TIMEOUT_S,
 since the answer needs no place in its queue."""
 
-DEADLINE_MARGIN_S: Final = 0.25
-"""Time by which a transfer's timeout exceeds the caller's remaining time, so
-that the upstream's own response at the deadline still arrives."""
+DEADLINE_MARGIN_S: Final = 3.0
+"""Time by which a transfer's timeout exceeds the caller's remaining time. The
+exchange cancels the transfer at the deadline; libcurl, which looks at the clock
+before it reads, must not end it first after a delay of the event loop."""
 
 MAX_CONCURRENT_TRANSFERS: Final = 256
 """Number of concurrent transfers; tornado queues further transfers."""
--- a/tests/gateway_on_sockets.py
+++ b/tests/gateway_on_sockets.py
@@ -235,7 +235,12 @@
         self._count = 0
 
     async def call(
-        self, path: str, body: bytes = b"", *, chunked: bool = False
+        self,
+        path: str,
+        body: bytes = b"",
+        *,
+        chunked: bool = False,
+        deadline_s: float | None = None,
     ) -> Received:
         """Sends a request on a connection of its own; returns the answer."""
         self._count += 1
@@ -250,9 +255,11 @@
             f"{names.REQUEST_ID}: request-{self._count}\r\n"
             f"{names.AUTHORIZATION}: Bearer key-a\r\n"
             f"{names.TOKEN_USAGE}: 100,50\r\n"
-            f"Connection: close\r\n{framing}\r\n\r\n"
+            f"Connection: close\r\n{framing}\r\n"
         )
-        writer.write(head.encode())
+        if deadline_s is not None:
+            head += f"{names.DEADLINE_MS}: {int(deadline_s * 1000)}\r\n"
+        writer.write(f"{head}\r\n".encode())
         if chunked:
             body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
         writer.write(body)
@@ -279,7 +286,7 @@
     core.state.adopt_config(
         gateway_parts.config(
             routes=tuple(
-                route._replace(timeout_s=4.0, target_s=3.0)
+                route._replace(timeout_s=4.0, target_s=0.5)
                 for route in gateway_parts.config().routes
             ),
             limits=fleet_config.CallerLimits(16_384, 1 << 24, 3.0, 15.0),
--- a/tests/test_gateway_loop_delays.py
+++ b/tests/test_gateway_loop_delays.py
@@ -1,11 +1,12 @@
 """Tests of a gateway whose event loop was blocked, on real sockets.
 
-A timer that is due after the delay must not take messages that wait in a socket
-for silence.
+A timer that is due after the delay must not take messages or answers that wait
+in a socket for silence.
 """
 
 import asyncio
 import contextlib
+import logging
 import random
 import socket
 import threading
@@ -26,7 +27,7 @@
     peers,
     settings,
 )
-from tests import async_helpers
+from tests import async_helpers, gateway_on_sockets
 
 PEER_COUNT: Final = 4
 
@@ -157,3 +158,105 @@
         checks += 1
     counted_s = min(gap_s, peers.MAX_COUNTED_S)
     assert (checks - 2) * counted_s <= peers.PEER_TIMEOUT_S + 1e-9
+
+
+PATHS: Final = {"unsafe": "/order/x", "safe": "/lookup/x", "stream": "/short/x"}
+
+
+def _answer_and_block(
+    before_s: float, block_s: float
+) -> gateway_on_sockets.Script:
+    """Returns a script whose answer waits unread while the loop is blocked.
+
+    The upstream runs on the gateway's event loop; its bytes are in the socket
+    when it returns from the write.
+    """
+
+    async def script(
+        head: gateway_on_sockets.Head, conn: gateway_on_sockets.Connection
+    ) -> None:
+        await conn.read_body(head)
+        body = gateway_on_sockets.WHOLE
+        conn.write(
+            gateway_on_sockets.signed_head(
+                head, framing=f"Content-Length: {len(body)}\r\n"
+            )
+            + body[:20]
+        )
+        await asyncio.sleep(before_s)
+        conn.write(body[20:])
+        time.sleep(block_s)
+
+    return script
+
+
+async def _call(
+    script: gateway_on_sockets.Script, route: str, deadline_s: float | None
+) -> tuple[gateway_on_sockets.Received, int]:
+    """Returns a caller's answer, and how often its request was sent."""
+    upstream = gateway_on_sockets.Upstream([script])
+    service = "engines" if route == "stream" else "plain"
+    async with gateway_on_sockets.listening(upstream) as address:
+        with gateway_on_sockets.serving(
+            (service, address), (service, address)
+        ) as caller:
+            answer = await caller.call(
+                PATHS[route], b"body", deadline_s=deadline_s
+            )
+            # A second attempt that was sent too late to serve the caller.
+            await asyncio.sleep(0.1)
+    return answer, len(upstream.heads)
+
+
+@pytest.mark.parametrize("block_s", [0.5, 1.2, 3.0])
+@pytest.mark.parametrize("route", ["safe", "stream"])
+@async_helpers.async_test
+async def test_answer_that_waits_in_its_socket_is_not_silent(
+    route: str, block_s: float, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against silences that are the gateway's own delay.
+
+    They cost the retry budget and a place at another upstream, and set the
+    first one aside.
+    """
+    caplog.set_level(logging.INFO)
+    script = _answer_and_block(0.1, block_s)
+    answer, sends = await _call(script, route, None)
+    assert answer == (200, gateway_on_sockets.WHOLE, True)
+    assert sends == 1
+    messages = [record.getMessage() for record in caplog.records]
+    assert "send stalled" not in messages
+    assert "upstream silent" not in messages
+
+
+@pytest.mark.parametrize("late_s", [0.1, 0.2, 0.5, 1.5])
+@pytest.mark.parametrize("route", PATHS)
+@async_helpers.async_test
+async def test_answer_that_was_ready_before_the_deadline_is_delivered(
+    route: str, late_s: float
+) -> None:
+    """Guards against 504 for an answer that waits in its socket."""
+    script = _answer_and_block(0.1, 0.4 + late_s)
+    answer, sends = await _call(script, route, 0.5)
+    assert answer == (200, gateway_on_sockets.WHOLE, True)
+    assert sends == 1
+
+
+@pytest.mark.parametrize("block_s", [0.0, 0.5, 1.2])
+@pytest.mark.parametrize("route", ["safe", "stream"])
+@async_helpers.async_test
+async def test_silent_upstream_gets_a_second_attempt_after_a_delay(
+    route: str, block_s: float
+) -> None:
+    """Guards against a delay that hides a real silence."""
+
+    async def script(
+        head: gateway_on_sockets.Head, conn: gateway_on_sockets.Connection
+    ) -> None:
+        await conn.read_body(head)
+        time.sleep(block_s)
+        await asyncio.sleep(gateway_on_sockets.CALLER_TIMEOUT_S)
+
+    answer, sends = await _call(script, route, None)
+    assert answer == (200, gateway_on_sockets.WHOLE, True)
+    assert sends == 2
