--- a/tests/test_gateway_early_answers.py
+++ b/tests/test_gateway_early_answers.py
@@ -421,3 +421,55 @@
     answers, heads = await _call([script], route, UPLOAD)
     assert answers[0] == (200, gateway_on_sockets.WHOLE, True)
     assert len(heads) == 1
+
+
+@pytest.mark.parametrize("end", ["reset", "fin", "close"])
+@pytest.mark.parametrize(
+    ("framing", "part"),
+    [
+        ("nothing", b""),
+        ("head", b"HTTP/1.1 200 OK\r\n"),
+        (_LENGTH, gateway_on_sockets.PART),
+        ("Transfer-Encoding: chunked\r\n", _CHUNKS[:30]),
+    ],
+    ids=["nothing", "part of a head", "length", "chunks"],
+)
+@pytest.mark.parametrize("route", PATHS)
+@pytest.mark.parametrize("upload", [b"body", UPLOAD], ids=["read", "early"])
+@async_helpers.async_test
+async def test_failure_on_a_kept_connection_costs_one_request_at_most(
+    upload: bytes, route: str, framing: str, part: bytes, end: End
+) -> None:
+    """Guards against faults that reach the requests before and after.
+
+    libcurl itself repeats a request whose kept connection ends before the first
+    byte of the answer.
+    """
+
+    async def script(
+        head: gateway_on_sockets.Head, conn: gateway_on_sockets.Connection
+    ) -> None:
+        if upload != UPLOAD:
+            await conn.read_body(head)
+        if part and framing != "head":
+            conn.write(gateway_on_sockets.signed_head(head, framing=framing))
+        conn.write(part)
+        await conn.writer.drain()
+        await asyncio.sleep(0.01)
+        if end == "reset":
+            conn.reset()
+        elif end == "fin":
+            await conn.send_fin()
+        else:
+            conn.writer.close()
+
+    answers, heads = await _call(
+        [gateway_on_sockets.answer_whole, script],
+        route,
+        b"first",
+        upload,
+        b"next",
+    )
+    first, second, third = answers
+    assert first == third == (200, gateway_on_sockets.WHOLE, True)
+    _assert_sound(route, second, heads[1:-1])
