Keep requests in the regions that their route and team allow

A configuration may name allowed_regions in a route and in a tenant; the settings map each data centre to its region. Where both name regions, both bind. Without an upstream inside, a request is refused at once with 503 and the reason outside_regions. A data centre whose region isn't known is in no region. Route decisions say how many upstreams are left out, and why.

Routes and teams are named tuples, which earlier builds decode with exactly their own fields. A configuration without regions is therefore sent to peers without the new ones. One with regions is not decoded by earlier builds, which couldn't keep to them.

--- a/src/apricottrestle/gateway/accept.py
+++ b/src/apricottrestle/gateway/accept.py
@@ -39,6 +39,7 @@
         priority: Scheduling priority; 0 is the most urgent.
         deadline: Monotonic time by which the response must have ended.
         config_version: Version of the configuration used for the decision.
+        regions: Regions whose upstreams it may use; None for all.
     """
 
     route: fleet_config.Route
@@ -47,6 +48,7 @@
     priority: int
     deadline: float
     config_version: int
+    regions: fleet_config.Regions = None
 
 
 Refused = calls.Refusal
@@ -138,5 +140,11 @@
     if team is not None and team.priority is not None:
         priority = team.priority
     return Accepted(
-        route, team, service, priority, req.arrived_at + limit_s, config.version
+        route,
+        team,
+        service,
+        priority,
+        req.arrived_at + limit_s,
+        config.version,
+        fleet_config.allowed_regions(route, team),
     )
--- a/src/apricottrestle/gateway/engine_queue.py
+++ b/src/apricottrestle/gateway/engine_queue.py
@@ -295,10 +295,11 @@
         needs = request.engine_needs(now)
         usable = self._engine_candidates(service, model, request, now)
         if not usable:
-            if not self._tables.send_gate.usable(service.name, now):
+            gate = self._tables.send_gate
+            regions = request.accepted.regions
+            if not gate.usable(service.name, regions, now):
                 self._refuse_waiting(
-                    request,
-                    self._tables.send_gate.refusal_reason(service.name),
+                    request, gate.refusal_reason(service.name, regions)
                 )
             else:
                 self._refuse_limited(request, now)
@@ -561,6 +562,9 @@
             upstream=choice.engine,
             helpers=choice.helpers,
             candidates=candidates,
+            excluded=self._tables.send_gate.excluded(
+                request.accepted.service.name, request.accepted.regions
+            ),
             list_version=self._tables.members.version,
             running=len(state.runs),
             first_event_s=round(choice.first_event_s, 4),
@@ -598,10 +602,14 @@
             or entry is None
             # An upstream may have said so, or its data centre been evacuated,
             # while memory was reserved.
-            or not self._tables.send_gate.may_send(entry, now)
+            or not self._tables.send_gate.may_send(
+                entry, request.accepted.regions, now
+            )
             or not all(
                 helper is not None
-                and self._tables.send_gate.may_send(helper, now)
+                and self._tables.send_gate.may_send(
+                    helper, request.accepted.regions, now
+                )
                 for helper in helpers
             )
         ):
@@ -646,7 +654,9 @@
         reservations: list[calls.Reservation] = []
         for helper in run.helpers:
             entry = self._tables.members.get(helper)
-            if entry is None or self._tables.send_gate.is_evacuated(entry):
+            if entry is None or not self._tables.send_gate.is_open(
+                entry, request.accepted.regions
+            ):
                 self._cancel_run(request, run)
                 return
             reservations.append(
@@ -690,7 +700,11 @@
             if service.engine is None:
                 continue
             needs = request.engine_needs(now)
-            engines = len(self._tables.send_gate.usable(service.name, now))
+            engines = len(
+                self._tables.send_gate.usable(
+                    service.name, request.accepted.regions, now
+                )
+            )
             service_s = engine_routing.min_service_s(
                 needs, service.engine, engines
             )
@@ -722,7 +736,11 @@
             for other in self._waiting
         )
         wait_s = self._tables.send_gate.queue_wait_s(
-            service, ahead, self._host.listener.gateway_count(), now
+            service,
+            request.accepted.regions,
+            ahead,
+            self._host.listener.gateway_count(),
+            now,
         )
         needs = request.engine_needs(now)
         if wait_s <= max(min(needs.abandon_left_s, needs.time_left_s), 0.0):
--- a/src/apricottrestle/gateway/fleet_config.py
+++ b/src/apricottrestle/gateway/fleet_config.py
@@ -9,6 +9,9 @@
 
 RequestKind = Literal["safe", "unsafe", "stream"]
 
+Regions = frozenset[str] | None
+"""Regions whose upstreams a request may use; None for all."""
+
 DEFAULT_SLOTS: Final = 4
 """Number of slots of an upstream whose entry doesn't specify it."""
 
@@ -83,6 +86,7 @@
         max_attempts: Maximum number of upstreams that a request is sent to.
         public: Whether a request needs no API key.
         resumable: Whether a stream may be resumed on another upstream.
+        allowed_regions: Regions whose upstreams may be used; empty for all.
     """
 
     name: str
@@ -97,6 +101,7 @@
     max_attempts: int
     public: bool
     resumable: bool
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -110,10 +115,12 @@
     Attributes:
         name: Name that is sent to upstreams.
         priority: Priority that replaces that of the route, or None.
+        allowed_regions: Regions whose upstreams may be used; empty for all.
     """
 
     name: str
     priority: int | None
+    allowed_regions: tuple[str, ...] = ()
 
 
 class CallerLimits(NamedTuple):
@@ -223,3 +230,20 @@
         return True, None
     team = teams_by_key.get(key) if key is not None else None
     return route.public or team is not None, team
+
+
+def allowed_regions(route: Route, team: Team | None) -> Regions:
+    """Returns the regions whose upstreams a request may use.
+
+    Where both the route and the team name regions, both bind.
+
+    Args:
+        route: Route of the request.
+        team: Team of its API key, or None.
+    """
+    named = [
+        frozenset(owner.allowed_regions)
+        for owner in (route, team)
+        if owner is not None and owner.allowed_regions
+    ]
+    return frozenset.intersection(*named) if named else None
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -165,6 +165,7 @@
             self.state.evacuations,
             self._placement_rank,
         )
+        self._send_gate.configure(cfg.regions)
         self.peer_calls: dict[str, collections.Counter[str]] = {}
         self.listener = run_listener.RunListener()
         self.stopping = False
@@ -220,6 +221,7 @@
             budget.configure(
                 cfg.retry_share, cfg.retry_window_s, cfg.retry_slack
             )
+        self._send_gate.configure(cfg.regions)
         self._choice.configure(cfg)
         self._queue.configure(cfg)
 
@@ -524,7 +526,9 @@
                     model,
                     len(
                         self._send_gate.usable(
-                            accepted.service.name, clock.now()
+                            accepted.service.name,
+                            accepted.regions,
+                            clock.now(),
                         )
                     ),
                 )
@@ -755,6 +759,7 @@
     def _place_plain_request(self, request: exchange.Exchange) -> None:
         now = clock.now()
         service = request.accepted.service.name
+        regions = request.accepted.regions
         entries = self._choice.usable(service, request, now)
         candidates = [
             service_routing.Candidate(
@@ -779,18 +784,19 @@
             request_id=request.req.request_id,
             service=service,
             candidates=len(candidates),
+            excluded=self._send_gate.excluded(service, regions),
             with_room=len(with_capacity),
             list_version=self.state.members.version,
             upstream=best.upstream_id if best else None,
             outstanding=best.outstanding if best else None,
         )
         if best is None:
-            limit_wait_s = self._send_gate.wait_s(service, now)
+            limit_wait_s = self._send_gate.wait_s(service, regions, now)
             if candidates or limit_wait_s <= 0:
                 reason = (
                     "full"
                     if candidates
-                    else self._send_gate.refusal_reason(service)
+                    else self._send_gate.refusal_reason(service, regions)
                 )
                 retry_after_s = accept.OVERLOAD_RETRY_AFTER_S
             else:
--- a/src/apricottrestle/gateway/peer_messages.py
+++ b/src/apricottrestle/gateway/peer_messages.py
@@ -4,6 +4,7 @@
 receiver with an older version requests the newer one from the sender.
 """
 
+import typing
 from typing import Final
 
 import msgspec
@@ -196,10 +197,46 @@
 
 
 def encode(message: Message) -> bytes:
-    """Returns the encoded message."""
+    """Returns the encoded message.
+
+    A configuration that names no regions is encoded as earlier builds do, which
+    decode no other. They couldn't keep to regions either.
+    """
+    if isinstance(message, Welcome | ConfigUpdate) and message.config:
+        message = msgspec.structs.replace(
+            message, config=_without_empty_regions(message.config)
+        )
     return _ENCODER.encode(message)
 
 
+def _without_empty_regions(
+    config: fleet_config.FleetConfig,
+) -> fleet_config.FleetConfig:
+    """Returns a configuration whose routes and teams may lack their regions.
+
+    It must be encoded only: these are tuples without the last field.
+    """
+    teams = config.teams_by_key
+    owners: list[fleet_config.Route | fleet_config.Team] = [
+        *config.routes,
+        *(teams or {}).values(),
+    ]
+    if any(owner.allowed_regions for owner in owners):
+        return config
+    return config._replace(
+        routes=tuple(
+            typing.cast(fleet_config.Route, route[:-1])
+            for route in config.routes
+        ),
+        teams_by_key=None
+        if teams is None
+        else {
+            key: typing.cast(fleet_config.Team, team[:-1])
+            for key, team in teams.items()
+        },
+    )
+
+
 def decode(frame: bytes) -> Message:
     """Decodes and validates a frame.
 
--- a/src/apricottrestle/gateway/send_gate.py
+++ b/src/apricottrestle/gateway/send_gate.py
@@ -1,17 +1,19 @@
 """Decides whether this gateway may send requests to upstreams now, and when.
 
-It combines the upstream list, the evacuated data centres, the limits that
+It combines the upstream list, the evacuated data centres, the regions that a
+request may use, the limits that
 upstreams name and what they say of themselves; all are updated by others.
 Routing, the queue, the choice of helpers and the Retry-After of refusals read
 it.
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from apricottrestle.gateway import (
     evacuations,
+    fleet_config,
     upstream_limits,
     upstream_list,
     upstream_notices,
@@ -20,6 +22,10 @@
 NO_UPSTREAM: Final = "no_upstream"
 """Reason of the refusal of a request whose service has no upstream."""
 
+OUTSIDE_REGIONS: Final = "outside_regions"
+"""Reason of the refusal of a request without an upstream in a region that it
+may use."""
+
 EVACUATED: Final = "evacuated"
 """Reason of the refusal of a request whose upstreams are all evacuated."""
 
@@ -49,46 +55,101 @@
         self._members = members
         self._evacuated = evacuated
         self._turn = turn
+        self._regions: Mapping[str, str] = {}
+
+    def configure(self, regions: Mapping[str, str]) -> None:
+        """Sets the region of each data centre."""
+        self._regions = regions
 
     def usable(
-        self, service: str, now: float
+        self, service: str, regions: fleet_config.Regions, now: float
     ) -> list[upstream_list.UpstreamEntry]:
-        """Returns the upstreams of a service that get requests, or will."""
+        """Returns the upstreams of a service that get requests, or will.
+
+        Args:
+            service: The service.
+            regions: Regions whose upstreams may be used; None for all.
+            now: Monotonic time in seconds.
+        """
         return [
             entry
             for entry in self._members.usable(service)
-            if not self.is_evacuated(entry)
+            if self.is_open(entry, regions)
             and self._notice_wait_s(entry, now) < math.inf
         ]
 
     def allowed(
-        self, service: str, now: float
+        self, service: str, regions: fleet_config.Regions, now: float
     ) -> list[upstream_list.UpstreamEntry]:
         """Returns the upstreams of a service that may get a request now."""
         return [
             entry
-            for entry in self.usable(service, now)
+            for entry in self.usable(service, regions, now)
             if self._entry_wait_s(entry, now) <= 0
         ]
 
-    def may_send(self, entry: upstream_list.UpstreamEntry, now: float) -> bool:
+    def may_send(
+        self,
+        entry: upstream_list.UpstreamEntry,
+        regions: fleet_config.Regions,
+        now: float,
+    ) -> bool:
         """Returns whether a request may still go to a chosen upstream."""
         return (
-            not self.is_evacuated(entry)
+            self.is_open(entry, regions)
             and self._notice_wait_s(entry, now) <= 0
         )
 
-    def is_evacuated(self, entry: upstream_list.UpstreamEntry) -> bool:
-        """Returns whether an upstream's data centre is evacuated."""
-        return entry.data_centre in self._evacuated.evacuated
-
-    def refusal_reason(self, service: str) -> str:
-        """Returns why a service without usable upstreams has none."""
-        if any(map(self.is_evacuated, self._members.usable(service))):
+    def is_open(
+        self, entry: upstream_list.UpstreamEntry, regions: fleet_config.Regions
+    ) -> bool:
+        """Returns whether a request may use an upstream's data centre."""
+        return not self._is_evacuated(entry) and self._is_in(entry, regions)
+
+    def refusal_reason(
+        self, service: str, regions: fleet_config.Regions
+    ) -> str:
+        """Returns why a service has no usable upstream for a request."""
+        entries = self._members.usable(service)
+        inside = [entry for entry in entries if self._is_in(entry, regions)]
+        if entries and not inside:
+            return OUTSIDE_REGIONS
+        if any(map(self._is_evacuated, inside)):
             return EVACUATED
         return NO_UPSTREAM
 
-    def wait_s(self, service: str, now: float) -> float:
+    def excluded(
+        self, service: str, regions: fleet_config.Regions
+    ) -> dict[str, int]:
+        """Returns how many upstreams are left out, by reason, for the log."""
+        if regions is None and not self._evacuated.evacuated:
+            return {}
+        entries = self._members.usable(service)
+        counts = {
+            EVACUATED: sum(map(self._is_evacuated, entries)),
+            OUTSIDE_REGIONS: sum(
+                not self._is_in(entry, regions) for entry in entries
+            ),
+        }
+        return {reason: count for reason, count in counts.items() if count}
+
+    def _is_evacuated(self, entry: upstream_list.UpstreamEntry) -> bool:
+        return entry.data_centre in self._evacuated.evacuated
+
+    def _is_in(
+        self, entry: upstream_list.UpstreamEntry, regions: fleet_config.Regions
+    ) -> bool:
+        """Returns whether an upstream is in one of the regions.
+
+        One in a data centre whose region isn't known is in none.
+        """
+        return regions is None or (
+            self._regions.get(entry.data_centre) in regions
+        )
+
+    def wait_s(
+        self, service: str, regions: fleet_config.Regions, now: float
+    ) -> float:
         """Returns the time until an upstream of a service may get a request.
 
         0 if one may now, or the service has no usable upstream.
@@ -96,13 +157,18 @@
         return min(
             (
                 self._entry_wait_s(entry, now)
-                for entry in self.usable(service, now)
+                for entry in self.usable(service, regions, now)
             ),
             default=0.0,
         )
 
     def queue_wait_s(
-        self, service: str, ahead: int, gateways: int, now: float
+        self,
+        service: str,
+        regions: fleet_config.Regions,
+        ahead: int,
+        gateways: int,
+        now: float,
     ) -> float:
         """Returns the time for which upstreams keep a request in the queue.
 
@@ -110,11 +176,12 @@
 
         Args:
             service: The service.
+            regions: Regions whose upstreams may be used; None for all.
             ahead: Requests for the service that have waited longer here.
             gateways: Gateways that share the limits, evenly.
             now: Monotonic time in seconds.
         """
-        entries = self.usable(service, now)
+        entries = self.usable(service, regions, now)
         if not entries:
             return 0.0
         per_s = 0.0
@@ -131,7 +198,8 @@
             return 0.0
         own_per_s = max(per_s / gateways, upstream_limits.MIN_PER_S)
         return min(
-            unlimited_wait_s, self.wait_s(service, now) + ahead / own_per_s
+            unlimited_wait_s,
+            self.wait_s(service, regions, now) + ahead / own_per_s,
         )
 
     def _notice_wait_s(
--- a/src/apricottrestle/gateway/settings.py
+++ b/src/apricottrestle/gateway/settings.py
@@ -1,5 +1,7 @@
 """Settings of a gateway."""
 
+import types
+from collections.abc import Mapping
 from typing import NamedTuple
 
 
@@ -25,6 +27,8 @@
         reservation_max_s: Longest time for which an engine reserves memory.
         upstream_lease_s: Time without renewal after which the store removes the
             entry of an upstream.
+        regions: Region of each data centre; needed only if the configuration
+            names allowed regions.
     """
 
     instance_id: str
@@ -42,3 +46,4 @@
     memory_free_s: float
     reservation_max_s: float
     upstream_lease_s: float = 3.6
+    regions: Mapping[str, str] = types.MappingProxyType({})
--- a/src/apricottrestle/gateway/upstream_choice.py
+++ b/src/apricottrestle/gateway/upstream_choice.py
@@ -53,7 +53,9 @@
         stalled = request.stalled_upstream
         usable = [
             entry
-            for entry in self._send_gate.allowed(service, now)
+            for entry in self._send_gate.allowed(
+                service, request.accepted.regions, now
+            )
             if entry.upstream_id != stalled
         ]
         for choice in (
--- a/src/apricottrestle/platform/codec.py
+++ b/src/apricottrestle/platform/codec.py
@@ -59,6 +59,7 @@
     public: bool = False
     resumable: bool = False
     gap_target_ms: float = 0.0
+    allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -89,6 +90,7 @@
     name: str
     api_keys: list[str] = []
     priority: _Integer | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -141,7 +143,11 @@
     teams = None
     if decoded.tenants is not None:
         teams = {
-            key: fleet_config.Team(tenant.name, tenant.priority)
+            key: fleet_config.Team(
+                tenant.name,
+                tenant.priority,
+                tuple(tenant.allowed_regions or ()),
+            )
             for tenant in decoded.tenants
             for key in tenant.api_keys
         }
@@ -232,6 +238,7 @@
         max(route.max_attempts, 1),
         route.public,
         route.resumable,
+        tuple(route.allowed_regions or ()),
     )
 
 
--- a/src/apricottrestle/platform/settings_file.py
+++ b/src/apricottrestle/platform/settings_file.py
@@ -53,6 +53,8 @@
     seeds: list[str] = []
     # Interval at which upstreams renew their entries in the store.
     heartbeat_ms: float = 1200.0
+    # Region of each data centre.
+    zones: dict[str, str] = {}
 
 
 def load(path: str | None = None) -> tuple[settings.GatewaySettings, str]:
@@ -142,4 +144,5 @@
         decoded.bounds.free_ms * _S_PER_MS,
         decoded.bounds.hold_max_ms * _S_PER_MS,
         LEASE_HEARTBEATS * decoded.heartbeat_ms * _S_PER_MS,
+        decoded.zones,
     )
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -502,6 +502,9 @@
             102.0,
             virtual_upstreams.RELEASE_TIMEOUT_S,
             20.0,
+            regions={
+                f"dc-{n}": f"region-{n}" for n in range(self.site.data_centres)
+            },
         )
         node = assembly.GatewayNode(
             cfg,
--- a/tests/test_gateway_send_gate.py
+++ b/tests/test_gateway_send_gate.py
@@ -81,30 +81,35 @@
     """Guards against a way to an upstream that ignores the evacuation."""
     parts = _Parts(*evacuated)
     gate = parts.gate
-    assert _ids(gate.usable("engines", 1.0)) == left
-    assert _ids(gate.allowed("engines", 1.0)) == left
+    assert _ids(gate.usable("engines", None, 1.0)) == left
+    assert _ids(gate.allowed("engines", None, 1.0)) == left
     assert {
         upstream_id
         for upstream_id in UPSTREAMS
-        if gate.may_send(parts.entry(upstream_id), 1.0)
+        if gate.may_send(parts.entry(upstream_id), None, 1.0)
     } == left
     # Nothing to wait for: requests are refused at once.
-    assert gate.wait_s("engines", 1.0) == 0.0
-    assert gate.queue_wait_s("engines", 9, 1, 1.0) == 0.0
+    assert gate.wait_s("engines", None, 1.0) == 0.0
+    assert gate.queue_wait_s("engines", None, 9, 1, 1.0) == 0.0
     expected = (
         send_gate.NO_UPSTREAM if left == {*UPSTREAMS} else (send_gate.EVACUATED)
     )
-    assert gate.refusal_reason("engines") == expected
-    assert gate.refusal_reason("plain") == send_gate.NO_UPSTREAM
+    assert gate.refusal_reason("engines", None) == expected
+    assert gate.refusal_reason("plain", None) == send_gate.NO_UPSTREAM
 
 
 def test_end_of_an_evacuation_is_in_force_at_once() -> None:
     """Guards against upstreams that stay out of use."""
     parts = _Parts("a")
     parts.evacuate("b")
-    assert _ids(parts.gate.allowed("engines", 1.0)) == {"a1", "a2", "c1", "x1"}
+    assert _ids(parts.gate.allowed("engines", None, 1.0)) == {
+        "a1",
+        "a2",
+        "c1",
+        "x1",
+    }
     parts.evacuate()
-    assert _ids(parts.gate.allowed("engines", 1.0)) == {*UPSTREAMS}
+    assert _ids(parts.gate.allowed("engines", None, 1.0)) == {*UPSTREAMS}
 
 
 def test_notices_of_other_data_centres_still_count() -> None:
@@ -112,8 +117,8 @@
     parts = _Parts("a")
     parts.notices.observe("b1", 1, 0.0, leaves=True, wait_s=None)
     parts.notices.observe("c1", 1, 0.0, leaves=False, wait_s=5.0)
-    assert _ids(parts.gate.usable("engines", 1.0)) == {"c1", "x1"}
-    assert _ids(parts.gate.allowed("engines", 1.0)) == {"x1"}
+    assert _ids(parts.gate.usable("engines", None, 1.0)) == {"c1", "x1"}
+    assert _ids(parts.gate.allowed("engines", None, 1.0)) == {"x1"}
     parts.evacuate("a", "")
-    assert parts.gate.wait_s("engines", 1.0) == pytest.approx(4.0)
-    assert not math.isinf(parts.gate.queue_wait_s("engines", 0, 1, 1.0))
+    assert parts.gate.wait_s("engines", None, 1.0) == pytest.approx(4.0)
+    assert not math.isinf(parts.gate.queue_wait_s("engines", None, 0, 1, 1.0))
