--- a/tests/gateway_steps.py
+++ b/tests/gateway_steps.py
@@ -249,6 +249,17 @@
         ):
             await asyncio.sleep(FAULT_DURATION_S)
 
+    async def _data_centre_evacuated(self) -> None:
+        """Evacuates the data centres that serve the request, for a while."""
+        names = sorted(
+            {upstream.data_centre for upstream in self._serving_upstreams()}
+        )
+        for name in names:
+            self.fleet.evacuate(name)
+        await asyncio.sleep(FAULT_DURATION_S)
+        for name in names:
+            self.fleet.end_evacuation(name)
+
     async def _operators_racing(self) -> None:
         """Publishes two configurations in a row while an upstream drains."""
         leaving = self._serving_upstreams()[0]
--- a/tests/matrix_table.py
+++ b/tests/matrix_table.py
@@ -44,6 +44,7 @@
     "load reports late",
     "operators racing",
     "fencing ignored",
+    "data centre evacuated",
     "two faults at once",
 )
 GUARANTEES: Final = {
--- a/tests/test_matrix_audit.py
+++ b/tests/test_matrix_audit.py
@@ -203,8 +203,14 @@
     " modelled; the audit records the requested version"
 )
 
+_NO_EVACUATIONS = (
+    "entries and agents read no evacuations; gateways write no audit records"
+)
+
 CELLS = tuple(
-    Cell("G7", fault, step, "not proved", _FENCING_NOT_MODELLED)
+    Cell("G7", fault, step, "impossible", _NO_EVACUATIONS)
+    if fault == "data centre evacuated"
+    else Cell("G7", fault, step, "not proved", _FENCING_NOT_MODELLED)
     if fault == "fencing ignored"
     else Cell(
         "G7", fault, step, "proved", "test_audit_records_each_run_or_a_gap"
--- a/tests/test_matrix_gateway.py
+++ b/tests/test_matrix_gateway.py
@@ -27,6 +27,7 @@
     "load reports late",
     "operators racing",
     "fencing ignored",
+    "data centre evacuated",
     "two faults at once",
 )
 _FAULT_PAIRS: Final = {
--- a/tests/test_matrix_release.py
+++ b/tests/test_matrix_release.py
@@ -34,6 +34,7 @@
 _IMPOSSIBLE_FOR_NOTES = {
     "cache events with gaps": "notes are not sent in cache events",
     "load reports late": "notes do not depend on load reports",
+    "data centre evacuated": "entries and agents read no evacuations",
 }
 _IMPOSSIBLE_FOR_ORDERS = {
     "log records past retention": (
@@ -42,6 +43,7 @@
     "instance list late or wrong": "an agent gets its engine from its settings",
     "cache events with gaps": "orders do not depend on cache events",
     "load reports late": "orders do not depend on load reports",
+    "data centre evacuated": "entries and agents read no evacuations",
     "operators racing": "a note is accepted or rejected before its order",
 }
 
