Let the gateway of the socket tests know the evacuations

Since a gateway is not ready before it has read them, so that each request of these tests was refused: 724 of 1,050 failed on (files test_gateway_early_answers, test_gateway_loop_delays, test_agent_early_answers and test_platform_early_answers).

--- a/tests/gateway_on_sockets.py
+++ b/tests/gateway_on_sockets.py
@@ -16,6 +16,7 @@
 from apricottrestle.gateway import (
     clock,
     engine_queue,
+    evacuations,
     fleet_config,
     gateway,
     settings,
@@ -293,6 +294,7 @@
         ),
         "test",
     )
+    core.state.read_evacuations([], evacuations.Stamp(1, 1), whole=True)
     core.state.apply_upstreams(
         core.state.members.merge_peer_entries(
             [
