Ask only about errors that are passed on

Cause: since an unframed error of any attempt was followed by the question whether its upstream runs, which takes up to 2 s if nobody answers, before the request went to another upstream.

Change: no question if the error is followed by another attempt.

test_upstream_is_asked_only_for_an_error_that_is_passed_on: 3 of 7 rows failed before, none after; 305 tests of exchanges and probes pass.

--- a/src/apricottrestle/gateway/exchange.py
+++ b/src/apricottrestle/gateway/exchange.py
@@ -361,7 +361,7 @@
         """See ResponseOwner.on_response_end."""
         if response is self._current:
             self._cancel_stall_timer()
-        if response.may_be_cut(end):
+        if response.may_be_cut(end) and not self._may_drop(response, end):
             self._host.probe_upstream(
                 response.attempt,
                 lambda probed: self._on_probed(response, probed),
@@ -369,6 +369,22 @@
             return
         self._end_attempt(response, end, detail)
 
+    def _may_drop(
+        self, response: upstream_response.UpstreamResponse, end: calls.EndKind
+    ) -> bool:
+        """Returns whether an error is followed by another attempt.
+
+        Its body isn't passed on then, and a question would only delay that.
+        """
+        route = self.accepted.route
+        return (
+            response.result(end) is retry_policy.AttemptResult.FAILED
+            and route.repeatable
+            and self._history.attempts + 1 < route.max_attempts
+            and self.time_left_s(clock.now()) > 0
+            and self._host.has_retry(self)
+        )
+
     def _on_probed(
         self,
         response: upstream_response.UpstreamResponse,
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -94,6 +94,7 @@
         self.answered = 0
         self.suspects: list[crash_evidence.Suspect] = []
         self.probe_result: calls.ProbeResult = "running"
+        self.probes = 0
         self.places_at_one = False
         self.second_place: Literal["at once", "later", "none"] = "at once"
         self.withdrawn = 0
@@ -177,6 +178,7 @@
         attempt: exchange_host.Attempt,
         callback: Callable[[calls.ProbeResult], None],
     ) -> None:
+        self.probes += 1
         asyncio.get_running_loop().call_soon(callback, self.probe_result)
 
     def consume_retry(self, request: exchange.Exchange) -> bool:
@@ -742,6 +744,38 @@
     assert host.answered == (probe_result == "running" or body == b"body")
 
 
+UNFRAMED_ERROR = Response(
+    "complete", UNFRAMED._replace(status=500, signed=False), b"par"
+)
+
+
+@pytest.mark.parametrize(
+    ("route", "responses", "has_budget", "probe_result", "probes", "status"),
+    [
+        (gateway_parts.UNSAFE, [UNFRAMED_ERROR], True, "running", 1, 500),
+        (gateway_parts.UNSAFE, [UNFRAMED_ERROR], True, "ended", 1, 502),
+        (gateway_parts.SAFE, [UNFRAMED_ERROR, WHOLE], True, "ended", 0, 200),
+        (gateway_parts.SAFE, [UNFRAMED_ERROR] * 2, True, "ended", 1, 502),
+        (gateway_parts.SAFE, [UNFRAMED_ERROR] * 2, True, "running", 1, 500),
+        (gateway_parts.SAFE, [UNFRAMED_ERROR], False, "ended", 1, 502),
+        (gateway_parts.SAFE, [UNFRAMED_ERROR], False, "running", 1, 500),
+    ],
+)
+def test_upstream_is_asked_only_for_an_error_that_is_passed_on(
+    route: fleet_config.Route,
+    responses: list[Response],
+    has_budget: bool,
+    probe_result: calls.ProbeResult,
+    probes: int,
+    status: int,
+) -> None:
+    """Guards against a second attempt that waits for a needless answer."""
+    host = _Host(has_budget=has_budget)
+    host.probe_result = probe_result
+    caller = virtual_time.run(_run_exchange(route, responses, host))
+    assert (caller.status, host.probes) == (status, probes)
+
+
 @pytest.mark.parametrize(
     ("response", "suspects", "begun", "answered"),
     [
