Read what the platform says of cold upstreams

The configuration names for how long an upstream is cold after a start and how many requests a second it takes then, the settings how far above that it does not crash, and answers carry the time that is left. Nothing read them.

The fields are optional; odd values are bounded rather than refused, as one service must not make a whole configuration unusable. A bound in the settings that is negative or not a number is refused like any other malformed setting. The answer to a probe is read too, unless another process gave it.

--- a/src/apricottrestle/gateway/calls.py
+++ b/src/apricottrestle/gateway/calls.py
@@ -240,6 +240,8 @@
         leaving: Whether the upstream says that it leaves.
         wait_s: Time for which the upstream, which refused the request, wants
             nothing from this gateway; None if it doesn't say.
+        cold_s: Time for which the upstream is still cold, or None if it doesn't
+            say.
     """
 
     status: int
@@ -253,6 +255,7 @@
     limit: NamedLimit | None = None
     leaving: bool = False
     wait_s: float | None = None
+    cold_s: float | None = None
 
     @property
     def media_type(self) -> str:
@@ -320,8 +323,20 @@
 """
 
 
+OnCold = Callable[[str, int, float, float], None]
+"""Called with an upstream's id, the listed start time of its process, the time
+for which it says that it is cold, and the time at which it was asked."""
+
+
 class UpstreamClient(abc.ABC):
-    """Sends requests and memory reservations to upstreams."""
+    """Sends requests and memory reservations to upstreams.
+
+    Attributes:
+        on_cold: Called when the answer to a probe says how long the upstream is
+            cold, or None.
+    """
+
+    on_cold: OnCold | None = None
 
     @abc.abstractmethod
     def send(self, call: UpstreamCall, sink: ResponseSink) -> Transfer:
--- a/src/apricottrestle/gateway/fleet_config.py
+++ b/src/apricottrestle/gateway/fleet_config.py
@@ -51,11 +51,16 @@
         max_connections: Number of connections that an upstream accepts from
             all of its callers.
         engine: Cost model if the upstreams are model engines, else None.
+        cold_start_s: Time for which an upstream is cold after a start.
+        cold_per_s: Requests per second that a cold upstream gets from all of
+            its callers. If this or the time is 0, no upstream is ever cold.
     """
 
     name: str
     max_connections: int
     engine: EngineCostModel | None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class RouteTarget(NamedTuple):
--- a/src/apricottrestle/gateway/settings.py
+++ b/src/apricottrestle/gateway/settings.py
@@ -25,6 +25,9 @@
         reservation_max_s: Longest time for which an engine reserves memory.
         upstream_lease_s: Time without renewal after which the store removes the
             entry of an upstream.
+        cold_overrun: Factor on the requests per second to a cold upstream up to
+            which it doesn't crash.
+        cold_slack: Requests per second that it takes on top.
     """
 
     instance_id: str
@@ -42,3 +45,5 @@
     memory_free_s: float
     reservation_max_s: float
     upstream_lease_s: float = 3.6
+    cold_overrun: float = 1.0
+    cold_slack: float = 0.0
--- a/src/apricottrestle/platform/codec.py
+++ b/src/apricottrestle/platform/codec.py
@@ -22,6 +22,9 @@
 MAX_WARM_UP_MS: Final = 24 * 3_600_000.0
 """Bounds of what an upstream may say of itself, far above any real one."""
 
+MAX_COLD_PER_S: Final = 1e9
+"""Bound of the requests per second to a cold upstream."""
+
 MAX_NAME_CHARS: Final = 200
 """Longest name of an upstream, a host, a service or a data centre."""
 
@@ -83,6 +86,8 @@
     name: str
     max_conns: _Count = 0
     engine: _Engine | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Tenant(msgspec.Struct):
@@ -251,4 +256,10 @@
             engine.stride,
             engine.hop_ms * _S_PER_MS,
         )
-    return fleet_config.Service(service.name, service.max_conns, model)
+    return fleet_config.Service(
+        service.name,
+        service.max_conns,
+        model,
+        min(max(service.cold_start_s, 0.0), MAX_WARM_UP_MS * _S_PER_MS),
+        min(max(service.cold_per_s, 0.0), MAX_COLD_PER_S),
+    )
--- a/src/apricottrestle/platform/settings_file.py
+++ b/src/apricottrestle/platform/settings_file.py
@@ -4,7 +4,7 @@
 import pathlib
 import tomllib
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 
@@ -15,6 +15,9 @@
 _S_PER_MS: Final = 1e-3
 
 
+_ColdBound = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+
+
 class _Listen(msgspec.Struct):
     front: str = ""
     ready: str = ""
@@ -30,6 +33,9 @@
     # Both are present only if engines support memory reservations.
     free_ms: float = 4_000.0
     hold_max_ms: float = 20_000.0
+    # Both are present only if upstreams can be cold.
+    cold_overrun: _ColdBound = 1.0
+    cold_slack: _ColdBound = 0.0
 
 
 class _Platform(msgspec.Struct):
@@ -142,4 +148,6 @@
         decoded.bounds.free_ms * _S_PER_MS,
         decoded.bounds.hold_max_ms * _S_PER_MS,
         LEASE_HEARTBEATS * decoded.heartbeat_ms * _S_PER_MS,
+        decoded.bounds.cold_overrun,
+        decoded.bounds.cold_slack,
     )
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -370,6 +370,7 @@
         _parse_wait_s(headers.get_list(names.RETRY_AFTER))
         if start.code == _HTTP_UNAVAILABLE
         else None,
+        _parse_cold_s(headers.get_list(names.COLD_MS)),
     )
 
 
@@ -409,6 +410,20 @@
     return max((float(value) for value in values), default=None)
 
 
+def _parse_cold_s(values: list[str]) -> float | None:
+    """Decodes for how long an upstream is cold, in seconds.
+
+    The longest if there are several; None if a value is malformed.
+    """
+    if any(_DECIMAL.fullmatch(value.strip()) is None for value in values):
+        _log_ignored(names.COLD_MS, values[0][:MAX_LOGGED_CHARS])
+        return None
+    longest_ms = max((float(value) for value in values), default=None)
+    if longest_ms is None:
+        return None
+    return min(longest_ms, codec.MAX_WARM_UP_MS) / 1000
+
+
 @functools.lru_cache(maxsize=MAX_REMEMBERED_HEADERS)
 def _log_ignored(name: str, value: str) -> None:
     """Logs a malformed header; the cache leaves out those just logged."""
@@ -449,6 +464,7 @@
         self, upstream_id: str, address: str, started_at_ms: int
     ) -> calls.ProbeResult:
         """See UpstreamClient.probe."""
+        sent_at = asyncio.get_running_loop().time()
         req = httpclient.HTTPRequest(
             f"http://{address}{names.REPORT_PATH}",
             headers={names.UPSTREAM_ID: upstream_id},
@@ -468,6 +484,9 @@
             or (codec.decode_start_time_ms(response.body) or started_at_ms)
             != started_at_ms
         )
+        cold_s = _parse_cold_s(response.headers.get_list(names.COLD_MS))
+        if not is_other and cold_s is not None and self.on_cold is not None:
+            self.on_cold(upstream_id, started_at_ms, cold_s, sent_at)
         return "ended" if is_other else "running"
 
     async def reserve(self, reservation: calls.Reservation) -> bool:
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -281,6 +281,71 @@
         settings_file.load()
 
 
+def test_bounds_of_cold_upstreams_are_read(tmp_path: pathlib.Path) -> None:
+    """Guards against a bound that is ignored, or needed where it is absent."""
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    cfg, _ = settings_file.load(str(path))
+    assert (cfg.cold_overrun, cfg.cold_slack) == (1.0, 0.0)
+    bounds = "[bounds]\ncold_overrun = 1.5\ncold_slack = 5"
+    path.write_text(SETTINGS.replace("[bounds]", bounds))
+    cfg, _ = settings_file.load(str(path))
+    assert (cfg.cold_overrun, cfg.cold_slack) == (1.5, 5.0)
+    for value in ("nan", "inf", "-1"):
+        path.write_text(SETTINGS.replace("[bounds]", f"{bounds[:-1]}{value}"))
+        with pytest.raises(errors.SettingsError):
+            settings_file.load(str(path))
+
+
+@pytest.mark.parametrize(
+    ("fields", "start_s", "per_s"),
+    [
+        ({}, 0.0, 0.0),
+        ({"cold_start_s": 3.0, "cold_per_s": 28.0}, 3.0, 28.0),
+        ({"cold_start_s": 3, "cold_per_s": 0}, 3.0, 0.0),
+        ({"cold_start_s": -1.0, "cold_per_s": -2.0}, 0.0, 0.0),
+        ({"cold_start_s": 3.0, "cold_per_s": 1e300}, 3.0, codec.MAX_COLD_PER_S),
+    ],
+)
+def test_rule_of_cold_upstreams_is_decoded(
+    fields: dict[str, float], start_s: float, per_s: float
+) -> None:
+    """Guards against a configuration that odd values make unusable."""
+    value = {**CONFIG, "services": [{"name": "s-2", **fields}]}
+    service = codec.decode_config(msgspec.json.encode(value)).services["s-2"]
+    assert (service.cold_start_s, service.cold_per_s) == (start_s, per_s)
+
+
+@pytest.mark.parametrize(
+    ("values", "cold_s"),
+    [
+        ([], None),
+        (["1500"], 1.5),
+        (["0"], 0.0),
+        (["0.5"], 0.0005),
+        (["200", "1500"], 1.5),
+        (["-1"], None),
+        (["nan"], None),
+        (["inf"], None),
+        (["1500", "soon"], None),
+        (["999999999999"], codec.MAX_WARM_UP_MS / 1000),
+    ],
+)
+def test_time_for_which_an_upstream_is_cold_is_read(
+    values: list[str], cold_s: float | None
+) -> None:
+    """Guards against a wrong unit, and a malformed header that counts."""
+    head = upstream_client.parse_response_head(
+        [
+            "HTTP/1.1 200 OK\r\n",
+            *(f"Apricottrestle-Cold-Ms: {value}\r\n" for value in values),
+            "\r\n",
+        ]
+    )
+    assert head is not None
+    assert head.cold_s == cold_s
+
+
 def test_changed_settings_are_returned_once(tmp_path: pathlib.Path) -> None:
     """Guards against missed, repeated or invalid reloads of the settings."""
     path = tmp_path / "settings.toml"
--- a/tests/test_platform_upstream_client.py
+++ b/tests/test_platform_upstream_client.py
@@ -420,6 +420,35 @@
     assert probed == result
 
 
+async def _answer_cold_report(
+    received: scripted_upstream.Received, conn: scripted_upstream.Connection
+) -> None:
+    """Answers as a running engine that was asked for by its id and is cold."""
+    status = "200 OK"
+    if received.headers["apricottrestle-expect-instance"] != "up-1":
+        status = "421 X"
+    conn.write(
+        f"HTTP/1.1 {status}\r\nApricottrestle-Cold-Ms: 1500\r\n"
+        "Content-Length: 10\r\n\r\n".encode()
+        + b'{"born":5}'
+    )
+
+
+@async_helpers.async_test
+async def test_probe_tells_for_how_long_an_upstream_is_cold() -> None:
+    """Guards against another process that speaks for an upstream."""
+    told: list[tuple[str, int, float]] = []
+    async with scripted_upstream.running(_answer_cold_report) as upstream:
+        client = upstream_client.HttpUpstreamClient()
+        client.on_cold = lambda name, started_at_ms, cold_s, _sent_at: (
+            told.append((name, started_at_ms, cold_s))
+        )
+        await client.probe("up-1", upstream.address, 5)
+        await client.probe("up-1", upstream.address, 4)
+        await client.probe("up-2", upstream.address, 5)
+    assert told == [("up-1", 5, 1.5)]
+
+
 @async_helpers.async_test
 async def test_probe_of_a_closed_port_finds_that_the_process_ended() -> None:
     """Guards against crashes that only the upstream list would show."""
