Limit the requests to cold upstreams by fixed shares

A cold upstream crashes above cold_per_s x cold_overrun + cold_slack requests a second from all gateways together, and gateways that don't hear each other have to keep to that as well.

Ruled out: counting the requests of all gateways, as for named limits, which needs messages; turns by time, since monotonic clocks have no common zero, wall clocks step back, and 3 s of cold are over before a turn is; health polls of all upstreams, as they would be more requests than the traffic.

SendGate answers for cold upstreams as for named limits, and split prompts prefer engines that aren't cold.

--- a/src/apricottrestle/gateway/engine_queue.py
+++ b/src/apricottrestle/gateway/engine_queue.py
@@ -35,7 +35,6 @@
     send_gate,
     settings,
     upstream_choice,
-    upstream_limits,
     upstream_list,
 )
 
@@ -90,7 +89,6 @@
         slowdowns: Slowdown of each engine.
         claims: Claims of all gateways on engines.
         probation: Engines whose load isn't known for certain.
-        limits: Limits that upstreams name.
         send_gate: The upstreams that may get requests, and when.
         choice: The upstreams that may be chosen for a request.
     """
@@ -100,7 +98,6 @@
     slowdowns: engine_pace.EngineSlowdowns
     claims: engine_claims.EngineClaims
     probation: engine_probation.EngineProbation
-    limits: upstream_limits.UpstreamLimits
     send_gate: send_gate.SendGate
     choice: upstream_choice.UpstreamChoice
 
@@ -136,6 +133,14 @@
     def count_sends(self, upstream_ids: list[str], now: float) -> None:
         """Counts a request against the limits of the upstreams it goes to."""
 
+    @abc.abstractmethod
+    def count_reservation(self, upstream_id: str) -> None:
+        """Counts a request that reserves or releases an engine's memory."""
+
+    @abc.abstractmethod
+    def reservation_lost(self, upstream_id: str) -> None:
+        """Called when an engine didn't answer such a request."""
+
     @abc.abstractmethod
     def new_run_id(self) -> str:
         """Returns an id for a run or a claim, unique in the fleet."""
@@ -164,6 +169,8 @@
         self._holds = memory_holds.MemoryHolds(
             client, cfg.memory_free_s, cfg.reservation_max_s
         )
+        self._holds.on_send = host.count_reservation
+        self._holds.on_unanswered = host.reservation_lost
         self._on_time_shares = on_time_shares.OnTimeShares()
         self._slots_reserved_until: dict[str, float] = {}
         self._own_claims: dict[exchange.Exchange, str] = {}
@@ -313,7 +320,9 @@
             and len(candidates) < len(usable)
             and needs.target_left_s <= engine_claims.CLAIM_BYPASS_LEFT_S
         ):
-            choice = engine_routing.choose(needs, usable, model, now)
+            choice = self._if_helpers_take_it(
+                engine_routing.choose(needs, usable, model, now), now
+            )
         if choice is None:
             min_service_s = engine_routing.min_service_s(
                 needs, model, len(usable)
@@ -326,12 +335,15 @@
             )
             if needs.target_left_s <= min_prefill_s:
                 self._record_placement(request, on_time=False)
-                choice = engine_routing.choose_earliest(
-                    needs,
-                    candidates,
-                    model,
+                choice = self._if_helpers_take_it(
+                    engine_routing.choose_earliest(
+                        needs,
+                        candidates,
+                        model,
+                        now,
+                        self._reserved_slots(request, now),
+                    ),
                     now,
-                    self._reserved_slots(request, now),
                 )
             else:
                 self._slots_reserved_until[request.accepted.route.name] = (
@@ -362,8 +374,8 @@
     ) -> engine_routing.Choice | None:
         """Chooses engines that serve a request on time.
 
-        A prompt is split over engines on probation or with a limit only if the
-        others have no room for it.
+        A prompt is split over engines on probation, cold or with a limit only
+        if the others have no room for it.
         """
         choice = engine_routing.choose(needs, candidates, model, now)
         if choice is None or not choice.helpers:
@@ -375,15 +387,28 @@
                 for candidate in preferred
                 if not self._tables.probation.contains(candidate.engine, now)
             ]
-        if self._depends_on_limits(choice):
+        if self._depends_on_limits(choice, now):
             preferred = [
                 candidate
                 for candidate in preferred
-                if self._tables.limits.limit(candidate.engine) is None
+                if not self._tables.send_gate.is_scarce(candidate.engine, now)
             ]
         if preferred is candidates:
             return choice
-        return engine_routing.choose(needs, preferred, model, now) or choice
+        return engine_routing.choose(
+            needs, preferred, model, now
+        ) or self._if_helpers_take_it(choice, now)
+
+    def _if_helpers_take_it(
+        self, choice: engine_routing.Choice | None, now: float
+    ) -> engine_routing.Choice | None:
+        """Returns a choice, or None if its helpers are too cold for it."""
+        if choice is None or not all(
+            self._tables.send_gate.may_help(engine, now)
+            for engine in choice.helpers
+        ):
+            return None
+        return choice
 
     def _depends_on_probation(
         self, choice: engine_routing.Choice, now: float
@@ -397,14 +422,16 @@
             for engine in (choice.engine, *choice.helpers)
         )
 
-    def _depends_on_limits(self, choice: engine_routing.Choice) -> bool:
-        """Returns whether a split prompt would use an engine with a limit.
+    def _depends_on_limits(
+        self, choice: engine_routing.Choice, now: float
+    ) -> bool:
+        """Returns whether a split prompt would use a cold or limited engine.
 
         A helper gets more than one request for it: its memory is reserved,
         renewed and released.
         """
         return any(
-            self._tables.limits.limit(engine) is not None
+            self._tables.send_gate.is_scarce(engine, now)
             for engine in (choice.engine, *choice.helpers)
         )
 
--- a/src/apricottrestle/gateway/fleet_state.py
+++ b/src/apricottrestle/gateway/fleet_state.py
@@ -23,6 +23,10 @@
 """Source name of data that this process read from the store itself."""
 
 
+EXPIRY_SOURCE: Final = "expiry"
+"""Source name of changes that come from the passing of time alone."""
+
+
 class FleetState:
     """Current configuration and membership of the upstreams.
 
@@ -47,6 +51,7 @@
         self._on_change = on_change
         self._on_config: list[OnConfig] = []
         self._on_ready: list[Callable[[], None]] = []
+        self._on_list: list[Callable[[], None]] = []
 
     @property
     def config_version(self) -> int:
@@ -69,6 +74,10 @@
         """Registers a callback for each new configuration."""
         self._on_config.append(callback)
 
+    def watch_list(self, callback: Callable[[], None]) -> None:
+        """Registers a callback for each read of the upstream list."""
+        self._on_list.append(callback)
+
     def watch_ready(self, callback: Callable[[], None]) -> None:
         """Registers a callback for the first moment at which it is ready."""
         self._on_ready.append(callback)
@@ -132,6 +141,9 @@
                     list_version=self.members.version,
                 )
             self._on_change(change)
+        if source != EXPIRY_SOURCE:
+            for callback in self._on_list:
+                callback()
         counts = self.members.counts()
         for state in ("ready", "draining", "lapsed"):
             metrics.UPSTREAMS.labels(state).set(counts.get(state, 0))
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -20,6 +20,8 @@
     accept,
     calls,
     clock,
+    cold_records,
+    cold_upstreams,
     crash_evidence,
     crash_guard,
     engine_claims,
@@ -126,6 +128,8 @@
         probation: Engines whose load isn't known for certain.
         crashes: Crashes of engines, and the prompts that cause them.
         limits: Limits that upstreams name.
+        cold: Upstreams that are cold, and this gateway's shares of them.
+        cold_records: Passes what this gateway sees to that table.
         peer_calls: Calls of other gateways to plain upstreams, by the
             gateway's incarnation and the upstream's id.
         listener: Receives changes of this gateway's load.
@@ -157,9 +161,14 @@
         self.crashes.on_verdict = self._end_bad_prompts
         self.limits = upstream_limits.UpstreamLimits(incarnation)
         self.notices = upstream_notices.UpstreamNotices()
+        self.cold = cold_upstreams.ColdUpstreams(
+            cfg.instance_id, cfg.cold_overrun, cfg.cold_slack
+        )
+        self.cold_records = cold_records.ColdRecords(self.cold, self.state)
         self._send_gate = send_gate.SendGate(
             self.limits,
             self.notices,
+            self.cold,
             self.state.members,
             self._placement_rank,
         )
@@ -176,7 +185,7 @@
         self._rng = rng
         self._health = upstream_health.UpstreamHealth()
         self._health_records = health_records.HealthRecords(
-            self._health, self.state.members
+            self._health, self.state.members, self.cold_records.record_loss
         )
         self._choice = upstream_choice.UpstreamChoice(
             cfg, self._send_gate, self._health
@@ -189,7 +198,6 @@
                 self.slowdowns,
                 self.claims,
                 self.probation,
-                self.limits,
                 self._send_gate,
                 self._choice,
             ),
@@ -207,6 +215,8 @@
         """Begins to hold requests until they can be routed."""
         now = clock.now()
         self._hold_until = now + START_HOLD_S
+        self.cold.start(now)
+        self._client.on_cold = self.cold_records.record_answer
         self.probation.add_all(now)
         self.state.watch_ready(self._release_held)
         asyncio.get_running_loop().call_later(START_HOLD_S, self._release_held)
@@ -220,6 +230,7 @@
             )
         self._choice.configure(cfg)
         self._queue.configure(cfg)
+        self.cold.configure(cfg.cold_overrun, cfg.cold_slack)
 
     def begin_stop(self, serve_until: float, estimate_until: float) -> None:
         """Begins a shutdown; refuses waiting requests that it leaves no time.
@@ -624,6 +635,7 @@
                 wait_s=head.wait_s,
                 outcome="no requests",
             )
+        self.cold_records.record_head(attempt, head)
 
     def on_limit_changed(self, upstream_id: str, source: str) -> None:
         """Logs what is now believed of an upstream's limit."""
@@ -815,6 +827,8 @@
 
     def count_sends(self, upstream_ids: list[str], now: float) -> None:
         """See QueueHost.count_sends."""
+        for upstream_id in upstream_ids:
+            self.cold.record_send(upstream_id, now)
         limited = [
             upstream_id
             for upstream_id in upstream_ids
@@ -823,6 +837,14 @@
         if limited:
             self.listener.limits_changed(limited)
 
+    def count_reservation(self, upstream_id: str) -> None:
+        """See QueueHost.count_reservation."""
+        self.cold.record_send(upstream_id, clock.now())
+
+    def reservation_lost(self, upstream_id: str) -> None:
+        """See QueueHost.reservation_lost."""
+        self.cold_records.record_loss(upstream_id)
+
     def new_run_id(self) -> str:
         """See QueueHost.new_run_id."""
         self._run_count += 1
--- a/src/apricottrestle/gateway/health_records.py
+++ b/src/apricottrestle/gateway/health_records.py
@@ -1,6 +1,7 @@
 """Records in the health table what attempts show of their upstreams."""
 
 import logging
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
 from apricottrestle import logs
@@ -24,14 +25,17 @@
         self,
         health: upstream_health.UpstreamHealth,
         members: upstream_list.Membership,
+        on_lost: Callable[[str], None],
     ) -> None:
         """Creates the records.
 
         Args:
             health: Table that is updated.
             members: Upstreams of all services.
+            on_lost: Called with the id of an upstream that didn't answer.
         """
         self._health = health
+        self._on_lost = on_lost
         self._members = members
 
     def record_stall(
@@ -91,6 +95,8 @@
             retry_policy.AttemptResult.NOT_SENT,
         )
         ejection_s = self._health.record_failure(upstream_id, now, lost=lost)
+        if lost:
+            self._on_lost(upstream_id)
         logs.decision(
             _LOG,
             "upstream failed",
--- a/src/apricottrestle/gateway/memory_holds.py
+++ b/src/apricottrestle/gateway/memory_holds.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, Final
 
 from apricottrestle import errors, logs
@@ -43,8 +43,14 @@
 
     Attributes:
         hold_s: Hold time of new reservations.
+        on_send: Called with the engine's id before each request to it, or None.
+        on_unanswered: Called with the id of an engine that didn't answer, or
+            None.
     """
 
+    on_send: Callable[[str], None] | None = None
+    on_unanswered: Callable[[str], None] | None = None
+
     def __init__(
         self, client: calls.UpstreamClient, free_s: float, hold_max_s: float
     ) -> None:
@@ -129,12 +135,15 @@
 
     async def _reserve(self, reservation: calls.Reservation) -> bool:
         granted = False
+        self._note_send(reservation)
         try:
             granted = await self._client.reserve(reservation)
             outcome = "granted" if granted else "no memory free"
         except errors.UpstreamError as exc:
             outcome = str(exc)
             self._unanswered_at[reservation.reservation_id] = clock.now()
+            if self.on_unanswered is not None:
+                self.on_unanswered(reservation.upstream_id)
         logs.decision(
             _LOG,
             "reserve",
@@ -146,6 +155,10 @@
         )
         return granted
 
+    def _note_send(self, reservation: calls.Reservation) -> None:
+        if self.on_send is not None:
+            self.on_send(reservation.upstream_id)
+
     async def _release_one(self, reservation: calls.Reservation) -> None:
         is_released = await self._send_release(reservation, RELEASE_ATTEMPTS)
         sent_at = self._unanswered_at.pop(reservation.reservation_id, None)
@@ -169,6 +182,7 @@
         for attempt in range(attempts):
             if attempt:
                 await asyncio.sleep(RELEASE_RETRY_DELAY_S)
+            self._note_send(reservation)
             try:
                 await self._client.release(reservation)
             except errors.UpstreamError as exc:
--- a/src/apricottrestle/gateway/peer_messages.py
+++ b/src/apricottrestle/gateway/peer_messages.py
@@ -41,6 +41,8 @@
         config_history: Number of the store's history in which the configuration
             was read.
         config_offset: Offset of its record in that history.
+        known_gateways: Number of gateways that the sender has read from the
+            store or heard recently; 0 before it has read them.
     """
 
     instance_id: str
@@ -55,6 +57,7 @@
     list_position: store.Position | None = None
     config_history: int = 0
     config_offset: int = 0
+    known_gateways: int = 0
 
     @property
     def config_stamp(self) -> fleet_config.ConfigStamp:
--- a/src/apricottrestle/gateway/peer_sync.py
+++ b/src/apricottrestle/gateway/peer_sync.py
@@ -155,6 +155,9 @@
 
     def connect_gateways(self, entries: list[store.GatewayEntry]) -> None:
         """Connects to gateways that are registered in the store."""
+        self._core.cold.fleet.note_listed(
+            [entry.instance_id for entry in entries], clock.now()
+        )
         for entry in entries:
             self._connect(entry.address)
 
@@ -357,6 +360,7 @@
             self._store_sync.list_position if self._store_sync else None,
             self._core.state.config_stamp.history,
             self._core.state.config_stamp.offset,
+            self._core.cold.fleet.known(),
         )
 
     def tick(self) -> None:
@@ -365,6 +369,7 @@
         lost, forgotten = self._peers.expire(now)
         self._core.crashes.tick()
         self._core.limits.expire(now)
+        self._core.cold_records.tick()
         for peer in lost:
             self._crashes_differ_since.pop(peer.address, None)
             logs.decision(
@@ -469,6 +474,9 @@
             self._send_hello(sender.address)
 
     def _record_sender(self, sender: peer_messages.Sender, now: float) -> None:
+        self._core.cold.fleet.note_heard(
+            sender.instance_id, sender.known_gateways, now
+        )
         is_new, ended_incarnation = self._peers.record_message(
             sender.address,
             sender.instance_id,
--- a/src/apricottrestle/gateway/send_gate.py
+++ b/src/apricottrestle/gateway/send_gate.py
@@ -1,19 +1,25 @@
 """Decides whether this gateway may send requests to upstreams now, and when.
 
-It combines the upstream list, the limits that upstreams name and what they say
-of themselves; all three are updated by others. Routing, the queue, the choice
-of helpers and the Retry-After of refusals read it.
+It combines the upstream list, the limits that upstreams name, what they say of
+themselves and the shares of cold ones; all are updated by others. Routing, the
+queue, the choice of helpers and the Retry-After of refusals read it.
 """
 
 import math
 from collections.abc import Callable
+from typing import Final
 
 from apricottrestle.gateway import (
+    cold_upstreams,
     upstream_limits,
     upstream_list,
     upstream_notices,
 )
 
+HELPER_REQUESTS: Final = 3
+"""Requests that an engine gets for its part of a split prompt: its memory is
+reserved, renewed and released."""
+
 
 class SendGate:
     """The upstreams of each service that may get requests, and when."""
@@ -22,6 +28,7 @@
         self,
         limits: upstream_limits.UpstreamLimits,
         notices: upstream_notices.UpstreamNotices,
+        cold: cold_upstreams.ColdUpstreams,
         members: upstream_list.Membership,
         turn: Callable[[str], int],
     ) -> None:
@@ -30,11 +37,13 @@
         Args:
             limits: Limits of the upstreams.
             notices: What upstreams say of themselves.
+            cold: Shares of cold upstreams.
             members: Upstreams of all services.
             turn: Returns the number of gateways that go first at an upstream.
         """
         self._limits = limits
         self._notices = notices
+        self._cold = cold
         self._members = members
         self._turn = turn
 
@@ -62,6 +71,23 @@
         """Returns whether a request may still go to a chosen upstream."""
         return self._notice_wait_s(entry, now) <= 0
 
+    def is_scarce(self, upstream_id: str, now: float) -> bool:
+        """Returns whether an upstream gets no more requests than needed."""
+        return self._limits.limit(upstream_id) is not None or (
+            self._cold.is_cold(upstream_id, now)
+        )
+
+    def may_help(self, upstream_id: str, now: float) -> bool:
+        """Returns whether a cold engine may take a part of a split prompt.
+
+        A helper gets more than one request for it: its memory is reserved,
+        renewed and released.
+        """
+        return (
+            not self._cold.is_cold(upstream_id, now)
+            or self._cold.share(upstream_id, now) >= HELPER_REQUESTS
+        )
+
     def wait_s(self, service: str, now: float) -> float:
         """Returns the time until an upstream of a service may get a request.
 
@@ -92,18 +118,24 @@
         if not entries:
             return 0.0
         per_s = 0.0
+        cold_per_s = 0.0
         unlimited_wait_s = math.inf
         for entry in entries:
             limit = self._limits.limit(entry.upstream_id)
-            if limit is None:
-                unlimited_wait_s = min(
-                    unlimited_wait_s, self._notice_wait_s(entry, now)
-                )
-            else:
+            if limit is not None:
                 per_s += limit
+                continue
+            cold_s = self._cold.left_s(entry.upstream_id, now)
+            if cold_s > 0:
+                cold_per_s += self._cold.per_s(entry.upstream_id, now)
+            unlimited_wait_s = min(
+                unlimited_wait_s, max(self._notice_wait_s(entry, now), cold_s)
+            )
         if unlimited_wait_s <= 0:
             return 0.0
-        own_per_s = max(per_s / gateways, upstream_limits.MIN_PER_S)
+        own_per_s = max(
+            per_s / gateways + cold_per_s, upstream_limits.MIN_PER_S
+        )
         return min(
             unlimited_wait_s, self.wait_s(service, now) + ahead / own_per_s
         )
@@ -119,4 +151,5 @@
         return max(
             self._limits.wait_s(entry.upstream_id, self._turn, now),
             self._notice_wait_s(entry, now),
+            self._cold.wait_s(entry.upstream_id, now),
         )
--- a/src/apricottrestle/gateway/store_sync.py
+++ b/src/apricottrestle/gateway/store_sync.py
@@ -450,7 +450,7 @@
 
     def _expire_upstreams(self) -> None:
         changes = self._state.members.expire(clock.now())
-        self._state.apply_upstreams(changes, "expiry")
+        self._state.apply_upstreams(changes, fleet_state.EXPIRY_SOURCE)
 
     async def _announce(
         self,
--- a/src/apricottrestle/metrics.py
+++ b/src/apricottrestle/metrics.py
@@ -52,6 +52,10 @@
     "apricottrestle_limited_upstreams",
     "Upstreams that name a limit of requests per second",
 )
+COLD_UPSTREAMS = Gauge(
+    "apricottrestle_cold_upstreams",
+    "Upstreams that are believed cold and get few requests",
+)
 FIRST_TOKEN_SECONDS = Histogram(
     "apricottrestle_first_token_seconds",
     "Time to first token as seen by the entry",
