Play cold upstreams in the simulated fleet

The stand-ins can be cold, after a start and out of the blue, count what arrives in each second and crash above the bound. Gateways can be frozen: what runs in the context of their process waits until they thaw. Reservations name the engine they are for, as on the platform; a successor at its address refuses them.

The worlds found two faults, mended here. A gateway that read its first list before the configuration took cold upstreams for warm. A reservation that an engine didn't answer was no reason to doubt it, so that split prompts were reserved at an engine that was gone some 500 times a second, until another start of it got them.

--- a/src/apricottrestle/gateway/cold_upstreams.py
+++ b/src/apricottrestle/gateway/cold_upstreams.py
@@ -337,11 +337,10 @@
             row.entry = entry
             row.listed_at = now
             rule = self._rule(entry.service)
-            if rule is None:
-                continue
-            if has_started:
+            if rule is not None and has_started:
                 row.believe(now + rule.start_s, now, START)
             if entry.warm_up_left_s > 0:
+                # The configuration, which has the rule, may come later.
                 row.believe(now + entry.warm_up_left_s, now, LISTED)
         self._has_list = True
         self._listed_at = now
--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -100,6 +100,35 @@
         self.named_s.setdefault(upstream_id, now)
 
 
+COLD_JUDGED_S = 1.0
+"""Time over which the requests to a cold upstream are counted."""
+
+
+class ColdPeriod:
+    """A time in which an upstream is cold.
+
+    Attributes:
+        upstream_id: The upstream.
+        at_s: Start of the time.
+        cold_s: Its length.
+        arrivals: Requests that have reached the upstream in it.
+        most: Most requests in any sliding second of it.
+    """
+
+    def __init__(self, upstream_id: str, at_s: float, cold_s: float) -> None:
+        """Starts a period."""
+        self.upstream_id = upstream_id
+        self.at_s = at_s
+        self.cold_s = cold_s
+        self.arrivals = 0
+        self.most = 0
+
+    def note_arrival(self, in_second: int) -> None:
+        """Records a request, and those of the second that it ends."""
+        self.arrivals += 1
+        self.most = max(self.most, in_second)
+
+
 class Attempt:
     """An attempt of a caller at a request.
 
@@ -163,6 +192,7 @@
         stops: Gateways that were asked to stop: address and time.
         stop_checks: Looks at gateways some time after their stop signal.
         notices: What upstreams said of themselves.
+        cold_periods: Times in which upstreams were cold.
     """
 
     def __init__(self) -> None:
@@ -179,6 +209,7 @@
         self.stops: list[tuple[str, float]] = []
         self.stop_checks: list[StopCheck] = []
         self.notices: list[Notice] = []
+        self.cold_periods: list[ColdPeriod] = []
 
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -499,6 +530,16 @@
     return lines
 
 
+def find_cold_violations(ledger: Ledger, bound: float) -> list[str]:
+    """Returns the cold upstreams that got too many requests in a second."""
+    return [
+        f"COLD {period.upstream_id}: {period.most} requests in a second, from "
+        f"{period.at_s:.2f} s for {period.cold_s:.2f} s"
+        for period in ledger.cold_periods
+        if period.most > bound
+    ]
+
+
 def find_prompt_violations(ledger: Ledger, settle_s: float) -> list[str]:
     """Returns violations of the rules on parts of prompts that crash engines.
 
--- a/src/apricottrestle_standins/platform/virtual_upstreams.py
+++ b/src/apricottrestle_standins/platform/virtual_upstreams.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import collections
+import contextvars
 import random
 from collections.abc import Callable
 from typing import Final, Literal, NamedTuple
 
 from apricottrestle import errors
 from apricottrestle.gateway import calls
-from apricottrestle_standins.platform import engine_passes, ledger, workload
+from apricottrestle_standins.platform import (
+    engine_passes,
+    ledger,
+    virtual_time,
+    workload,
+)
 
 HELPER_LOSS_TIMEOUT_S: Final = 1.5
 """Time after which a request that has lost one of its engines is ended."""
@@ -88,6 +94,7 @@
         self.framed = True
         self.unreachable = False
         self.on_cancel: Callable[[], None] | None = None
+        self._context = contextvars.copy_context()
         self._in_flight: collections.deque[Callable[[], None]] = (
             collections.deque()
         )
@@ -148,6 +155,9 @@
         asyncio.get_running_loop().call_later(self._delay_s, self._deliver_next)
 
     def _deliver_next(self) -> None:
+        virtual_time.enter(self._context, self._deliver_now)
+
+    def _deliver_now(self) -> None:
         deliver = self._in_flight.popleft()
         if not self.ended:
             deliver()
@@ -177,8 +187,15 @@
         refuses_until: Time until which it turns all requests away, and says so.
         silent_until: Time until which it sends nothing, and then goes on.
         is_full: Whether it turns all requests away, without a time to return.
+        cold_rule: What it takes while it is cold, or None if it never is.
+        cold_until: Time until which it is cold.
+        on_cold_crash: Called when too many requests have crashed it.
     """
 
+    cold_rule: workload.ColdRule | None = None
+    cold_until = 0.0
+    on_cold_crash: Callable[["Upstream"], None]
+
     silent_until = 0.0
     is_full = False
     cut_event = b"id: "
@@ -205,6 +222,37 @@
         self.draining_since: float | None = None
         self.started_at_ms = 1
         self.limit: calls.NamedLimit | None = None
+        self._cold_arrivals: collections.deque[float] = collections.deque()
+        self._cold_period = ledger.ColdPeriod(upstream_id, 0.0, 0.0)
+
+    @property
+    def cold_left_s(self) -> float:
+        """Time for which it is still cold."""
+        return max(self.cold_until - asyncio.get_running_loop().time(), 0.0)
+
+    def turn_cold(self, cold_s: float) -> None:
+        """Makes it cold for a while, without a start."""
+        now = asyncio.get_running_loop().time()
+        self.cold_until = now + cold_s
+        self._cold_arrivals.clear()
+        self._cold_period = ledger.ColdPeriod(self.upstream_id, now, cold_s)
+        self.run_ledger.cold_periods.append(self._cold_period)
+
+    def take_arrival(self) -> bool:
+        """Counts a request; returns False if it crashes a cold upstream."""
+        if self.cold_rule is None or self.state != "up":
+            return True
+        now = asyncio.get_running_loop().time()
+        if now >= self.cold_until:
+            return True
+        self._cold_arrivals.append(now)
+        while self._cold_arrivals[0] <= now - ledger.COLD_JUDGED_S:
+            self._cold_arrivals.popleft()
+        self._cold_period.note_arrival(len(self._cold_arrivals))
+        if len(self._cold_arrivals) <= self.cold_rule.bound:
+            return True
+        self.on_cold_crash(self)
+        return False
 
     def arrive(self, incoming: IncomingCall, arrival: workload.Arrival) -> None:
         """Receives a call."""
@@ -286,6 +334,8 @@
         self.started_at_ms += 1
         self.is_leaving = False
         self.refuses_until = 0.0
+        if self.cold_rule is not None:
+            self.turn_cold(self.cold_rule.start_s)
 
 
 class PlainUpstream(Upstream):
@@ -649,7 +699,11 @@
         self._open[transfer] = None
         loop = asyncio.get_running_loop()
         loop.call_later(
-            delay_s, self._deliver, IncomingCall(call, sink, transfer), upstream
+            delay_s,
+            self._deliver,
+            IncomingCall(call, sink, transfer),
+            upstream,
+            context=contextvars.Context(),
         )
         return transfer
 
@@ -677,6 +731,9 @@
         if call.upstream_id != upstream.upstream_id:
             upstream.reject(transfer, 421)
             return
+        if not upstream.take_arrival():
+            transfer.end("broken")
+            return
         if (
             upstream.is_full
             or asyncio.get_running_loop().time() < upstream.refuses_until
@@ -693,6 +750,7 @@
             address, _, reservation_id = text.partition("/")
             helper = self.by_address[address]
             assert isinstance(helper, EngineUpstream)
+            helper.take_arrival()
             helpers.append(helper)
             if reservation_id:
                 reserved_tokens = helper.passes.reservations.get(
@@ -731,6 +789,7 @@
     ) -> calls.ProbeResult:
         """See UpstreamClient.probe."""
         upstream = self.by_address[address]
+        sent_at = asyncio.get_running_loop().time()
         await asyncio.sleep(2 * self._delay_s(upstream))
         if upstream.state == "dark":
             return "unknown"
@@ -739,25 +798,37 @@
             and upstream.upstream_id == upstream_id
             and upstream.started_at_ms == started_at_ms
         )
+        if is_running and upstream.cold_rule and self.on_cold is not None:
+            self.on_cold(
+                upstream_id, started_at_ms, upstream.cold_left_s, sent_at
+            )
         return "running" if is_running else "ended"
 
     async def reserve(self, reservation: calls.Reservation) -> bool:
         """See UpstreamClient.reserve."""
         engine = await self._await_engine(reservation)
-        return engine.reserve(reservation)
+        if engine is None:
+            return False
+        # The reservation expires also while the gateway is frozen.
+        return contextvars.Context().run(engine.reserve, reservation)
 
     async def release(self, reservation: calls.Reservation) -> None:
         """See UpstreamClient.release."""
         engine = await self._await_engine(reservation)
-        engine.release(reservation.reservation_id)
+        if engine is not None:
+            engine.release(reservation.reservation_id)
 
     async def _await_engine(
         self, reservation: calls.Reservation
-    ) -> EngineUpstream:
+    ) -> EngineUpstream | None:
+        """Returns the engine, or None if another one has its address."""
         upstream = self.by_address[reservation.address]
         assert isinstance(upstream, EngineUpstream)
         await asyncio.sleep(2 * self._delay_s(upstream))
-        if upstream.state != "up" or self.closed:
+        is_up = upstream.state == "up" and not self.closed
+        if is_up and upstream.upstream_id != reservation.upstream_id:
+            return None
+        if not is_up or not upstream.take_arrival():
             raise errors.UpstreamError(
                 "no response", step="reserve", peer=reservation.upstream_id
             )
--- a/src/apricottrestle_standins/platform/workload.py
+++ b/src/apricottrestle_standins/platform/workload.py
@@ -13,6 +13,27 @@
 PLAIN: Final = "plain"
 
 
+class ColdRule(NamedTuple):
+    """What upstreams take while they are cold.
+
+    Attributes:
+        start_s: Time for which they are cold after a start.
+        per_s: Requests per second, from all gateways together.
+        overrun: Factor on that up to which they don't crash.
+        slack: Requests per second that they take on top.
+    """
+
+    start_s: float
+    per_s: float
+    overrun: float
+    slack: float
+
+    @property
+    def bound(self) -> float:
+        """Requests in a second above which they crash."""
+        return self.per_s * self.overrun + self.slack
+
+
 class Kind(NamedTuple):
     """A kind of request, as the users of a deployment specify it.
 
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import contextvars
 import math
 import random
 from collections.abc import Awaitable, Callable, Sequence
@@ -26,6 +27,7 @@
     ledger,
     load_balancer,
     virtual_store,
+    virtual_time,
     virtual_upstreams,
     workload,
 )
@@ -39,6 +41,9 @@
 DEFAULT_MAX_RETRIES: Final = 1
 MIN_IDLE_TIMEOUT_S: Final = 2.0
 
+HEARTBEAT_S: Final = 1.2
+"""Interval in which upstreams that can be cold renew their entries."""
+
 GRACE_S: Final = 8.0
 """Time between the signal that stops a gateway and the end of its process."""
 
@@ -136,6 +141,7 @@
     upstreams: virtual_upstreams.VirtualUpstreams
     responders: dict["CallerConnection", None]
     listener: VirtualListener
+    context: contextvars.Context
 
 
 class CallerConnection(calls.Responder):
@@ -147,11 +153,13 @@
         self.closed = False
         self.finished = asyncio.Event()
         self._callback: Callable[[], None] | None = None
+        self._context = contextvars.Context()
         self._rest = b""
 
     def on_close(self, callback: Callable[[], None]) -> None:
         """See Responder.on_close."""
         self._callback = callback
+        self._context = contextvars.copy_context()
 
     def begin(
         self, status: int, headers: calls.Headers, length: int | None = None
@@ -196,7 +204,7 @@
             self.attempt.disconnected = True
             self._end()
             if self._callback is not None:
-                self._callback()
+                virtual_time.enter(self._context, self._callback)
 
     def _end(self) -> None:
         self.closed = True
@@ -232,11 +240,30 @@
             None if each ready gateway gets connections at once.
         start_time_s: Time from the end of a stopped gateway's process until the
             new one discovers its peers.
+        cold_rule: What upstreams take while they are cold; None if they never
+            are.
     """
 
-    def __init__(self, site: workload.Site, seed: int) -> None:
-        """Creates the fleet; needs a running event loop in virtual time."""
+    def __init__(
+        self,
+        site: workload.Site,
+        seed: int,
+        cold_rule: workload.ColdRule | None = None,
+        *,
+        names_cold_rule: bool = True,
+    ) -> None:
+        """Creates the fleet; needs a running event loop in virtual time.
+
+        Args:
+            site: The deployment.
+            seed: Seed of the random choices.
+            cold_rule: See the attribute.
+            names_cold_rule: Whether the configuration has the rule; if not,
+                gateways don't know it.
+        """
         self.site = site
+        self.cold_rule = cold_rule
+        self._names_cold_rule = names_cold_rule
         self.rng = random.Random(seed)
         self.run_ledger = ledger.Ledger()
         self.log = virtual_store.SharedLog()
@@ -286,11 +313,48 @@
         self.log.publish(self.config)
         for upstream in self.by_address.values():
             upstream.on_prompt_crash = self._on_prompt_crash
+            upstream.on_cold_crash = self._on_cold_crash
+            upstream.cold_rule = cold_rule
             self.log.append_upstream_change(
                 upstream.upstream_id, self.list_entry(upstream)
             )
         for n in range(site.gateways):
             self.start_gateway(n)
+        if cold_rule is not None:
+            for upstream in self.by_address.values():
+                self._tasks.append(
+                    asyncio.ensure_future(self._renew_entry(upstream))
+                )
+
+    async def _renew_entry(self, upstream: virtual_upstreams.Upstream) -> None:
+        """Writes an upstream's entry at intervals while it is up."""
+        rng = random.Random(upstream.address)
+        await asyncio.sleep(rng.uniform(0.0, HEARTBEAT_S))
+        while True:
+            if (
+                upstream.state == "up"
+                and upstream.draining_since is None
+                and not self.log.down
+            ):
+                self.log.append_upstream_change(
+                    upstream.upstream_id, self.list_entry(upstream)
+                )
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def crash_and_restart(
+        self, upstream: virtual_upstreams.Upstream, down_s: float
+    ) -> None:
+        """Crashes an upstream, whose next process has the same id."""
+        upstream.crash(dark=False)
+        await asyncio.sleep(down_s)
+        upstream.restart()
+
+    def _on_cold_crash(self, upstream: virtual_upstreams.Upstream) -> None:
+        self._tasks.append(
+            asyncio.ensure_future(
+                self.crash_and_replace(upstream, virtual_upstreams.RESTART_S)
+            )
+        )
 
     def _data_centre_name(self, number: int) -> str:
         return f"dc-{number % self.site.data_centres}"
@@ -307,7 +371,7 @@
             upstream.data_centre,
             draining,
             self.site.slots if is_engine else 6,
-            0.0,
+            upstream.cold_left_s,
             upstream.started_at_ms,
         )
 
@@ -330,6 +394,9 @@
         return lost
 
     def _config(self, version: int) -> fleet_config.FleetConfig:
+        cold = (0.0, 0.0)
+        if self.cold_rule is not None and self._names_cold_rule:
+            cold = (self.cold_rule.start_s, self.cold_rule.per_s)
         parameters = self.engines[0].parameters
         model = fleet_config.EngineCostModel(
             parameters.slots,
@@ -370,9 +437,11 @@
             routes,
             {
                 workload.ENGINES: fleet_config.Service(
-                    workload.ENGINES, 400, model
+                    workload.ENGINES, 400, model, *cold
+                ),
+                workload.PLAIN: fleet_config.Service(
+                    workload.PLAIN, 100, None, *cold
                 ),
-                workload.PLAIN: fleet_config.Service(workload.PLAIN, 100, None),
             },
             fleet_config.CallerLimits(16_384, 4_194_304, 3.0, 15.0),
             {
@@ -433,8 +502,8 @@
             self.log.append_upstream_change(ended_id, None)
             await asyncio.sleep(down_s - lease_left_s)
         self._start_count += 1
-        upstream.restart()
         upstream.upstream_id = f"{upstream.address}-{self._start_count}"
+        upstream.restart()
         self.log.append_upstream_change(
             upstream.upstream_id, self.list_entry(upstream)
         )
@@ -459,6 +528,7 @@
             self._data_centre_name(number),
             REMOTE_DELAY_S,
         )
+        rule = self.cold_rule
         cfg = settings.GatewaySettings(
             address,
             self._data_centre_name(number),
@@ -474,6 +544,8 @@
             102.0,
             virtual_upstreams.RELEASE_TIMEOUT_S,
             20.0,
+            LEASE_S,
+            *((rule.overrun, rule.slack) if rule else (1.0, 0.0)),
         )
         node = assembly.GatewayNode(
             cfg,
@@ -482,13 +554,28 @@
             random.Random(self.rng.random()),
             f"{self._start_count:04d}",
         )
+        context = virtual_time.process_context(f"{address} {self._start_count}")
         row = Gateway(
-            address, number, node, view, client, {}, VirtualListener()
+            address, number, node, view, client, {}, VirtualListener(), context
         )
         self.gateways[address] = row
-        node.start(VirtualLink(self, address))
+        context.copy().run(node.start, VirtualLink(self, address))
         return row
 
+    async def freeze_gateway(self, address: str, frozen_s: float) -> None:
+        """Lets a gateway do nothing for a time, and then go on."""
+        loop = virtual_time.running_loop()
+        assert loop is not None
+        row = self.gateways[address]
+        name = virtual_time.process_of(row.context)
+        self.disturb(address)
+        loop.freeze(name)
+        await asyncio.sleep(frozen_s)
+        if self.gateways.get(address) is row:
+            # A process that was killed meanwhile does nothing any more.
+            loop.thaw(name)
+            self.disturb(address)
+
     def disturb(self, address: str) -> None:
         """Records a disturbance of a gateway, for the checks of the ledger."""
         self.run_ledger.disturbed.append(
@@ -575,13 +662,23 @@
             return True
         loop = asyncio.get_running_loop()
         for delay_s in self.frame_delays_s():
-            loop.call_later(delay_s, self._receive, target, frame)
+            loop.call_later(
+                delay_s,
+                self._receive,
+                target,
+                frame,
+                context=contextvars.Context(),
+            )
         return True
 
     def _receive(self, target: str, frame: bytes) -> None:
         row = self.gateways.get(target)
         if row is not None:
-            row.node.peers.receive(peer_messages.decode(frame))
+            virtual_time.enter(
+                row.context,
+                row.node.peers.receive,
+                peer_messages.decode(frame),
+            )
 
     async def run_workload(
         self,
@@ -666,7 +763,9 @@
         row.responders[connection] = None
         loop = asyncio.get_running_loop()
         kind = arrival.kind
-        row.node.core.handle(
+        virtual_time.enter(
+            row.context,
+            row.node.core.handle,
             calls.CallerRequest(
                 attempt.request_id,
                 "POST",
--- a/tests/test_gateway_cold_upstreams.py
+++ b/tests/test_gateway_cold_upstreams.py
@@ -234,6 +234,14 @@
     assert table.left_s("c", 0.4) == COLD_S
 
 
+def test_list_that_comes_before_the_configuration_counts() -> None:
+    """Guards against gateways that start and take cold upstreams for warm."""
+    table = _table(services={}, entries=(_entry(UP, 2.0),))
+    assert table.left_s(UP, 0.1) == 0.0
+    table.set_services(_services())
+    assert table.left_s(UP, 0.1) == pytest.approx(1.9)
+
+
 @pytest.mark.parametrize(("start_s", "per_s"), [(0.0, PER_S), (COLD_S, 0.0)])
 def test_services_without_a_rule_are_never_limited(
     start_s: float, per_s: float
