--- a/src/apricottrestle/gateway/fleet_config.py
+++ b/src/apricottrestle/gateway/fleet_config.py
@@ -69,12 +69,17 @@
             all of its callers.
         engine: Cost model if the upstreams are model engines, else None.
         delays: Published network delays between data centres.
+        cold_start_s: Time for which an upstream is cold after a start.
+        cold_per_s: Requests per second that a cold upstream gets from all of
+            its callers. If this or the time is 0, no upstream is ever cold.
     """
 
     name: str
     max_connections: int
     engine: EngineCostModel | None
     delays: tuple[LinkDelay, ...] = ()
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class RouteTarget(NamedTuple):
--- a/src/apricottrestle/gateway/fleet_state.py
+++ b/src/apricottrestle/gateway/fleet_state.py
@@ -32,6 +32,10 @@
 """Source name of data that this process read from the store itself."""
 
 
+EXPIRY_SOURCE: Final = "expiry"
+"""Source name of changes that come from the passing of time alone."""
+
+
 class FleetState:
     """Current configuration and membership of the upstreams.
 
@@ -60,6 +64,7 @@
         self._on_evacuations: list[OnEvacuations] = []
         self._on_ready: list[Callable[[], None]] = []
         self._was_ready = False
+        self._on_list: list[Callable[[], None]] = []
 
     @property
     def config_version(self) -> int:
@@ -90,6 +95,10 @@
         """Registers a callback for each change of the evacuations."""
         self._on_evacuations.append(callback)
 
+    def watch_list(self, callback: Callable[[], None]) -> None:
+        """Registers a callback for each read of the upstream list."""
+        self._on_list.append(callback)
+
     def watch_ready(self, callback: Callable[[], None]) -> None:
         """Registers a callback for the first moment at which it is ready."""
         self._on_ready.append(callback)
@@ -206,6 +215,9 @@
                     list_version=self.members.version,
                 )
             self._on_change(change)
+        if source != EXPIRY_SOURCE:
+            for callback in self._on_list:
+                callback()
         counts = self.members.counts()
         for state in ("ready", "draining", "lapsed"):
             metrics.UPSTREAMS.labels(state).set(counts.get(state, 0))
--- a/src/apricottrestle/gateway/peer_messages.py
+++ b/src/apricottrestle/gateway/peer_messages.py
@@ -45,6 +45,8 @@
         config_offset: Offset of its record in that history.
         evacuation_digest: Hash of the evacuations that the sender knows, or
             None if it knows nothing of evacuations.
+        known_gateways: Number of gateways that the sender has read from the
+            store or heard recently; 0 before it has read them.
     """
 
     instance_id: str
@@ -60,6 +62,7 @@
     config_history: int = 0
     config_offset: int = 0
     evacuation_digest: int | None = None
+    known_gateways: int = 0
 
     @property
     def config_stamp(self) -> fleet_config.ConfigStamp:
--- a/src/apricottrestle/gateway/settings.py
+++ b/src/apricottrestle/gateway/settings.py
@@ -29,6 +29,9 @@
             entry of an upstream.
         regions: Region of each data centre; needed only if the configuration
             names allowed regions.
+        cold_overrun: Factor on the requests per second to a cold upstream up to
+            which it doesn't crash.
+        cold_slack: Requests per second that it takes on top.
     """
 
     instance_id: str
@@ -47,3 +50,5 @@
     reservation_max_s: float
     upstream_lease_s: float = 3.6
     regions: Mapping[str, str] = types.MappingProxyType({})
+    cold_overrun: float = 1.0
+    cold_slack: float = 0.0
--- a/tests/test_gateway_regions.py
+++ b/tests/test_gateway_regions.py
@@ -8,6 +8,7 @@
 
 from apricottrestle import errors
 from apricottrestle.gateway import (
+    cold_upstreams,
     evacuations,
     fleet_config,
     peer_messages,
@@ -138,6 +139,7 @@
     gate = send_gate.SendGate(
         upstream_limits.UpstreamLimits("own"),
         upstream_notices.UpstreamNotices(),
+        cold_upstreams.ColdUpstreams("own", 1.0, 0.0),
         members,
         table,
         lambda _upstream_id: 0,
--- a/tests/test_gateway_send_gate.py
+++ b/tests/test_gateway_send_gate.py
@@ -5,6 +5,7 @@
 import pytest
 
 from apricottrestle.gateway import (
+    cold_upstreams,
     evacuations,
     send_gate,
     upstream_limits,
@@ -36,6 +37,7 @@
         self.gate = send_gate.SendGate(
             upstream_limits.UpstreamLimits("own"),
             self.notices,
+            cold_upstreams.ColdUpstreams("own", 1.0, 0.0),
             self.members,
             self.evacuated,
             lambda _upstream_id: 0,
