Explain where a gateway would send a request

apricottrestle explain asks a gateway's ops address, without sending the request: the chosen upstream, what excludes each other one, the expected wait, or the refusal. It uses the same choice, queue and gate as requests; EngineQueue.preview and Gateway.explain change nothing but the random numbers that choose among a route's targets. The metrics address, which the platform reads, doesn't answer it.

Whether an upstream of a plain service is full moves to service_routing.

--- a/src/apricottrestle/cli.py
+++ b/src/apricottrestle/cli.py
@@ -14,6 +14,7 @@
 from apricottrestle import (
     cli_audit,
     cli_drain,
+    cli_explain,
     cli_output,
     cli_release,
     errors,
@@ -49,6 +50,7 @@
     cli_release.add_parsers(commands)
     cli_drain.add_parser(commands)
     cli_audit.add_parsers(commands)
+    cli_explain.add_parser(commands)
     return parser
 
 
--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -7,10 +7,12 @@
 import secrets
 import signal
 import types
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any, Final, NamedTuple, Self
 
-from apricottrestle import errors, logs, ops_http
+import msgspec
+
+from apricottrestle import errors, logs, ops_http, route_query
 from apricottrestle.gateway import (
     assembly,
     calls,
@@ -104,13 +106,27 @@
 def _serve_ops(
     cfg: settings.GatewaySettings, node: assembly.GatewayNode
 ) -> Iterator[None]:
-    """Serves health, readiness and metrics while the context is open."""
+    """Serves health, readiness and metrics while the context is open.
+
+    Only operators may ask where requests would go: the answer names upstreams.
+    """
+
+    def explain(body: bytes) -> Mapping[str, object]:
+        return node.core.explain(
+            msgspec.json.decode(body, type=route_query.Query)
+        )
+
     with contextlib.ExitStack() as stack:
-        for address in (cfg.ops, cfg.metrics):
+        for address, queries in (
+            (cfg.ops, {route_query.PATH: explain}),
+            (cfg.metrics, {}),
+        ):
             if address:
                 stack.enter_context(
                     ops_http.OpsServer(
-                        address, lambda: [] if node.ready else ["not ready"]
+                        address,
+                        lambda: [] if node.ready else ["not ready"],
+                        queries,
                     )
                 )
         yield
--- a/src/apricottrestle/gateway/engine_queue.py
+++ b/src/apricottrestle/gateway/engine_queue.py
@@ -105,6 +105,22 @@
     choice: upstream_choice.UpstreamChoice
 
 
+class Preview(NamedTuple):
+    """What the queue would do with a new request.
+
+    Attributes:
+        usable: Engines that may get requests now.
+        candidates: Those that no waiting request has claimed.
+        choice: Engines that the request would be sent to, or None.
+        refusal: Reason of its refusal, or empty.
+    """
+
+    usable: list[engine_routing.Candidate]
+    candidates: list[engine_routing.Candidate]
+    choice: engine_routing.Choice | None
+    refusal: str
+
+
 class QueueHost(abc.ABC):
     """What the queue asks of the gateway that it belongs to.
 
@@ -356,6 +372,33 @@
         ):
             self._claim_engines(request, needs, usable, model, now)
 
+    def preview(
+        self,
+        request: exchange.Exchange,
+        model: fleet_config.EngineCostModel,
+        now: float,
+    ) -> Preview:
+        """Returns what would become of a new request; changes nothing."""
+        service = request.accepted.service
+        needs = request.engine_needs(now)
+        usable = self._engine_candidates(service, model, request, now)
+        candidates = [
+            candidate
+            for candidate in usable
+            if self._tables.claims.claim_id_on(candidate.engine, now) is None
+        ]
+        choice = self._choose_engines(needs, candidates, model, now)
+        refusal = ""
+        if not self._tables.send_gate.usable(service.name, now):
+            refusal = self._tables.send_gate.refusal_reason(service.name)
+        elif usable and choice is None:
+            min_service_s = engine_routing.min_service_s(
+                needs, model, len(usable)
+            )
+            if needs.time_left_s < MIN_TIME_LEFT_RATIO * min_service_s:
+                refusal = "too_late"
+        return Preview(usable, candidates, choice, refusal)
+
     def _choose_engines(
         self,
         needs: engine_routing.RequestNeeds,
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from apricottrestle import logs, metrics
+from apricottrestle import logs, metrics, route_query
 from apricottrestle.gateway import (
     accept,
     calls,
@@ -31,6 +31,7 @@
     engine_routing,
     exchange,
     exchange_host,
+    explanation,
     fleet_state,
     health_records,
     retry_budget,
@@ -79,10 +80,6 @@
 """Time that a stopping gateway allows for a request to a plain service; several
 times its usual duration."""
 
-MAX_OUTSTANDING_PER_SLOT: Final = 3
-"""Outstanding calls per slot at which a plain upstream counts as full; calls
-queued beyond that would be late."""
-
 MAX_PROBES: Final = 4
 PROBE_PAUSE_S: Final = 0.1
 """Questions whether an upstream is running, until one is answered, and the
@@ -760,22 +757,9 @@
     def _place_plain_request(self, request: exchange.Exchange) -> None:
         now = clock.now()
         service = request.accepted.service.name
-        entries = self._choice.usable(service, request, now)
-        candidates = [
-            service_routing.Candidate(
-                entry.upstream_id,
-                self._outstanding_calls(entry.upstream_id),
-                entry.slots,
-                self._choice.latency_s(entry),
-                self._health.failure_rate(entry.upstream_id, now),
-            )
-            for entry in entries
-        ]
+        candidates = self._plain_candidates(service, request, now)
         with_capacity = [
-            candidate
-            for candidate in candidates
-            if candidate.outstanding
-            < MAX_OUTSTANDING_PER_SLOT * candidate.slots
+            candidate for candidate in candidates if not candidate.is_full
         ]
         best = service_routing.choose(with_capacity, self._rng)
         logs.decision(
@@ -803,9 +787,8 @@
             metrics.REFUSALS.labels(reason).inc()
             request.refuse(accept.UNAVAILABLE, reason, retry_after_s)
             return
-        entry = next(
-            entry for entry in entries if entry.upstream_id == best.upstream_id
-        )
+        entry = self.state.members.get(best.upstream_id)
+        assert entry is not None
         self._plain_calls[entry.upstream_id] += 1
         self.count_sends([entry.upstream_id], now)
         self.listener.calls_changed(
@@ -824,6 +807,43 @@
             attempt, priority=min(request.accepted.priority, 9), helpers=()
         )
 
+    def _plain_candidates(
+        self, service: str, request: exchange.Exchange, now: float
+    ) -> list[service_routing.Candidate]:
+        return [
+            service_routing.Candidate(
+                entry.upstream_id,
+                self._outstanding_calls(entry.upstream_id),
+                entry.slots,
+                self._choice.latency_s(entry),
+                self._health.failure_rate(entry.upstream_id, now),
+            )
+            for entry in self._choice.usable(service, request, now)
+        ]
+
+    def explain(self, query: route_query.Query) -> route_query.Explanation:
+        """Explains where a request would go now, without sending it.
+
+        For a route with several targets, one of them is chosen by weight.
+        """
+        now = clock.now()
+        req = explanation.make_request(query, now)
+        decision = self._admit(req)
+        return explanation.Explainer(
+            self.state,
+            self._send_gate,
+            self._health,
+            self._queue,
+            self.load,
+            self._plain_candidates,
+        ).explain(
+            exchange.Exchange(self, req, decision, explanation.NoResponder())
+            if isinstance(decision, accept.Accepted)
+            else None,
+            decision if isinstance(decision, accept.Refused) else None,
+            now,
+        )
+
     def _outstanding_calls(self, upstream_id: str) -> int:
         return self._plain_calls[upstream_id] + sum(
             counts[upstream_id] for counts in self.peer_calls.values()
--- a/src/apricottrestle/gateway/send_gate.py
+++ b/src/apricottrestle/gateway/send_gate.py
@@ -82,6 +82,10 @@
         """Returns whether an upstream's data centre is evacuated."""
         return entry.data_centre in self._evacuated.evacuated
 
+    def pause_s(self, entry: upstream_list.UpstreamEntry, now: float) -> float:
+        """Returns the time for which an upstream gets no requests."""
+        return self._entry_wait_s(entry, now)
+
     def refusal_reason(self, service: str) -> str:
         """Returns why a service without usable upstreams has none."""
         if any(map(self.is_evacuated, self._members.usable(service))):
--- a/src/apricottrestle/gateway/service_routing.py
+++ b/src/apricottrestle/gateway/service_routing.py
@@ -17,6 +17,11 @@
 and failures."""
 
 
+MAX_OUTSTANDING_PER_SLOT: Final = 3
+"""Outstanding calls per slot at which a plain upstream counts as full; calls
+queued beyond that would be late."""
+
+
 class Candidate(NamedTuple):
     """An upstream that may be chosen.
 
@@ -34,6 +39,11 @@
     distance_s: float
     failure_rate: float
 
+    @property
+    def is_full(self) -> bool:
+        """Whether another call would be late."""
+        return self.outstanding >= MAX_OUTSTANDING_PER_SLOT * self.slots
+
 
 def expected_latency_s(candidate: Candidate) -> float:
     """Returns the expected time to an answer, with the cost of failures."""
--- a/tests/gateway_on_sockets.py
+++ b/tests/gateway_on_sockets.py
@@ -14,6 +14,7 @@
 from typing import Final, NamedTuple
 
 from apricottrestle.gateway import (
+    calls,
     clock,
     engine_queue,
     evacuations,
@@ -272,17 +273,18 @@
         return _parse(received)
 
 
-@contextlib.contextmanager
-def serving(*upstreams: tuple[str, str]) -> Iterator[Caller]:
-    """Runs a gateway with the given upstreams.
+def make_gateway(
+    client: calls.UpstreamClient, *upstreams: tuple[str, str]
+) -> gateway.Gateway:
+    """Returns a gateway that is ready; must run on the event loop.
 
     Args:
+        client: Sends its requests.
         upstreams: Service and address of each upstream.
     """
     cfg = settings.GatewaySettings(
         "own", "dc-1", "", "", "", "", "", (), 8.0, 1.0, 10.0, 100.0, 4.0, 8.0
     )
-    client = upstream_client.HttpUpstreamClient()
     core = gateway.Gateway(cfg, client, random.Random(1), "own")
     core.state.adopt_config(
         gateway_parts.config(
@@ -307,6 +309,14 @@
         ),
         "test",
     )  # fmt: skip
+    return core
+
+
+@contextlib.contextmanager
+def serving(*upstreams: tuple[str, str]) -> Iterator[Caller]:
+    """Runs a gateway with the given upstreams; see make_gateway."""
+    client = upstream_client.HttpUpstreamClient()
+    core = make_gateway(client, *upstreams)
     with (
         contextlib.closing(client),
         contextlib.closing(core),
