--- a/src/apricottrestle/gateway/send_gate.py
+++ b/src/apricottrestle/gateway/send_gate.py
@@ -111,7 +111,15 @@
         self, entry: upstream_list.UpstreamEntry, regions: fleet_config.Regions
     ) -> bool:
         """Returns whether a request may use an upstream's data centre."""
-        return not self._is_evacuated(entry) and self._is_in(entry, regions)
+        return not self.is_evacuated(entry) and self._is_in(entry, regions)
+
+    def is_evacuated(self, entry: upstream_list.UpstreamEntry) -> bool:
+        """Returns whether an upstream's data centre is evacuated."""
+        return entry.data_centre in self._evacuated.evacuated
+
+    def pause_s(self, entry: upstream_list.UpstreamEntry, now: float) -> float:
+        """Returns the time for which an upstream gets no requests."""
+        return self._entry_wait_s(entry, now)
 
     def refusal_reason(
         self, service: str, regions: fleet_config.Regions
@@ -121,7 +129,7 @@
         inside = [entry for entry in entries if self._is_in(entry, regions)]
         if entries and not inside:
             return OUTSIDE_REGIONS
-        if any(map(self._is_evacuated, inside)):
+        if any(map(self.is_evacuated, inside)):
             return EVACUATED
         return NO_UPSTREAM
 
@@ -133,16 +141,13 @@
             return {}
         entries = self._members.usable(service)
         counts = {
-            EVACUATED: sum(map(self._is_evacuated, entries)),
+            EVACUATED: sum(map(self.is_evacuated, entries)),
             OUTSIDE_REGIONS: sum(
                 not self._is_in(entry, regions) for entry in entries
             ),
         }
         return {reason: count for reason, count in counts.items() if count}
 
-    def _is_evacuated(self, entry: upstream_list.UpstreamEntry) -> bool:
-        return entry.data_centre in self._evacuated.evacuated
-
     def _is_in(
         self, entry: upstream_list.UpstreamEntry, regions: fleet_config.Regions
     ) -> bool:
