Let refused callers of cold upstreams return, and count gateways seldom

A caller that one gateway refuses for its share was told to stay away until that gateway may send again, often for longer than it would wait, while another one has its share left: Retry-After is now at most 0.3 of the caller's time.

A freeze of up to 1.2 s no longer makes all upstreams doubtful, as an entry may be as late without one, and busy machines stop a process for shorter times. The number of gateways and their order are kept; they were computed for each upstream in each pass.

--- a/src/apricottrestle/gateway/cold_upstreams.py
+++ b/src/apricottrestle/gateway/cold_upstreams.py
@@ -57,6 +57,13 @@
 """Gateways assumed by a gateway that has not read from the store or heard from
 a peer how many there are; as many as the largest fleet has."""
 
+COUNT_VALID_S: Final = 1.0
+"""Time for which a count of the gateways is used: it is asked for each upstream
+in each scheduling pass, and changes at once when one is heard or named."""
+
+MAX_RANKS: Final = 4_096
+"""Upstreams whose order of gateways is remembered."""
+
 GATEWAY_KEPT_S: Final = 600.0
 """Time for which a gateway that was heard from or named counts as alive; longer
 than repairs of a link or a restart of a machine take."""
@@ -64,6 +71,10 @@
 FREEZE_S: Final = 0.5
 """Time without a call from which the process was frozen; five checks."""
 
+DOUBTFUL_FREEZE_S: Final = 1.2
+"""Time from which a freeze makes upstreams doubtful: an entry may be as late
+without one, and a busy machine stops a process for shorter times often."""
+
 WAKE_DOUBT_S: Final = 2.0
 """Time after a freeze in which every upstream may be cold: an entry is written
 up to 1.2 s late and read within 0.5 s."""
@@ -183,12 +194,17 @@
         self._kept_until: dict[str, float] = {}
         self._named: dict[str, tuple[int, float]] = {}
         self._has_read = False
+        self._counted: frozenset[str] = frozenset()
+        self._count = 0
+        self._count_until = -math.inf
+        self._ranks: dict[str, float] = {}
 
     def note_listed(self, instance_ids: Iterable[str], now: float) -> None:
         """Records the gateways that the store names."""
         self._keep(self._listed, now)
         self._listed = set(instance_ids)
         self._has_read = True
+        self._count_until = -math.inf
 
     def note_heard(self, instance_id: str, named: int, now: float) -> None:
         """Records a message from a peer.
@@ -199,8 +215,12 @@
             now: Monotonic time in seconds.
         """
         self._keep((instance_id,), now)
+        if instance_id not in self._counted or named > self._count:
+            self._count_until = -math.inf
         if named > 0:
             self._named[instance_id] = (named, now + GATEWAY_KEPT_S)
+            if not self._has_read:
+                self._count_until = -math.inf
 
     def _keep(self, instance_ids: Iterable[str], now: float) -> None:
         self._kept_until.update(
@@ -217,30 +237,44 @@
 
     def count(self, now: float) -> int:
         """Returns the number of gateways that may be alive."""
+        if now < self._count_until:
+            return self._count
         self._forget(now)
         named = max((count for count, _ in self._named.values()), default=0)
         if not self._has_read and not named:
             named = ASSUMED_GATEWAYS
-        return max(len(self._ids()), named)
+        ids = self._ids()
+        count = max(len(ids), named)
+        if (
+            ids != self._counted
+            or count != self._count
+            or len(self._ranks) > MAX_RANKS
+        ):
+            self._ranks.clear()
+        self._counted, self._count = ids, count
+        self._count_until = now + COUNT_VALID_S
+        return count
 
     def rank(self, upstream_id: str, now: float) -> float:
         """Returns the number of gateways that come first at an upstream.
 
         Gateways whose ids aren't known count by their probability.
         """
-        own = hashing.rendezvous_score(self._own, upstream_id)
-        ids = self._ids()
-        unknown = self.count(now) - len(ids)
-        return (
-            sum(
-                hashing.rendezvous_score(each, upstream_id) < own
-                for each in ids
+        unknown = self.count(now) - len(self._counted)
+        rank = self._ranks.get(upstream_id)
+        if rank is None:
+            own = hashing.rendezvous_score(self._own, upstream_id)
+            rank = self._ranks[upstream_id] = (
+                sum(
+                    hashing.rendezvous_score(each, upstream_id) < own
+                    for each in self._counted
+                )
+                + unknown * own / 2**64
             )
-            + unknown * own / 2**64
-        )
+        return rank
 
-    def _ids(self) -> set[str]:
-        return {self._own, *self._listed, *self._kept_until}
+    def _ids(self) -> frozenset[str]:
+        return frozenset((self._own, *self._listed, *self._kept_until))
 
     def _forget(self, now: float) -> None:
         self._kept_until = {
@@ -438,7 +472,8 @@
         for row in self._rows.values():
             row.sends = collections.deque(at + frozen_s for at in row.sends)
         self._started_at += frozen_s
-        self._doubt_until = now + WAKE_DOUBT_S
+        if frozen_s > DOUBTFUL_FREEZE_S:
+            self._doubt_until = now + WAKE_DOUBT_S
 
     def cold(self) -> list[str]:
         """Returns the upstreams that were last reported as cold."""
--- a/src/apricottrestle/gateway/engine_queue.py
+++ b/src/apricottrestle/gateway/engine_queue.py
@@ -772,7 +772,10 @@
         needs = request.engine_needs(now)
         if wait_s <= max(min(needs.abandon_left_s, needs.time_left_s), 0.0):
             return False
-        self._refuse_waiting(request, accept.LIMITED, wait_s)
+        retry_after_s = self._tables.send_gate.retry_after_s(
+            service, wait_s, request.time_left_s(now), now
+        )
+        self._refuse_waiting(request, accept.LIMITED, retry_after_s)
         return True
 
 
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -817,7 +817,10 @@
                 )
                 retry_after_s = accept.OVERLOAD_RETRY_AFTER_S
             else:
-                reason, retry_after_s = accept.LIMITED, limit_wait_s
+                reason = accept.LIMITED
+                retry_after_s = self._send_gate.retry_after_s(
+                    service, limit_wait_s, request.time_left_s(now), now
+                )
             metrics.REFUSALS.labels(reason).inc()
             request.refuse(accept.UNAVAILABLE, reason, retry_after_s)
             return
--- a/src/apricottrestle/gateway/send_gate.py
+++ b/src/apricottrestle/gateway/send_gate.py
@@ -34,6 +34,12 @@
 reserved, renewed and released."""
 
 
+MAX_COLD_RETRY_SHARE: Final = 0.3
+"""Longest Retry-After while an upstream is cold, as a share of the caller's
+time left. Another gateway may have its share left, and callers don't return
+after a third of their time."""
+
+
 class SendGate:
     """The upstreams of each service that may get requests, and when."""
 
@@ -186,6 +192,24 @@
             default=0.0,
         )
 
+    def retry_after_s(
+        self, service: str, wait_s: float, time_left_s: float, now: float
+    ) -> float:
+        """Returns the Retry-After of a request that has to wait for too long.
+
+        Args:
+            service: The service.
+            wait_s: Time for which this gateway can't send the request.
+            time_left_s: Time left to the caller.
+            now: Monotonic time in seconds.
+        """
+        if any(
+            self._cold.is_cold(entry.upstream_id, now)
+            for entry in self.usable(service, now)
+        ):
+            return min(wait_s, MAX_COLD_RETRY_SHARE * max(time_left_s, 0.0))
+        return wait_s
+
     def queue_wait_s(
         self,
         service: str,
