--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -12,7 +12,13 @@
 
 import msgspec
 
-from apricottrestle import errors, logs, ops_http, route_query
+from apricottrestle import (
+    errors,
+    logs,
+    memory_account,
+    ops_http,
+    route_query,
+)
 from apricottrestle.gateway import (
     assembly,
     calls,
@@ -40,7 +46,7 @@
         make_client: Returns the client for upstreams; called on the event
             loop.
         make_caller_server: Returns the HTTP server for callers, given its
-            address and request handler.
+            address, request handler and memory account.
         make_ready_server: Returns the HTTP server of the readiness check, given
             its address and a function that returns whether to answer ready.
         read_settings: Returns the settings if they have changed, else None;
@@ -49,7 +55,9 @@
 
     store: store.FleetStore
     make_client: Callable[[], calls.UpstreamClient]
-    make_caller_server: Callable[[str, calls.RequestHandler], Any]
+    make_caller_server: Callable[
+        [str, calls.RequestHandler, memory_account.MemoryAccount], Any
+    ]
     make_ready_server: Callable[[str, Callable[[], bool]], Any]
     read_settings: Callable[[], settings.GatewaySettings | None]
 
@@ -65,7 +73,9 @@
     node = assembly.GatewayNode(
         cfg, adapter.store, adapter.make_client(), rng, incarnation
     )
-    server = adapter.make_caller_server(cfg.callers, node.core)
+    server = adapter.make_caller_server(
+        cfg.callers, node.core, node.core.account
+    )
 
     def on_config(
         config: fleet_config.FleetConfig, _before: int, _source: str
@@ -91,6 +101,7 @@
         clock.Ticker(
             SETTINGS_CHECK_INTERVAL_S, lambda: _reload(node, adapter, "changed")
         ),
+        clock.Ticker(memory_account.CHECK_INTERVAL_S, server.make_room),
         loop_watch.LoopWatch(),
     ):
         node.start(link)
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from apricottrestle import logs, metrics, route_query
+from apricottrestle import logs, memory_account, metrics, route_query
 from apricottrestle.gateway import (
     accept,
     calls,
@@ -88,9 +88,6 @@
 pause between them. The kernel of a killed process accepts connections until it
 has closed all others, and then resets them."""
 
-MAX_BUFFERED_BYTES: Final = 64 * 1024 * 1024
-"""Limit of all responses that are buffered until they are complete, so that
-upstreams that send without end don't exhaust the memory of a machine."""
 
 MAX_LOGGED_PARTS: Final = 8
 """Parts of a prompt in the log line of an accepted request."""
@@ -136,6 +133,7 @@
             requests by an estimate of their duration. Later ones, whose end it
             must not cut off, need a time limit that ends before the shutdown.
         active: Exchanges under way.
+        account: Memory that is held for callers and upstreams.
     """
 
     def __init__(
@@ -213,7 +211,9 @@
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._run_count = 0
-        self._buffered_bytes = 0
+        self.account = memory_account.MemoryAccount(
+            memory_account.compute_limits(cfg.memory_mb, cfg.max_fds)
+        )
         self._incarnation = incarnation
 
     def start(self) -> None:
@@ -229,6 +229,9 @@
     def apply_settings(self, cfg: settings.GatewaySettings) -> None:
         """Applies new settings to future requests."""
         self._cfg = cfg
+        self.account.limits = memory_account.compute_limits(
+            cfg.memory_mb, cfg.max_fds
+        )
         for budget in self._retry_budgets.values():
             budget.configure(
                 cfg.retry_share, cfg.retry_window_s, cfg.retry_slack
@@ -594,13 +597,6 @@
             self.listener.gateway_count(), clock.now()
         )
 
-    def buffer_bytes(self, count: int) -> bool:
-        """See ExchangeHost.buffer_bytes."""
-        if count > 0 and self._buffered_bytes + count > MAX_BUFFERED_BYTES:
-            return False
-        self._buffered_bytes += count
-        return True
-
     def retry_after_s(self, request: exchange.Exchange) -> float:
         """See ExchangeHost.retry_after_s."""
         return accept.OVERLOAD_RETRY_AFTER_S
--- a/src/apricottrestle/gateway/send_gate.py
+++ b/src/apricottrestle/gateway/send_gate.py
@@ -210,7 +210,7 @@
         """
         if any(
             self._cold.is_cold(entry.upstream_id, now)
-            for entry in self.usable(service, now)
+            for entry in self.usable(service, None, now)
         ):
             return min(wait_s, MAX_COLD_RETRY_SHARE * max(time_left_s, 0.0))
         return wait_s
--- a/src/apricottrestle/gateway/settings.py
+++ b/src/apricottrestle/gateway/settings.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from apricottrestle import memory_account
+
 
 class GatewaySettings(NamedTuple):
     """Settings of a gateway, provided by the platform it runs on.
@@ -32,6 +34,8 @@
         cold_overrun: Factor on the requests per second to a cold upstream up to
             which it doesn't crash.
         cold_slack: Requests per second that it takes on top.
+        memory_mb: Memory of the machine, in MB.
+        max_fds: Descriptors that the process may open.
     """
 
     instance_id: str
@@ -52,3 +56,5 @@
     regions: Mapping[str, str] = types.MappingProxyType({})
     cold_overrun: float = 1.0
     cold_slack: float = 0.0
+    memory_mb: float = memory_account.DEFAULT_MEMORY_MB
+    max_fds: int = memory_account.DEFAULT_MAX_FDS
--- a/src/apricottrestle/platform/settings_file.py
+++ b/src/apricottrestle/platform/settings_file.py
@@ -2,13 +2,15 @@
 
 import os
 import pathlib
+import resource
+import sys
 import tomllib
 from collections.abc import Callable
 from typing import Annotated, Any, Final
 
 import msgspec
 
-from apricottrestle import errors
+from apricottrestle import errors, memory_account
 from apricottrestle.gateway import settings
 from apricottrestle.platform import names
 
@@ -38,6 +40,14 @@
     cold_slack: _ColdBound = 0.0
 
 
+class _Limits(msgspec.Struct):
+    # Memory of the machine, and descriptors of the process.
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = (
+        memory_account.DEFAULT_MEMORY_MB
+    )
+    max_fds: Annotated[int, msgspec.Meta(gt=0)] = memory_account.DEFAULT_MAX_FDS
+
+
 class _Platform(msgspec.Struct):
     address: str
 
@@ -61,6 +71,7 @@
     heartbeat_ms: float = 1200.0
     # Region of each data centre.
     zones: dict[str, str] = {}
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def load(path: str | None = None) -> tuple[settings.GatewaySettings, str]:
@@ -153,4 +164,17 @@
         decoded.zones,
         decoded.bounds.cold_overrun,
         decoded.bounds.cold_slack,
+        memory_mb=decoded.limits.memory_mb,
+        max_fds=min(decoded.limits.max_fds, _process_fds()),
     )
+
+
+def _process_fds() -> int:
+    """Returns the number of descriptors that the kernel lets the process open.
+
+    Accepting a connection beyond it fails, and the settings may exceed it.
+    """
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        return sys.maxsize
+    return soft_limit
