Let the soak evacuate data centres

Runs of real processes with two data centres, whose evacuations overlap, beside stops, kills, pauses and faults of the store, also returns from a copy. The ledger judges from the requests that reach upstreams; time in which all gateways, or a paused one, can't learn what the store has doesn't count.

Seed 1 is kept as a test.

--- a/src/apricottrestle_standins/platform/soak.py
+++ b/src/apricottrestle_standins/platform/soak.py
@@ -17,7 +17,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Iterator, Sequence
 from typing import Any, Final, NamedTuple
 
 from apricottrestle.platform import names
@@ -153,6 +153,25 @@
 times, and what comes; longest time for which a gateway does nothing, and how
 often in a row."""
 
+EVACUATION_TRAFFIC_S: Final = 16.0
+EVACUATIONS: Final = (("dc-1", 2.0, 12.0), ("dc-2", 9.0, 14.0))
+EVACUATE_S: Final = 5.0
+EVACUATION_KEY: Final = "evacuate/"
+EVACUATION_FAULTS: Final = (
+    "kill",
+    "pause",
+    "term",
+    "roll",
+    "new_config",
+    "cut_store",
+    "store_silent",
+    "store_busy",
+    "store_restored",
+)
+"""Runs with evacuated data centres: duration, data centres with the beginning
+and end of their evacuations, time in which they must be in force, start of
+their keys in the store, and the faults that come beside."""
+
 SETTLE_S: Final = 3.0
 """Time after a disturbance in which a gateway may act on old state, by the
 platform's rules."""
@@ -303,6 +322,7 @@
         idle_timeout_s: Idle time of callers' connections; None for the default.
         spare_routes: Routes of the configuration that nobody uses.
         spare_teams: Teams of the configuration without callers.
+        data_centres: Number of data centres that the upstreams are in.
     """
 
     def __init__(
@@ -319,6 +339,7 @@
         self.idle_timeout_s: float | None = None
         self.spare_routes = 0
         self.spare_teams = 0
+        self.data_centres = 1
         self._rng = rng
         self._version = 1
         ports = _free_ports(4)
@@ -399,13 +420,83 @@
                 "address": upstream.address
                 if self._is_direct
                 else self.proxies[upstream.upstream_id].address,
-                "zone": "dc-1",
+                "zone": self.data_centre(upstream),
                 "state": state,
                 "slots": 8,
                 "born": upstream.started_at_ms,
             }
         self.store.put("keyed.servers", upstream.upstream_id, entry)
 
+    def data_centre(self, upstream: upstream_http.Upstream) -> str:
+        """Returns the data centre of an upstream."""
+        number = self.upstreams.index(upstream) % self.data_centres
+        return f"dc-{1 + number}"
+
+    async def evacuate(self, name: str, start_s: float, end_s: float) -> None:
+        """Evacuates a data centre for a while."""
+        await asyncio.sleep(start_s)
+        self.store.put("keyed.op", EVACUATION_KEY + name, {})
+        self._record_evacuations()
+        await asyncio.sleep(end_s - start_s)
+        while self.store.fault:
+            # The operator repeats a write that the store has refused.
+            await asyncio.sleep(0.05)
+        self.store.put("keyed.op", EVACUATION_KEY + name, None)
+        self._record_evacuations()
+
+    def _record_evacuations(self) -> None:
+        """Records which evacuations the store has from now on."""
+        now = asyncio.get_running_loop().time()
+        written = {
+            key.removeprefix(EVACUATION_KEY)
+            for key in self.store.topic("keyed.op").newest
+            if key.startswith(EVACUATION_KEY)
+        }
+        current = [
+            row for row in self.run_ledger.evacuations if row.ended_s > now
+        ]
+        for row in current:
+            if row.data_centre not in written:
+                row.ended_s = now
+        known = {row.data_centre for row in current}
+        self.run_ledger.evacuations += [
+            ledger.Evacuation(name, now) for name in sorted(written - known)
+        ]
+
+    def record_placements(self) -> None:
+        """Records which gateways' requests have reached which data centre."""
+        centres = {
+            upstream.upstream_id: self.data_centre(upstream)
+            for upstream in self.upstreams
+        }
+        gateways = {
+            attempt.request_id: attempt.gateway
+            for attempts in self.run_ledger.requests
+            for attempt in attempts
+        }
+        self.run_ledger.placements += [
+            ledger.Placement(
+                gateways[row.request_id],
+                row.upstream_id,
+                centres[row.upstream_id],
+                row.at_s,
+                "request",
+                row.request_id,
+            )
+            for row in self.run_ledger.deliveries
+            if row.request_id in gateways
+        ]
+
+    @contextlib.contextmanager
+    def _out_of_touch(self, gateway: str = "") -> Iterator[None]:
+        """Records that a gateway, or all, can't learn what the store has."""
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        yield
+        self.run_ledger.out_of_touch.append(
+            ledger.OutOfTouch(gateway, start_s, loop.time())
+        )
+
     def publish(self) -> None:
         """Publishes the next configuration version, which adds a route."""
         self._version += 1
@@ -526,7 +617,8 @@
     async def _pause(self, duration_s: float) -> None:
         row = self._any_gateway()
         row.signal(signal.SIGSTOP)
-        await self._disturb([row], duration_s)
+        with self._out_of_touch(row.caller_address):
+            await self._disturb([row], duration_s)
         row.signal(signal.SIGCONT)
 
     async def _hup(self, _duration_s: float) -> None:
@@ -577,10 +669,12 @@
     async def _store_restored(self, duration_s: float) -> None:
         """The store loses seconds; what is lost is written again, unordered."""
         self.store.fault = "busy"
-        await asyncio.sleep(duration_s)
+        with self._out_of_touch():
+            await asyncio.sleep(duration_s)
         lost_s = duration_s + self._rng.uniform(*RETURN_LOST_S)
         lost = self.store.restore(lost_s)
         self.store.fault = ""
+        self._record_evacuations()
         for name in ("keyed.op", "keyed.servers"):
             topic = self.store.topic(name)
             copied = dict(topic.newest)
@@ -590,6 +684,7 @@
                 if topic.newest.get(key) == copied.get(key):
                     topic.append(key, value)
                     self.store.notify()
+                    self._record_evacuations()
                 await asyncio.sleep(self._rng.uniform(0.0, RETURN_PAUSE_S))
 
     async def _store_busy(self, duration_s: float) -> None:
@@ -606,7 +701,8 @@
 
     async def _set_store_fault(self, fault: str, duration_s: float) -> None:
         self.store.fault = fault
-        await asyncio.sleep(duration_s)
+        with self._out_of_touch():
+            await asyncio.sleep(duration_s)
         self.store.fault = ""
 
     async def _cut_store(self, duration_s: float) -> None:
@@ -1061,6 +1157,32 @@
     return problems
 
 
+async def run_evacuation_seed(seed: int, directory: pathlib.Path) -> list[str]:
+    """Does a run with evacuated data centres; returns its problems."""
+    rng = random.Random(seed + 1)
+    fleet = Fleet(directory, rng)
+    fleet.data_centres = 2
+    faults = generate_faults(seed, EVACUATION_TRAFFIC_S, EVACUATION_FAULTS)
+    async with fleet.running():
+        await asyncio.gather(
+            fleet.inject(faults),
+            *(fleet.evacuate(*evacuation) for evacuation in EVACUATIONS),
+            fleet.send_requests(EVACUATION_TRAFFIC_S),
+        )
+    fleet.record_placements()
+    problems = fleet.problems + ledger.find_violations(fleet.run_ledger)
+    problems += ledger.find_evacuation_violations(fleet.run_ledger, EVACUATE_S)
+    problems += _check_served(fleet.run_ledger, planned=False)
+    problems += [
+        f"{name} got nothing outside its evacuation"
+        for name, _, _ in EVACUATIONS
+        if not any(
+            row.data_centre == name for row in fleet.run_ledger.placements
+        )
+    ]
+    return problems
+
+
 async def run_limit_seed(seed: int, directory: pathlib.Path) -> list[str]:
     """Does a run with upstreams that name a limit; returns its problems.
 
@@ -1178,6 +1300,11 @@
         action="store_true",
         help="runs with callers that come back at the idle time",
     )
+    parser.add_argument(
+        "--evacuations",
+        action="store_true",
+        help="runs with evacuated data centres",
+    )
     args = parser.parse_args()
     run, length_s = run_seed, TRAFFIC_S
     kinds: tuple[str, ...] = ()
@@ -1196,6 +1323,9 @@
     elif args.planned:
         run, length_s = run_planned_seed, PLANNED_TRAFFIC_S
         kinds = PLANNED_FAULTS
+    elif args.evacuations:
+        run, length_s = run_evacuation_seed, EVACUATION_TRAFFIC_S
+        kinds = EVACUATION_FAULTS
     elif args.kept:
         run, length_s, kinds = run_kept_seed, KEPT_TRAFFIC_S, KEPT_FAULTS
     failed = 0
--- a/tests/test_soak_days.py
+++ b/tests/test_soak_days.py
@@ -116,6 +116,18 @@
     assert asyncio.run(soak.run_stop_seed(seed, tmp_path)) == []
 
 
+@pytest.mark.parametrize("seed", [1])
+def test_soak_run_with_evacuated_data_centres(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    """Guards against requests to data centres that are evacuated.
+
+    All gateways are stopped and started, one is paused, and the store refuses
+    calls meanwhile.
+    """
+    assert asyncio.run(soak.run_evacuation_seed(seed, tmp_path)) == []
+
+
 @pytest.mark.parametrize("seed", [1])
 def test_soak_run_with_upstreams_that_speak_of_themselves(
     seed: int, tmp_path: pathlib.Path
