--- a/tests/test_world_evacuations.py
+++ b/tests/test_world_evacuations.py
@@ -139,6 +139,18 @@
     )
 
 
+async def _miss_the_message(fleet: world.World) -> None:
+    """Lets a gateway that the store turns away miss the news of its peers."""
+    row = _readers(fleet)[-1]
+    others = [address for address in fleet.gateways if address != row.address]
+    row.store.fault = "refuse"
+    await asyncio.sleep(STARTS_S - 0.05)
+    pairs = {frozenset((row.address, other)) for other in others}
+    fleet.partitioned |= pairs
+    await asyncio.sleep(0.2)
+    fleet.partitioned -= pairs
+
+
 async def _fail_store(fleet: world.World, start_s: float, end_s: float) -> None:
     await asyncio.sleep(start_s)
     at_s = asyncio.get_running_loop().time()
@@ -261,6 +273,7 @@
     ),
     "gateway_cut_off_from_all": Case(_beside(_cut_from_all)),
     "frames_lost": Case(_beside(world_faults.lose_and_repeat_frames), 2.0),
+    "message_missed": Case(_beside(_miss_the_message), 2.0),
     "store_refuses_all_but_one": Case(_beside(_refuse_some)),
     "store_silent_to_readers": Case(_beside(_silent_store)),
     "store_slow": Case(_beside(_slow_store)),
