Remember upstreams only while some service has a rule for cold ones

Each read of the list and ten checks a second went through all upstreams, also where none can be cold; a large fleet has thousands. Only those of which something was said are gone through now, and without a rule nothing is kept. A rule that comes later starts with a first list, as none of them has just started.

--- a/src/apricottrestle/gateway/cold_upstreams.py
+++ b/src/apricottrestle/gateway/cold_upstreams.py
@@ -115,7 +115,8 @@
         upstream_id: The upstream, or ALL.
         is_cold: Whether it is believed cold.
         source: What the belief comes from; if it is warm, what it came from.
-        left_s: Time for which it is believed cold; infinite if not known.
+        left_s: Time for which it is believed cold; infinite if not known, 0 if
+            it is warm.
     """
 
     upstream_id: str
@@ -304,6 +305,10 @@
         """
         self.fleet = FleetSize(instance_id)
         self._rows: dict[str, _Row] = {}
+        # Upstreams that are believed cold, or were last reported so.
+        self._stated: set[str] = set()
+        self._has_rules = False
+        self._expire_at = -math.inf
         self._services: Mapping[str, fleet_config.Service] = {}
         self._has_list = False
         self._listed_at = math.inf
@@ -327,7 +332,12 @@
         self, services: Mapping[str, fleet_config.Service]
     ) -> None:
         """Sets the services, which say what cold upstreams can take."""
+        had_none = bool(self._services) and not self._has_rules
         self._services = services
+        self._has_rules = any(map(self._rule, services))
+        if self._has_rules and had_none:
+            # The upstreams were not remembered; none of them has just started.
+            self._has_list = False
 
     def start(self, now: float) -> None:
         """Begins the first window after the start of this process."""
@@ -354,6 +364,12 @@
         the first list.
         """
         self._note_call(now)
+        self._listed_at = now
+        if self._services and not self._has_rules:
+            changes = self._changes(now)
+            self._rows.clear()
+            self._stated.clear()
+            return changes
         for entry in entries:
             row = self._rows.get(entry.upstream_id)
             has_started = self._has_list
@@ -372,12 +388,11 @@
             row.listed_at = now
             rule = self._rule(entry.service)
             if rule is not None and has_started:
-                row.believe(now + rule.start_s, now, START)
+                self._believe(row, now + rule.start_s, now, START)
             if entry.warm_up_left_s > 0:
                 # The configuration, which has the rule, may come later.
-                row.believe(now + entry.warm_up_left_s, now, LISTED)
+                self._believe(row, now + entry.warm_up_left_s, now, LISTED)
         self._has_list = True
-        self._listed_at = now
         return self._changes(now)
 
     def observe_response(
@@ -409,27 +424,37 @@
         if sent_at >= row.stated_at:
             row.until = -math.inf
         if cold_s > 0:
-            row.believe(now + cold_s, now, HEADER)
+            self._believe(row, now + cold_s, now, HEADER)
         return self._changes(now)
 
     def note_loss(self, upstream_id: str, now: float) -> list[Change]:
         """Records a call without an answer; the upstream may start again."""
         row = self._rows.get(upstream_id)
         if row is not None and self._rule(row.entry.service) is not None:
-            row.believe(now + LOSS_DOUBT_S, now, LOSS)
+            self._believe(row, now + LOSS_DOUBT_S, now, LOSS)
         return self._changes(now)
 
     def tick(self, now: float) -> list[Change]:
         """Returns what has changed by the passing of time."""
         self._note_call(now)
-        for upstream_id, row in list(self._rows.items()):
-            if now > row.listed_at + ROW_KEPT_S:
-                del self._rows[upstream_id]
+        if now >= self._expire_at:
+            self._expire_at = now + ROW_KEPT_S / 4
+            for upstream_id, row in list(self._rows.items()):
+                if now > row.listed_at + ROW_KEPT_S:
+                    del self._rows[upstream_id]
+                    self._stated.discard(upstream_id)
         return self._changes(now)
 
+    def _believe(
+        self, row: _Row, until: float, now: float, source: str
+    ) -> None:
+        row.believe(until, now, source)
+        self._stated.add(row.entry.upstream_id)
+
     def _changes(self, now: float) -> list[Change]:
         changes = []
-        for upstream_id, row in self._rows.items():
+        for upstream_id in sorted(self._stated):
+            row = self._rows[upstream_id]
             is_cold = (
                 row.until > now and self._rule(row.entry.service) is not None
             )
@@ -440,20 +465,24 @@
                         upstream_id,
                         is_cold,
                         row.source,
-                        max(row.until - now, 0),
+                        row.until - now if is_cold else 0.0,
                     )
                 )
+            if row.until <= now:
+                self._stated.discard(upstream_id)
         doubt = self._doubt_source(now)
         if doubt != self._doubt:
             changes.append(
-                Change(ALL, doubt != "", doubt or self._doubt, math.inf)
+                Change(ALL, True, doubt, math.inf)
+                if doubt
+                else Change(ALL, False, self._doubt, 0.0)
             )
             self._doubt = doubt
         return changes
 
     def _doubt_source(self, now: float) -> str:
         """Returns why each upstream may be cold; empty without a reason."""
-        if not any(map(self._rule, self._services)):
+        if not self._has_rules:
             return ""
         if now < self._doubt_until:
             return WAKE
@@ -477,7 +506,7 @@
 
     def cold(self) -> list[str]:
         """Returns the upstreams that were last reported as cold."""
-        return [name for name, row in self._rows.items() if row.reported]
+        return [name for name in self._stated if self._rows[name].reported]
 
     def is_cold(self, upstream_id: str, now: float) -> bool:
         """Returns whether requests to an upstream are limited."""
--- a/tests/test_gateway_cold_upstreams.py
+++ b/tests/test_gateway_cold_upstreams.py
@@ -243,6 +243,25 @@
     assert table.left_s(UP, 0.1) == pytest.approx(1.9)
 
 
+def test_rule_that_comes_later_finds_no_starts() -> None:
+    """Guards against a configuration that makes all upstreams cold.
+
+    Upstreams are not remembered while no service has a rule.
+    """
+    table = _table(services=_services(0.0, 0.0))
+    table.observe_list([_entry(), _entry("b")], 0.1)
+    table.set_services(_services())
+    entries = [_entry(), _entry("b"), _entry("c", 2.0)]
+    table.observe_list(entries, 0.2)
+    assert table.left_s(UP, 0.2) == table.left_s("b", 0.2) == 0.0
+    assert table.left_s("c", 0.2) == 2.0
+    table.set_services(_services(0.0, 0.0))
+    assert table.observe_list(entries, 0.3) == [
+        cold_upstreams.Change("c", False, cold_upstreams.LISTED, 0.0)
+    ]
+    assert table.cold() == []
+
+
 @pytest.mark.parametrize(("start_s", "per_s"), [(0.0, PER_S), (COLD_S, 0.0)])
 def test_services_without_a_rule_are_never_limited(
     start_s: float, per_s: float
