--- a/src/apricottrestle/gateway/engine_queue.py
+++ b/src/apricottrestle/gateway/engine_queue.py
@@ -819,7 +819,11 @@
         if wait_s <= max(min(needs.abandon_left_s, needs.time_left_s), 0.0):
             return False
         retry_after_s = self._tables.send_gate.retry_after_s(
-            service, wait_s, request.time_left_s(now), now
+            service,
+            request.accepted.regions,
+            wait_s,
+            request.time_left_s(now),
+            now,
         )
         self._refuse_waiting(request, accept.LIMITED, retry_after_s)
         return True
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -799,7 +799,11 @@
             else:
                 reason = accept.LIMITED
                 retry_after_s = self._send_gate.retry_after_s(
-                    service, limit_wait_s, request.time_left_s(now), now
+                    service,
+                    request.accepted.regions,
+                    limit_wait_s,
+                    request.time_left_s(now),
+                    now,
                 )
             metrics.REFUSALS.labels(reason).inc()
             request.refuse(accept.UNAVAILABLE, reason, retry_after_s)
--- a/src/apricottrestle/gateway/send_gate.py
+++ b/src/apricottrestle/gateway/send_gate.py
@@ -198,19 +198,25 @@
         )
 
     def retry_after_s(
-        self, service: str, wait_s: float, time_left_s: float, now: float
+        self,
+        service: str,
+        regions: fleet_config.Regions,
+        wait_s: float,
+        time_left_s: float,
+        now: float,
     ) -> float:
         """Returns the Retry-After of a request that has to wait for too long.
 
         Args:
             service: The service.
+            regions: Regions whose upstreams may be used; None for all.
             wait_s: Time for which this gateway can't send the request.
             time_left_s: Time left to the caller.
             now: Monotonic time in seconds.
         """
         if any(
             self._cold.is_cold(entry.upstream_id, now)
-            for entry in self.usable(service, None, now)
+            for entry in self.usable(service, regions, now)
         ):
             return min(wait_s, MAX_COLD_RETRY_SHARE * max(time_left_s, 0.0))
         return wait_s
--- a/tests/test_gateway_cold_upstreams.py
+++ b/tests/test_gateway_cold_upstreams.py
@@ -543,12 +543,14 @@
     """Guards against a Retry-After that no caller waits for."""
     entries = [_entry("a", 60.0)]
     gate = _gate(_table(entries=tuple(entries)), entries)
-    assert gate.retry_after_s("engines", 20.0, 2.0, 0.0) == pytest.approx(0.6)
-    assert gate.retry_after_s("engines", 0.1, 2.0, 0.0) == 0.1
-    assert gate.retry_after_s("engines", 20.0, -1.0, 0.0) == 0.0
+    assert gate.retry_after_s("engines", None, 20.0, 2.0, 0.0) == pytest.approx(
+        0.6
+    )
+    assert gate.retry_after_s("engines", None, 0.1, 2.0, 0.0) == 0.1
+    assert gate.retry_after_s("engines", None, 20.0, -1.0, 0.0) == 0.0
     warm = [_entry("a")]
     gate = _gate(_table(entries=tuple(warm)), warm)
-    assert gate.retry_after_s("engines", 20.0, 2.0, 0.0) == 20.0
+    assert gate.retry_after_s("engines", None, 20.0, 2.0, 0.0) == 20.0
 
 
 def test_short_freeze_is_no_reason_to_doubt_all_upstreams() -> None:
