--- a/tests/test_gateway_cold_upstreams.py
+++ b/tests/test_gateway_cold_upstreams.py
@@ -243,6 +243,25 @@
     assert table.left_s(UP, 0.1) == pytest.approx(1.9)
 
 
+def test_rule_that_comes_later_finds_no_starts() -> None:
+    """Guards against a configuration that makes all upstreams cold.
+
+    Upstreams are not remembered while no service has a rule.
+    """
+    table = _table(services=_services(0.0, 0.0))
+    table.observe_list([_entry(), _entry("b")], 0.1)
+    table.set_services(_services())
+    entries = [_entry(), _entry("b"), _entry("c", 2.0)]
+    table.observe_list(entries, 0.2)
+    assert table.left_s(UP, 0.2) == table.left_s("b", 0.2) == 0.0
+    assert table.left_s("c", 0.2) == 2.0
+    table.set_services(_services(0.0, 0.0))
+    assert table.observe_list(entries, 0.3) == [
+        cold_upstreams.Change("c", False, cold_upstreams.LISTED, 0.0)
+    ]
+    assert table.cold() == []
+
+
 @pytest.mark.parametrize(("start_s", "per_s"), [(0.0, PER_S), (COLD_S, 0.0)])
 def test_services_without_a_rule_are_never_limited(
     start_s: float, per_s: float
@@ -524,12 +543,14 @@
     """Guards against a Retry-After that no caller waits for."""
     entries = [_entry("a", 60.0)]
     gate = _gate(_table(entries=tuple(entries)), entries)
-    assert gate.retry_after_s("engines", 20.0, 2.0, 0.0) == pytest.approx(0.6)
-    assert gate.retry_after_s("engines", 0.1, 2.0, 0.0) == 0.1
-    assert gate.retry_after_s("engines", 20.0, -1.0, 0.0) == 0.0
+    assert gate.retry_after_s("engines", None, 20.0, 2.0, 0.0) == pytest.approx(
+        0.6
+    )
+    assert gate.retry_after_s("engines", None, 0.1, 2.0, 0.0) == 0.1
+    assert gate.retry_after_s("engines", None, 20.0, -1.0, 0.0) == 0.0
     warm = [_entry("a")]
     gate = _gate(_table(entries=tuple(warm)), warm)
-    assert gate.retry_after_s("engines", 20.0, 2.0, 0.0) == 20.0
+    assert gate.retry_after_s("engines", None, 20.0, 2.0, 0.0) == 20.0
 
 
 def test_short_freeze_is_no_reason_to_doubt_all_upstreams() -> None:
