Compare small requests between two checkouts in one run

Cause: bench/kept_connections.py measures one checkout, and the load of a shared machine changes between two runs of it.

Change: bench/side_by_side.py runs it for two checkouts at the same time and prints the ratio of each round.

Ruled out: runs in turns.

--- a/bench/side_by_side.py
+++ b/bench/side_by_side.py
@@ -1,12 +1,14 @@
 """Compares small requests on kept connections between two checkouts.
 
 `python -m bench.side_by_side OTHER` measures this checkout and the one in the
-directory OTHER in turns, with `bench.kept_connections` of each and the same
-interpreter, so that the load of the machine is the same for both. It prints
-each run, the median of each checkout and the ratio.
+directory OTHER at the same time, with `bench.kept_connections` of each and the
+same interpreter: in turns, other work on the machine changed the rate threefold
+from run to run. It prints each run, the median of each checkout, and the median
+and extremes of the ratios within a round.
 """
 
 import argparse
+import concurrent.futures
 import os
 import pathlib
 import re
@@ -77,8 +79,15 @@
     )
 
 
+def _print_ratios(name: str, ratios: list[float]) -> None:
+    print(
+        f"own / other: {name} {statistics.median(ratios):.3f}"
+        f" ({min(ratios):.3f} to {max(ratios):.3f})"
+    )
+
+
 def main() -> None:
-    """Measures both checkouts in turns and prints the figures."""
+    """Measures both checkouts at the same time and prints the figures."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("other", type=pathlib.Path)
     parser.add_argument("--rounds", type=int, default=5)
@@ -87,22 +96,21 @@
     args = parser.parse_args()
     checkouts = {"other": args.other.resolve(), "own": OWN}
     runs: dict[str, list[Figures]] = {name: [] for name in checkouts}
-    for number in range(args.rounds):
-        # The order alternates, so that a drift of the load favours neither.
-        names = list(checkouts)[:: -1 if number % 2 else 1]
-        for name in names:
-            figures = measure(checkouts[name], args.callers, args.seconds)
-            runs[name].append(figures)
-            _print(name, figures)
+    with concurrent.futures.ThreadPoolExecutor(len(checkouts)) as pool:
+        for _ in range(args.rounds):
+            results = pool.map(
+                lambda path: measure(path, args.callers, args.seconds),
+                checkouts.values(),
+            )
+            for name, figures in zip(checkouts, results, strict=True):
+                runs[name].append(figures)
+                _print(name, figures)
     print("medians")
-    medians = {name: _summarise(rows) for name, rows in runs.items()}
-    for name, figures in medians.items():
-        _print(name, figures)
-    other, own = medians["other"], medians["own"]
-    print(
-        f"own / other: rate {own.per_s / other.per_s:.3f},"
-        f" p99 {own.p99_ms / other.p99_ms:.3f}"
-    )
+    for name, rows in runs.items():
+        _print(name, _summarise(rows))
+    pairs = list(zip(runs["own"], runs["other"], strict=True))
+    _print_ratios("rate", [own.per_s / other.per_s for own, other in pairs])
+    _print_ratios("p99", [own.p99_ms / other.p99_ms for own, other in pairs])
 
 
 if __name__ == "__main__":
