Decide by a pure function what waits and what is refused in a shortage

The queue asks it only while a kind's requests that could be on time find no place. Log line "shortage", metric apricottrestle_shortage_verdicts. bench/overload_days.py compares it with the order before, as a part of make bench-fleet.

The variant "late ones take all slots" of bench/fleet_days.py patches may_start_late in place of the constant that is gone.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 
 bench-fleet: $(STAMP)
 	$(BIN)/python -m bench.fleet_days
+	$(BIN)/python -m bench.overload_days
 	$(BIN)/python -m bench.notice_days
 
 bench-start: $(STAMP)
--- a/bench/fleet_days.py
+++ b/bench/fleet_days.py
@@ -22,6 +22,7 @@
     engine_queue,
     engine_routing,
     peer_sync,
+    shortage,
 )
 from apricottrestle_standins.platform import (
     chaos,
@@ -117,8 +118,10 @@
 
 
 def _no_reserved_slots() -> contextlib.AbstractContextManager[object]:
-    """Reserves no slots for requests that are on time."""
-    return mock.patch.object(engine_queue, "ON_TIME_RESERVED_SLOTS", 0)
+    """Lets late requests start while those on time find no place."""
+    return mock.patch.object(
+        shortage, "may_start_late", lambda _kind, _short_kinds: True
+    )
 
 
 def _no_claims() -> contextlib.AbstractContextManager[object]:
--- a/src/apricottrestle/gateway/engine_costs.py
+++ b/src/apricottrestle/gateway/engine_costs.py
@@ -37,6 +37,22 @@
     return model.steps_per_pass * step
 
 
+def engine_s(
+    model: fleet_config.EngineCostModel, tokens: float, output_tokens: float
+) -> float:
+    """Returns the part of an engine's time that a request uses.
+
+    Prefills use the whole engine; a decoding request shares its passes with
+    those in all other slots.
+    """
+    context_tokens = model.slots * (tokens + output_tokens / 2)
+    return (
+        prefill_s(model, tokens)
+        + decode_s(model, output_tokens, model.slots, context_tokens)
+        / model.slots
+    )
+
+
 def decode_s(
     model: fleet_config.EngineCostModel,
     output_tokens: float,
--- a/src/apricottrestle/gateway/engine_queue.py
+++ b/src/apricottrestle/gateway/engine_queue.py
@@ -22,6 +22,7 @@
     calls,
     clock,
     engine_claims,
+    engine_costs,
     engine_load,
     engine_pace,
     engine_probation,
@@ -34,6 +35,7 @@
     run_listener,
     send_gate,
     settings,
+    shortage,
     upstream_choice,
     upstream_limits,
     upstream_list,
@@ -59,12 +61,6 @@
 every request were tried, the time spent on a queue would grow with the square
 of its length."""
 
-ON_TIME_RESERVED_SLOTS: Final = 2
-"""Slots of each engine that late requests leave free for on-time requests of
-the same route, while a placement of such a request has recently failed. A
-quarter of an engine's slots; without it, under six times the usual number of
-short requests, late requests take the slots of those that are on time."""
-
 LONG_PREFILL_S: Final = 0.2
 """Prefill time per engine from which two requests that are placed on an engine
 at the same time make each other late."""
@@ -74,9 +70,9 @@
 placed; twice the delay of a message. When an engine becomes free, all gateways
 hear of it at once and would choose it together."""
 
-SLOT_RESERVATION_S: Final = 0.25
-"""Time for which slots stay reserved after an on-time request could not be
-placed; the shortest target time to the first event."""
+OVERLOADED: Final = "overloaded"
+"""Reason of the refusal of a request that can't begin before its caller gives
+up, because of the work that goes first."""
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -165,7 +161,9 @@
             client, cfg.memory_free_s, cfg.reservation_max_s
         )
         self._on_time_shares = on_time_shares.OnTimeShares()
-        self._slots_reserved_until: dict[str, float] = {}
+        self._short_until: dict[str, float] = {}
+        self._hopeless_since: dict[exchange.Exchange, float] = {}
+        self._held_back: set[exchange.Exchange] = set()
         self._own_claims: dict[exchange.Exchange, str] = {}
         self._waiting: list[exchange.Exchange] = []
         self._unplaced: set[exchange.Exchange] = set()
@@ -240,6 +238,8 @@
         waiting = sorted(
             self._waiting, key=lambda request: _scheduling_order(request, now)
         )
+        if self._short_kinds(now):
+            waiting = self._apply_shortage(waiting, now)
         failures: collections.Counter[tuple[str, bool]] = collections.Counter()
         for request in waiting:
             if (
@@ -250,7 +250,7 @@
                 continue
             group = (
                 request.accepted.route.name,
-                request.engine_needs(now).target_left_s <= 0,
+                self._needs(request, now).target_left_s <= 0,
             )
             if (
                 failures[group] >= MAX_FAILED_PLACEMENTS
@@ -262,6 +262,185 @@
                 failures[group] += 1
         metrics.WAITING.set(len(self._waiting))
 
+    def _short_kinds(self, now: float) -> dict[str, float]:
+        """Returns the routes that are short of room, with the time left."""
+        return {
+            route: until - now
+            for route, until in self._short_until.items()
+            if until > now
+        }
+
+    def _needs(
+        self, request: exchange.Exchange, now: float
+    ) -> engine_routing.RequestNeeds:
+        """Returns what a request needs; in a shortage, as its caller counts.
+
+        The target of a request that has come back began with its first attempt.
+        """
+        needs = request.engine_needs(now)
+        route = request.accepted.route
+        if (
+            request.response_started
+            or self._short_until.get(route.name, now) <= now
+        ):
+            return needs
+        passed_s = shortage.since_first_attempt_s(
+            route.timeout_s, request.accepted.deadline - request.req.arrived_at
+        )
+        return needs._replace(target_left_s=needs.target_left_s - passed_s)
+
+    def _spare_slots(
+        self, request: exchange.Exchange, slots: int, now: float
+    ) -> int:
+        """Returns the slots per engine that a late request leaves to others."""
+        may_start = request.response_started or shortage.may_start_late(
+            request.accepted.route.name, self._short_kinds(now)
+        )
+        return 0 if may_start else slots
+
+    def _apply_shortage(
+        self, waiting: list[exchange.Exchange], now: float
+    ) -> list[exchange.Exchange]:
+        """Refuses waiting requests that have no chance; orders the others.
+
+        Services whose kinds have room keep the usual order.
+        """
+        short_kinds = self._short_kinds(now)
+        by_service: dict[str, list[exchange.Exchange]] = {}
+        for request in waiting:
+            by_service.setdefault(request.accepted.service.name, []).append(
+                request
+            )
+        ordered: list[exchange.Exchange] = []
+        for requests in by_service.values():
+            if not any(
+                request.accepted.route.name in short_kinds
+                for request in requests
+            ):
+                ordered += requests
+                continue
+            capacity = self._capacity(requests[0], now, short_kinds)
+            rows = [
+                self._describe(request, capacity.engines, now)
+                for request in requests
+            ]
+            # Callers may use an id twice.
+            request_of = {
+                id(row): request
+                for row, request in zip(rows, requests, strict=True)
+            }
+            for verdict in shortage.decide(rows, capacity):
+                request = request_of[id(verdict.request)]
+                if not self._follow(request, verdict, capacity, now):
+                    ordered.append(request)
+        return ordered
+
+    def _follow(
+        self,
+        request: exchange.Exchange,
+        verdict: shortage.Verdict,
+        capacity: shortage.Capacity,
+        now: float,
+    ) -> bool:
+        """Notes a verdict; returns whether it has refused the request."""
+        if verdict.hopeless:
+            self._hopeless_since.setdefault(request, now)
+        else:
+            self._hopeless_since.pop(request, None)
+        is_new = verdict.action == "refuse" or (
+            verdict.action == "wait" and request not in self._held_back
+        )
+        if verdict.action == "wait":
+            self._held_back.add(request)
+        if is_new:
+            metrics.SHORTAGE_VERDICTS.labels(
+                str(verdict.request.priority), verdict.action
+            ).inc()
+            logs.decision(
+                _LOG,
+                "shortage",
+                request_id=request.req.request_id,
+                outcome=verdict.action,
+                priority=verdict.request.priority,
+                route=verdict.request.kind,
+                team=verdict.request.team,
+                tokens=verdict.request.tokens,
+                target_left_s=round(verdict.request.target_left_s, 3),
+                begin_left_s=round(verdict.request.begin_left_s, 3),
+                time_left_s=round(verdict.request.time_left_s, 3),
+                engine_s=round(verdict.request.engine_s, 3),
+                ahead_s=round(verdict.ahead_s, 3),
+                begins_in_s=round(verdict.begins_in_s, 3),
+                hopeless_s=round(verdict.request.hopeless_s, 3),
+                retry_after_s=round(verdict.retry_after_s, 3),
+                waiting=len(self._waiting),
+                engines=capacity.engines,
+                free_slots=capacity.free_slots,
+                prefill_left_s=round(capacity.prefill_left_s, 3),
+                gateways=capacity.gateways,
+                short=sorted(capacity.short_kinds),
+            )
+        if verdict.action != "refuse" or request not in self._waiting:
+            return False
+        self._refuse_waiting(request, OVERLOADED, verdict.retry_after_s)
+        return True
+
+    def _capacity(
+        self,
+        request: exchange.Exchange,
+        now: float,
+        short_kinds: dict[str, float],
+    ) -> shortage.Capacity:
+        """Returns what the engines of a request's service can do."""
+        service = request.accepted.service
+        model = service.engine
+        assert model is not None
+        entries = self._tables.send_gate.usable(service.name, now)
+        states = [
+            (entry, self._tables.load.state(entry.upstream_id))
+            for entry in entries
+        ]
+        return shortage.Capacity(
+            len(entries),
+            sum(
+                max(min(entry.slots, model.slots) - len(state.runs), 0)
+                for entry, state in states
+            ),
+            sum(state.prefill_left_s for _, state in states),
+            self._host.listener.gateway_count(),
+            short_kinds,
+        )
+
+    def _describe(
+        self, request: exchange.Exchange, engines: int, now: float
+    ) -> shortage.Waiting:
+        """Returns what the decision needs to know of a request."""
+        needs = self._needs(request, now)
+        model = request.accepted.service.engine
+        assert model is not None
+        decode_s = engine_costs.decode_s(
+            model, needs.output_tokens, 1, needs.prompt_tokens
+        )
+        team = request.accepted.team
+        parts = request.req.shared_parts
+        return shortage.Waiting(
+            request.req.request_id,
+            request.accepted.priority,
+            request.accepted.route.name,
+            team.name if team else None,
+            parts[-1] if parts else None,
+            needs.prompt_tokens,
+            needs.target_left_s,
+            min(needs.abandon_left_s, needs.time_left_s - decode_s),
+            needs.time_left_s,
+            engine_costs.engine_s(
+                model, needs.prompt_tokens, needs.output_tokens
+            ),
+            engine_routing.min_prefill_s(needs, model, engines),
+            request.response_started,
+            now - self._hopeless_since.get(request, now),
+        )
+
     def _stagger(self, request: exchange.Exchange, engine: str) -> None:
         """Places a request after those of the gateways that go first."""
 
@@ -292,7 +471,7 @@
         if self._host.is_bad_prompt(request.req):
             self.refuse_bad_prompt(request)
             return
-        needs = request.engine_needs(now)
+        needs = self._needs(request, now)
         usable = self._engine_candidates(service, model, request, now)
         if not usable:
             if not self._tables.send_gate.usable(service.name, now):
@@ -331,11 +510,11 @@
                     candidates,
                     model,
                     now,
-                    self._reserved_slots(request, now),
+                    self._spare_slots(request, model.slots, now),
                 )
             else:
-                self._slots_reserved_until[request.accepted.route.name] = (
-                    now + SLOT_RESERVATION_S
+                self._short_until[request.accepted.route.name] = (
+                    now + shortage.SHORTAGE_S
                 )
         if choice is not None:
             if (
@@ -408,13 +587,6 @@
             for engine in (choice.engine, *choice.helpers)
         )
 
-    def _reserved_slots(self, request: exchange.Exchange, now: float) -> int:
-        """Returns the slots per engine that a late request must leave free."""
-        reserved_until = self._slots_reserved_until.get(
-            request.accepted.route.name, now
-        )
-        return ON_TIME_RESERVED_SLOTS if now < reserved_until else 0
-
     def _claim_engines(
         self,
         request: exchange.Exchange,
@@ -487,6 +659,8 @@
     def _remove_waiting(self, request: exchange.Exchange) -> None:
         self._waiting.remove(request)
         self._unplaced.discard(request)
+        self._hopeless_since.pop(request, None)
+        self._held_back.discard(request)
         handle = self._staggered.pop(request, None)
         if handle is not None:
             handle.cancel()
--- a/src/apricottrestle/metrics.py
+++ b/src/apricottrestle/metrics.py
@@ -32,6 +32,11 @@
 REFUSALS = Counter(
     "apricottrestle_refusals", "Requests refused before they ran", ["reason"]
 )
+SHORTAGE_VERDICTS = Counter(
+    "apricottrestle_shortage_verdicts",
+    "Requests held back or refused while there was too little room",
+    ["priority", "verdict"],
+)
 CONNECTIONS_CLOSED = Counter(
     "apricottrestle_caller_connections_closed",
     "Connections of callers that a gateway closed without a response",
--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -738,13 +738,13 @@
     for attempts in ledger.requests:
         arrival = attempts[0].arrival
         kind = arrival.kind
-        outcome = _outcome(attempts)
+        result = outcome(attempts)
         weight = 1.0
         if kind.tokens:
             size = arrival.tokens / kind.tokens
             weight = min(0.3 + 0.7 * size, 4.0)
         earned = {"on_time": kind.worth, "late": kind.late_worth}
-        row = (outcome, weight * earned.get(outcome, 0.0), weight * kind.worth)
+        row = (result, weight * earned.get(result, 0.0), weight * kind.worth)
         rows.setdefault(group(arrival), []).append(row)
         rows.setdefault("all", []).append(row)
     return {name: _score(row) for name, row in rows.items()}
@@ -762,7 +762,8 @@
     )
 
 
-def _outcome(attempts: list[Attempt]) -> str:
+def outcome(attempts: list[Attempt]) -> str:
+    """Returns "on_time", "late" or "unserved" for a request."""
     kind = attempts[0].arrival.kind
     last = attempts[-1]
     if not last.complete or last.status != 200:
