Close the connections of the tests' upstreams when their tasks are cancelled

Cause: Upstream.serve closed its writer behind a with block, which a cancelled task doesn't reach. StreamWriter.__del__ of Python 3.11.6 then closes the writer after its loop has been closed and raises in whichever test runs at that moment; 3.11.2 doesn't.

Change: contextlib.closing closes the writer in every case. No check changes.

--- a/tests/gateway_on_sockets.py
+++ b/tests/gateway_on_sockets.py
@@ -136,10 +136,12 @@
     ) -> None:
         """Serves one connection."""
         conn = Connection(reader, writer)
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
+        ):
             while not writer.is_closing():
                 await self._serve_request(conn)
-        writer.close()
 
     async def _serve_request(self, conn: Connection) -> None:
         text = (await conn.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
