--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -16,7 +16,7 @@
 import sys
 import time
 from collections.abc import AsyncIterator, Callable
-from typing import Final, NamedTuple
+from typing import BinaryIO, Final, NamedTuple
 
 import pytest
 
@@ -63,11 +63,13 @@
         callers: Their number.
         make: Returns what one of them sends, given whether it has a key.
         in_pieces: Whether it is sent in small pieces.
+        reads_log: Whether anyone reads the log of the process.
     """
 
     callers: int
     make: Callable[[bool], bytes]
     in_pieces: bool = False
+    reads_log: bool = True
 
 
 def _request(
@@ -112,11 +114,16 @@
 
 
 def _short(
-    body_bytes: int, *, chunked: bool = False
+    body_bytes: int, *, chunked: bool = False, extra: bytes = b""
 ) -> Callable[[bool], bytes]:
     """Returns the maker of a request that lacks the last byte of its body."""
     return lambda has_key: _request(
-        "/order/1", body_bytes, has_key=has_key, chunked=chunked, missing=1
+        "/order/1",
+        body_bytes,
+        has_key=has_key,
+        chunked=chunked,
+        missing=1,
+        extra=extra,
     )
 
 
@@ -128,6 +135,11 @@
     )
 
 
+def _many_headers(size: int) -> bytes:
+    """Returns header lines that are as short as they can be."""
+    return b"".join(b"%x:\r\n" % (0x100 + n % 0xF00) for n in range(size // 6))
+
+
 def _head(size: int) -> Callable[[bool], bytes]:
     """Returns the maker of a head that lacks its end."""
 
@@ -153,6 +165,34 @@
     "heads-15k": Crowd(1_500, _head(15_000)),
     "heads-15k-pieces": Crowd(1_500, _head(15_000), in_pieces=True),
     "heads-60k": Crowd(1_500, _head(60_000)),
+    "headers-16k": Crowd(400, _short(10, extra=_many_headers(16_000))),
+    "headers-16k-chunked": Crowd(
+        400, _short(10, chunked=True, extra=_many_headers(16_000))
+    ),
+    "headers-16k-pieces": Crowd(
+        400, _short(10, extra=_many_headers(16_000)), in_pieces=True
+    ),
+    "headers-60k": Crowd(150, _short(10, extra=_many_headers(60_000))),
+    "headers-16k-slow-upstream": Crowd(
+        400, _whole("/slow/1", 10, _many_headers(16_000))
+    ),
+    "headers-16k-full-engine": Crowd(
+        400,
+        _whole(
+            "/queue/1",
+            10,
+            _many_headers(16_000) + b"Apricottrestle-Token-Usage: 1000,9\r\n",
+        ),
+    ),
+    "attempt-ids-15k-unread-log": Crowd(
+        1_500,
+        _whole(
+            "/order/1",
+            10,
+            b"Apricottrestle-Attempt-Id: " + b"\xe9" * 15_000 + b"\r\n",
+        ),
+        reads_log=False,
+    ),
     "no-bytes": Crowd(2_500, lambda _has_key: b""),
     "slow-upstream-1m": Crowd(150, _whole("/slow/1", MIB)),
     "slow-upstream-largest": Crowd(40, _whole("/slow/1", LARGEST)),
@@ -203,8 +243,11 @@
 class _Gateway:
     """A gateway process with a store and upstreams; use `running`."""
 
-    def __init__(self, directory: pathlib.Path) -> None:
+    def __init__(
+        self, directory: pathlib.Path, *, reads_log: bool = True
+    ) -> None:
         self._directory = directory
+        self._reads_log = reads_log
         self._ip = _ip()
         ports = self._free_ports(5)
         self._ready_port, self.caller_port = ports[0], ports[1]
@@ -226,9 +269,7 @@
             await self._start_upstreams(stack)
             self._publish_config()
             settings = self._write_settings(server.port)
-            log = stack.enter_context(
-                (self._directory / "gateway.log").open("wb")
-            )
+            log = self._open_log(stack)
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "apricottrestle.platform"],
                 stdout=log,
@@ -243,6 +284,16 @@
             await self._wait_ready()
             yield
 
+    def _open_log(self, stack: contextlib.AsyncExitStack) -> BinaryIO:
+        """Returns the output of the process; a pipe if nobody reads it."""
+        if self._reads_log:
+            return stack.enter_context(
+                (self._directory / "gateway.log").open("wb")
+            )
+        read_fd, write_fd = os.pipe()
+        stack.callback(os.close, read_fd)
+        return stack.enter_context(open(write_fd, "wb"))
+
     async def _start_upstreams(self, stack: contextlib.AsyncExitStack) -> None:
         run_ledger, rng = ledger.Ledger(), random.Random(0)
         slots = {}
@@ -466,7 +517,7 @@
     The platform ends a process that exceeds its machine's memory, and one
     without descriptors accepts nobody.
     """
-    gateway = _Gateway(tmp_path)
+    gateway = _Gateway(tmp_path, reads_log=CROWDS[name].reads_log)
     most_fds = 0
     writers: list[asyncio.StreamWriter] = []
 
