Look up routes in a time that does not grow with the path

Cause: RouteTable.find tried a prefix for each slash of the path, copying and hashing it: 0.055 s for a legal path of 15,800 slashes, and again for each 64 KiB of a body in chunks.

Change: the lookup begins at the longest configured prefix.

Measured: the test that counts the looked-up parts fails before and passes now; the table of prefixes passes before and after.

--- a/src/apricottrestle/gateway/fleet_config.py
+++ b/src/apricottrestle/gateway/fleet_config.py
@@ -235,9 +235,11 @@
     def __init__(self, routes: tuple[Route, ...]) -> None:
         """Indexes the routes by host and prefix."""
         self._by_host: dict[str, dict[str, Route]] = {}
+        self._longest = 0
         for route in routes:
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.path_prefix] = route
+            self._longest = max(self._longest, len(route.path_prefix))
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route, or None when none matches.
@@ -249,7 +251,9 @@
         prefixes = self._by_host.get(host.partition(":")[0].lower())
         if not prefixes:
             return None
-        end = path.rfind("/")
+        # Callers choose the path; one that is all slashes has thousands of
+        # prefixes, but none of them is longer than the configured ones.
+        end = path.rfind("/", 0, self._longest)
         while end >= 0:
             route = prefixes.get(path[: end + 1])
             if route is not None:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -1,6 +1,7 @@
 """Tests request acceptance, the retry policy and the routing of plain calls."""
 
 import random
+from typing import Any
 
 import hypothesis
 import pytest
@@ -119,6 +120,57 @@
     assert table.find("other.example", "/short/x") is None
 
 
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("/a/b/c/x", "abc"),
+        ("/a/b/c/", "abc"),
+        ("/a/b/c", "ab"),
+        ("/a/b/x/" + "y/" * 5_000, "ab"),
+        ("/a/x", "a"),
+        ("/a", "root"),
+        ("//////" * 100, "root"),
+        ("x/a/", None),
+        ("", None),
+    ],
+)
+def test_longest_prefix_of_a_path_is_found(path: str, name: str | None) -> None:
+    """Guards against a shorter prefix, or none, where a longer one matches."""
+    prefixes = {"root": "/", "a": "/a/", "ab": "/a/b/", "abc": "/a/b/c/"}
+    table = fleet_config.RouteTable(
+        tuple(
+            gateway_parts.SAFE._replace(name=name, path_prefix=prefix)
+            for name, prefix in prefixes.items()
+        )
+    )
+    route = table.find("fleet.example", path)
+    assert (route.name if route else None) == name
+
+
+class _CountingPath(str):
+    """A path that counts its parts that are looked up."""
+
+    parts = 0
+
+    def __getitem__(self, key: Any) -> str:
+        _CountingPath.parts += 1
+        return super().__getitem__(key)
+
+
+def test_lookup_of_a_route_does_not_grow_with_the_path() -> None:
+    """Guards against a path of slashes that holds up the event loop.
+
+    One lookup of 15,800 slashes took 55 ms.
+    """
+    table = fleet_config.RouteTable(gateway_parts.config().routes)
+    longest = max(
+        len(route.path_prefix) for route in gateway_parts.config().routes
+    )
+    _CountingPath.parts = 0
+    assert table.find("fleet.example", _CountingPath("/" * 15_800)) is None
+    assert _CountingPath.parts <= longest
+
+
 @pytest.mark.parametrize(
     ("time_left_s", "timeout_s", "limit_s"),
     [(2.0, 10.0, 2.0), (10.0, 3.0, 3.0), (None, 3.0, 3.0)],
