Bound the numbers that callers name, and keep failed placements apart

Cause: a caller's number of tokens had no bound. A time limit of nan was passed on, too.

Change: numbers of tokens end at 10**12, a million times the longest prompt, which fits no engine either; nan is no time limit. A placement that fails for a fault of ours is logged and refused as not run, and the pass goes on.

Measured: with the placements unguarded test_failed_placement_... fails; the rows of long numbers and nan fail before; all pass now.

--- a/src/apricottrestle/gateway/engine_queue.py
+++ b/src/apricottrestle/gateway/engine_queue.py
@@ -73,6 +73,9 @@
 """Reason of the refusal of a request that can't begin before its caller gives
 up, because of the work that goes first."""
 
+NOT_PLACED: Final = "not_placed"
+"""Reason of the refusal of a request whose placement has failed."""
+
 _LOG: Final = logging.getLogger(__name__)
 
 
@@ -280,7 +283,7 @@
                 and request not in self._own_claims
             ):
                 continue
-            self._place_engine_request(request, now)
+            self._try_placing(request, now)
             if request in self._waiting and request not in self._staggered:
                 failures[group] += 1
         metrics.WAITING.set(len(self._waiting))
@@ -471,12 +474,35 @@
 
         def place() -> None:
             del self._staggered[request]
-            self._place_engine_request(request, clock.now(), staggered=True)
+            self._try_placing(request, clock.now(), staggered=True)
 
         self._staggered[request] = asyncio.get_running_loop().call_later(
             STAGGER_STEP_S * self._host.listener.placement_rank(engine), place
         )
 
+    def _try_placing(
+        self,
+        request: exchange.Exchange,
+        now: float,
+        *,
+        staggered: bool = False,
+    ) -> None:
+        """Places a request, or refuses it if that fails for a fault of ours.
+
+        A pass places the requests of all callers; an exception for one of them
+        must not reach the others, in this pass and all later ones.
+        """
+        try:
+            self._place_engine_request(request, now, staggered=staggered)
+        except Exception:
+            _LOG.exception(
+                "request can't be placed",
+                extra={"request_id": request.req.request_id},
+            )
+            if request in self._waiting:
+                self._remove_waiting(request)
+            request.refuse(accept.UNAVAILABLE, NOT_PLACED, None)
+
     def _place_engine_request(
         self,
         request: exchange.Exchange,
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -11,6 +11,8 @@
 import gc
 import http
 import logging
+import math
+import re
 import socket
 from collections.abc import Callable
 from typing import Any, Final
@@ -83,10 +85,17 @@
 MAX_SHARED_PARTS: Final = 128
 """Number of parts of a prompt that are kept, the first ones."""
 
+MAX_COUNT: Final = 10**12
+"""Largest number of tokens that is told apart: a million times the longest
+prompt. A larger one fits no engine either, and its square may be no float."""
+
 MAX_PART_ID_CHARS: Final = 32
 """Longer ids are replaced by their hash: callers choose them, and gateways keep
 and exchange them."""
 
+_MANY_DIGITS: Final = re.compile(r"\s*\+?0*[1-9][0-9]{12,}\s*", re.ASCII)
+"""A number above MAX_COUNT, whose conversion may take long or fail."""
+
 _LOG: Final = logging.getLogger(__name__)
 _BEARER_PREFIX: Final = "bearer "
 _TORNADO_HEADERS: Final = frozenset(
@@ -97,19 +106,27 @@
 
 def _parse_milliseconds(text: str | None) -> float | None:
     """Converts a header in milliseconds to seconds; None if unusable."""
-    try:
-        return max(float(text), 0.0) / 1000 if text is not None else None
-    except ValueError:
-        _LOG.info(
-            "ignored a header whose value is not a time in milliseconds",
-            extra={"value": text},
-        )
+    if text is None:
         return None
+    with contextlib.suppress(ValueError):
+        milliseconds = float(text)
+        if not math.isnan(milliseconds):
+            return max(milliseconds, 0.0) / 1000
+    _LOG.info(
+        "ignored a header whose value is not a time in milliseconds",
+        extra={"value": text},
+    )
+    return None
 
 
 def _parse_count(text: str | None) -> int | None:
+    """Converts a header to a number up to MAX_COUNT; None if unusable."""
+    if text is None:
+        return None
+    if _MANY_DIGITS.fullmatch(text):
+        return MAX_COUNT
     try:
-        return max(int(text), 0) if text is not None else None
+        return min(max(int(text), 0), MAX_COUNT)
     except ValueError:
         _LOG.info(
             "ignored a header whose value is not an integer",
--- a/tests/test_gateway_engine_queue.py
+++ b/tests/test_gateway_engine_queue.py
@@ -29,6 +29,7 @@
     upstream_list,
     upstream_notices,
 )
+from apricottrestle.platform import caller_server
 from apricottrestle_standins.platform import virtual_time
 from tests import gateway_parts
 
@@ -220,3 +221,61 @@
     short, late = virtual_time.run(main())
     assert short.sent_to is None
     assert late.sent_to is None
+
+
+def test_failed_placement_ends_no_other_request(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against one request that keeps all others from their engines.
+
+    The exception would also end the handling of whichever request is new, whose
+    caller then gets no answer.
+    """
+    choose = engine_routing.choose
+
+    def fail(needs: engine_routing.RequestNeeds, *args: Any) -> Any:
+        if needs.prompt_tokens == 13:
+            raise OverflowError("a fault of ours")
+        return choose(needs, *args)
+
+    monkeypatch.setattr(engine_routing, "choose", fail)
+
+    async def main() -> tuple[_Request, list[_Request]]:
+        queue = _make_queue(engines=4)
+        odd = _Request(0, prompt_tokens=13)
+        others = [_Request(n) for n in range(1, 5)]
+        _add(queue, [odd, *others])
+        queue.run_scheduling_pass()
+        assert cast(Any, odd) not in queue
+        return odd, others
+
+    odd, others = virtual_time.run(main())
+    assert odd.refused == (engine_queue.NOT_PLACED, None)
+    assert all(request.sent_to for request in others)
+    assert caplog.text.count("request can't be placed") == 1
+
+
+@pytest.mark.parametrize("tokens", [1, caller_server.MAX_COUNT])
+@pytest.mark.parametrize("output_tokens", [1, caller_server.MAX_COUNT])
+def test_largest_numbers_of_tokens_are_placed_or_refused(
+    tokens: int, output_tokens: int, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against sizes that a caller names and no decision can work with.
+
+    A prompt that fits no engine is refused at once, as if all were full.
+    """
+
+    async def main() -> tuple[_Request, _Request]:
+        queue = _make_queue(engines=4)
+        odd = _Request(0, prompt_tokens=tokens, output_tokens=output_tokens)
+        other = _Request(1)
+        _add(queue, [odd, other])
+        queue.run_scheduling_pass()
+        return odd, other
+
+    odd, other = virtual_time.run(main())
+    assert other.sent_to
+    assert (odd.sent_to is None) == (odd.refused is not None)
+    if tokens > 1:
+        assert odd.refused == ("too_late", accept.OVERLOAD_RETRY_AFTER_S)
+    assert caplog.text == ""
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -1,5 +1,6 @@
 """Tests of decoding store records, upstream entries, headers and settings."""
 
+import math
 import pathlib
 import struct
 from typing import Any
@@ -243,6 +244,58 @@
     assert caller_server.decode_request(start, headers, b"", 0.0).size is None
 
 
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        ("1460,80", (1460, 80)),
+        (" 1460 , 80", (1460, 80)),
+        ("-5,80", (0, 80)),
+        ("0" * 200 + "7,1", (7, 1)),
+        ("999999999999,1", (10**12 - 1, 1)),
+        ("1000000000000,1", (10**12, 1)),
+        ("1" + "0" * 18 + ",1", (10**12, 1)),
+        ("9" * 161 + ",1", (10**12, 1)),
+        ("100," + "9" * 161, (100, 10**12)),
+        ("9" * 9_000 + ",1", (10**12, 1)),
+    ],
+)
+def test_numbers_of_tokens_are_bounded(
+    value: str, expected: tuple[int, int]
+) -> None:
+    """Guards against numbers that no float can hold, in all later decisions.
+
+    What fits no engine is told apart no further, as it is refused either way.
+    """
+    headers = httputil.HTTPHeaders(
+        {names.TOKEN_USAGE: value, names.LENGTH_HINT: value.partition(",")[0]}
+    )
+    start = httputil.RequestStartLine("POST", "/", "HTTP/1.1")
+    size = caller_server.decode_request(start, headers, b"", 0.0).size
+    assert size is not None
+    assert (size.prompt_tokens, size.max_output_tokens) == expected
+    assert size.expected_output_tokens == expected[0]
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        ("1500", 1.5),
+        ("-1", 0.0),
+        ("nan", None),
+        ("-nan", None),
+        ("inf", math.inf),
+        ("9" * 400, math.inf),
+        ("x", None),
+    ],
+)
+def test_time_limits_are_numbers(value: str, expected: float | None) -> None:
+    """Guards against a time limit that compares with no other."""
+    headers = httputil.HTTPHeaders({names.DEADLINE_MS: value})
+    start = httputil.RequestStartLine("POST", "/", "HTTP/1.1")
+    got = caller_server.decode_request(start, headers, b"", 0.0)
+    assert got.time_left_s == expected
+
+
 SETTINGS = """
 node = "front-1"
 ip = "10.1.0.40"
