Take no upstream from an entry without its fields

Upstreams write all of these fields; a start time isn't among them.

Change: an entry without one of them, or with another type, is malformed as others are. The stand-ins and tests that wrote shorter entries write whole ones.

Measured: six new rows of test_platform_odd_entries.py fail before and pass now.

--- a/src/apricottrestle/gateway/fleet_config.py
+++ b/src/apricottrestle/gateway/fleet_config.py
@@ -12,9 +12,6 @@
 Regions = frozenset[str] | None
 """Regions whose upstreams a request may use; None for all."""
 
-DEFAULT_SLOTS: Final = 4
-"""Number of slots of an upstream whose entry doesn't specify it."""
-
 
 class EngineCostModel(NamedTuple):
     """Published cost model of a model engine.
--- a/src/apricottrestle/platform/codec.py
+++ b/src/apricottrestle/platform/codec.py
@@ -123,15 +123,17 @@
 
 
 class _Upstream(msgspec.Struct):
+    # Every upstream writes all fields up to `seq_no`, used here or not. An
+    # entry without one of them isn't an upstream's own.
     service: _Name
     address: str
     zone: Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+    version: str
     state: Literal["ready", "draining"]
-    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)] = (
-        fleet_config.DEFAULT_SLOTS
-    )
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     # Remaining warm-up time.
-    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARM_UP_MS)] = 0.0
+    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARM_UP_MS)]
+    seq_no: _Integer
     # Start time in Unix milliseconds.
     born: _Count = 0
 
--- a/src/apricottrestle_standins/platform/soak.py
+++ b/src/apricottrestle_standins/platform/soak.py
@@ -421,8 +421,11 @@
                 if self._is_direct
                 else self.proxies[upstream.upstream_id].address,
                 "zone": self.data_centre(upstream),
-                "state": state,
+                "version": "v1",
                 "slots": 8,
+                "state": state,
+                "cold_left_ms": 0,
+                "seq_no": 1,
                 "born": upstream.started_at_ms,
             }
         self.store.put("keyed.servers", upstream.upstream_id, entry)
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -22,9 +22,11 @@
     "service": "engines",
     "address": "10.1.64.7:8080",
     "zone": "dc-1",
+    "version": "v1",
     "state": "ready",
     "slots": 8,
     "cold_left_ms": 0,
+    "seq_no": 4,
     "born": 1_700_000_000_000,
 }
 
@@ -33,6 +35,10 @@
     return json.dumps(ENTRY | changes).encode()
 
 
+def _without(name: str) -> bytes:
+    return json.dumps({k: v for k, v in ENTRY.items() if k != name}).encode()
+
+
 ODD_ENTRIES: Final = {
     "nested": NESTED,
     "nested field": b'{"odd":%s,%s' % (NESTED, _entry()[1:]),
@@ -64,9 +70,11 @@
     "no service": _entry(service=""),
     "long zone": _entry(zone="z" * 100_000),
     "unknown state": _entry(state="asleep"),
+    "version of another type": _entry(version=1),
+    "number of another type": _entry(seq_no="4"),
     "list": b"[]",
     "nothing": b"null",
-}
+} | {f"without {name}": _without(name) for name in ENTRY if name != "born"}
 
 
 @pytest.mark.parametrize("value", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -321,8 +321,11 @@
                     "service": name,
                     "address": address,
                     "zone": "dc-1",
+                    "version": "v1",
                     "state": "ready",
                     "slots": count,
+                    "cold_left_ms": 0,
+                    "seq_no": 1,
                     "born": 1,
                 },
             )
--- a/tests/test_store_history.py
+++ b/tests/test_store_history.py
@@ -78,8 +78,11 @@
         "service": "engines",
         "address": "127.0.0.1:1",
         "zone": "dc-1",
+        "version": "v1",
         "state": "ready",
         "slots": 8,
+        "cold_left_ms": 0,
+        "seq_no": 1,
         "born": 1,
     }
 
