--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -16,13 +16,13 @@
 import sys
 import time
 from collections.abc import AsyncIterator, Callable
-from typing import BinaryIO, Final, NamedTuple
+from typing import BinaryIO, Final
 
 import pytest
 
 from apricottrestle.platform import names
 from apricottrestle_standins.platform import ledger, store_http, upstream_http
-from tests import async_helpers
+from tests import async_helpers, crowds
 
 pytestmark = [pytest.mark.process, pytest.mark.alone]
 
@@ -36,18 +36,9 @@
 HANG_TIMEOUT_S: Final = 60.0
 """Limit for a hanging process; no row judges how long one takes."""
 
-SEND_S: Final = 4.0
-"""Time after which a caller whose bytes aren't read stops sending."""
-
 SETTLE_S: Final = 1.0
 """Time for which the crowd stays silent before the ordinary request."""
 
-CONCURRENT: Final = 100
-"""Callers that connect at the same time, less than the listener's queue."""
-
-PIECE_BYTES: Final = 1_400
-CHUNK_BYTES: Final = 8_000
-KEY_LINE: Final = b"Authorization: Bearer key-1\r\n"
 MIB: Final = 1024 * 1024
 LARGEST: Final = 4 * MIB
 ANSWER_BYTES: Final = 12 * MIB
@@ -56,68 +47,11 @@
 each, which is below its number of concurrent transfers."""
 
 
-class Crowd(NamedTuple):
-    """What the callers of a row send.
-
-    Attributes:
-        callers: Their number.
-        make: Returns what one of them sends, given whether it has a key.
-        in_pieces: Whether it is sent in small pieces.
-        reads_log: Whether anyone reads the log of the process.
-    """
-
-    callers: int
-    make: Callable[[bool], bytes]
-    in_pieces: bool = False
-    reads_log: bool = True
-
-
-def _request(
-    path: str,
-    body_bytes: int,
-    *,
-    has_key: bool,
-    chunked: bool = False,
-    missing: int = 0,
-    extra: bytes = b"",
-) -> bytes:
-    """Returns a request.
-
-    Args:
-        path: Its path.
-        body_bytes: Length of its body.
-        has_key: Whether it has an API key.
-        chunked: Whether the body has chunks in place of a length.
-        missing: Bytes of the body that are left out at the end.
-        extra: Further header lines.
-    """
-    head = (
-        f"POST {path} HTTP/1.1\r\nHost: fleet.example\r\n"
-        f"Apricottrestle-Attempt-Id: crowd-{next(_numbers)}\r\n"
-    ).encode()
-    head += extra
-    if has_key:
-        head += KEY_LINE
-    body = b"x" * (body_bytes - missing)
-    if not chunked:
-        return head + b"Content-Length: %d\r\n\r\n" % body_bytes + body
-    chunks = b"".join(
-        b"%x\r\n%s\r\n"
-        % (len(body[start : start + CHUNK_BYTES]), body[start:][:CHUNK_BYTES])
-        for start in range(0, len(body), CHUNK_BYTES)
-    )
-    end = b"" if missing else b"0\r\n\r\n"
-    return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + end
-
-
-_numbers = iter(range(10**9))
-
-
 def _short(
     body_bytes: int, *, chunked: bool = False, extra: bytes = b""
 ) -> Callable[[bool], bytes]:
     """Returns the maker of a request that lacks the last byte of its body."""
-    return lambda has_key: _request(
+    return lambda has_key: crowds.make_request(
         "/order/1",
         body_bytes,
         has_key=has_key,
@@ -130,61 +64,51 @@
 def _whole(
     path: str, body_bytes: int, extra: bytes = b""
 ) -> Callable[[bool], bytes]:
-    return lambda has_key: _request(
+    return lambda has_key: crowds.make_request(
         path, body_bytes, has_key=has_key, extra=extra
     )
 
 
-def _many_headers(size: int) -> bytes:
-    """Returns header lines that are as short as they can be."""
-    return b"".join(b"%x:\r\n" % (0x100 + n % 0xF00) for n in range(size // 6))
-
-
-def _head(size: int) -> Callable[[bool], bytes]:
-    """Returns the maker of a head that lacks its end."""
-
-    def make(has_key: bool) -> bytes:
-        start = b"GET /order/1 HTTP/1.1\r\nHost: fleet.example\r\n"
-        if has_key:
-            start += KEY_LINE
-        return start + b"X-Fill: " + b"x" * (size - len(start) - 8)
-
-    return make
-
-
 CROWDS: Final = {
-    "bodies-65000-length": Crowd(1_500, _short(65_000)),
-    "bodies-65000-chunked": Crowd(1_500, _short(65_000, chunked=True)),
-    "bodies-65000-pieces": Crowd(1_500, _short(65_000), in_pieces=True),
-    "bodies-64k-length": Crowd(1_500, _short(65_536)),
-    "bodies-64k-chunked": Crowd(1_500, _short(65_536, chunked=True)),
-    "bodies-64k-pieces": Crowd(1_500, _short(65_536), in_pieces=True),
-    "bodies-largest-length": Crowd(60, _short(LARGEST)),
-    "bodies-largest-chunked": Crowd(60, _short(LARGEST, chunked=True)),
-    "bodies-largest-pieces": Crowd(60, _short(LARGEST), in_pieces=True),
-    "heads-15k": Crowd(1_500, _head(15_000)),
-    "heads-15k-pieces": Crowd(1_500, _head(15_000), in_pieces=True),
-    "heads-60k": Crowd(1_500, _head(60_000)),
-    "headers-16k": Crowd(400, _short(10, extra=_many_headers(16_000))),
-    "headers-16k-chunked": Crowd(
-        400, _short(10, chunked=True, extra=_many_headers(16_000))
+    "bodies-65000-length": crowds.Crowd(1_500, _short(65_000)),
+    "bodies-65000-chunked": crowds.Crowd(1_500, _short(65_000, chunked=True)),
+    "bodies-65000-pieces": crowds.Crowd(1_500, _short(65_000), in_pieces=True),
+    "bodies-64k-length": crowds.Crowd(1_500, _short(65_536)),
+    "bodies-64k-chunked": crowds.Crowd(1_500, _short(65_536, chunked=True)),
+    "bodies-64k-pieces": crowds.Crowd(1_500, _short(65_536), in_pieces=True),
+    "bodies-largest-length": crowds.Crowd(60, _short(LARGEST)),
+    "bodies-largest-chunked": crowds.Crowd(60, _short(LARGEST, chunked=True)),
+    "bodies-largest-pieces": crowds.Crowd(60, _short(LARGEST), in_pieces=True),
+    "heads-15k": crowds.Crowd(1_500, crowds.make_head(15_000)),
+    "heads-15k-pieces": crowds.Crowd(
+        1_500, crowds.make_head(15_000), in_pieces=True
+    ),
+    "heads-60k": crowds.Crowd(1_500, crowds.make_head(60_000)),
+    "headers-16k": crowds.Crowd(
+        400, _short(10, extra=crowds.many_headers(16_000))
     ),
-    "headers-16k-pieces": Crowd(
-        400, _short(10, extra=_many_headers(16_000)), in_pieces=True
+    "headers-16k-chunked": crowds.Crowd(
+        400, _short(10, chunked=True, extra=crowds.many_headers(16_000))
     ),
-    "headers-60k": Crowd(150, _short(10, extra=_many_headers(60_000))),
-    "headers-16k-slow-upstream": Crowd(
-        400, _whole("/slow/1", 10, _many_headers(16_000))
+    "headers-16k-pieces": crowds.Crowd(
+        400, _short(10, extra=crowds.many_headers(16_000)), in_pieces=True
     ),
-    "headers-16k-full-engine": Crowd(
+    "headers-60k": crowds.Crowd(
+        150, _short(10, extra=crowds.many_headers(60_000))
+    ),
+    "headers-16k-slow-upstream": crowds.Crowd(
+        400, _whole("/slow/1", 10, crowds.many_headers(16_000))
+    ),
+    "headers-16k-full-engine": crowds.Crowd(
         400,
         _whole(
             "/queue/1",
             10,
-            _many_headers(16_000) + b"Apricottrestle-Token-Usage: 1000,9\r\n",
+            crowds.many_headers(16_000)
+            + b"Apricottrestle-Token-Usage: 1000,9\r\n",
         ),
     ),
-    "attempt-ids-15k-unread-log": Crowd(
+    "attempt-ids-15k-unread-log": crowds.Crowd(
         1_500,
         _whole(
             "/order/1",
@@ -193,15 +117,15 @@
         ),
         reads_log=False,
     ),
-    "no-bytes": Crowd(2_500, lambda _has_key: b""),
-    "slow-upstream-1m": Crowd(150, _whole("/slow/1", MIB)),
-    "slow-upstream-largest": Crowd(40, _whole("/slow/1", LARGEST)),
-    "full-engine-64k": Crowd(
+    "no-bytes": crowds.Crowd(2_500, lambda _has_key: b""),
+    "slow-upstream-1m": crowds.Crowd(150, _whole("/slow/1", MIB)),
+    "slow-upstream-largest": crowds.Crowd(40, _whole("/slow/1", LARGEST)),
+    "full-engine-64k": crowds.Crowd(
         1_500,
         _whole("/queue/1", 60_000, b"Apricottrestle-Token-Usage: 1000,9\r\n"),
     ),
-    "unread-answers": Crowd(20, _whole("/large/1", 10)),
-    "unread-uploads": Crowd(60, _whole("/deaf/1", LARGEST)),
+    "unread-answers": crowds.Crowd(20, _whole("/large/1", 10)),
+    "unread-uploads": crowds.Crowd(60, _whole("/deaf/1", LARGEST)),
 }
 
 
@@ -427,34 +351,22 @@
     def peak_kb(self) -> int:
         """Peak of the resident memory."""
         assert self._process is not None
-        status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
-        match = re.search(r"VmHWM:\s+(\d+) kB", status)
-        assert match is not None
-        return int(match[1])
+        return crowds.peak_kb(self._process.pid)
 
     @property
     def open_fds(self) -> int:
         assert self._process is not None
-        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+        return crowds.open_fds(self._process.pid)
 
     async def connect(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Opens a connection whose caller holds little of what it gets."""
-        sock = socket.socket()
-        try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            sock.setblocking(False)
-            loop = asyncio.get_running_loop()
-            await loop.sock_connect(sock, (self._ip, self.caller_port))
-        except BaseException:
-            sock.close()
-            raise
-        return await asyncio.open_connection(sock=sock, limit=1024)
+        return await crowds.connect(self._ip, self.caller_port)
 
     async def answer_ordinary(self) -> bytes:
         """Sends a request until it isn't refused for the time; its status."""
-        request = _request("/order/1", 10, has_key=True)
+        request = crowds.make_request("/order/1", 10, has_key=True)
         async with asyncio.timeout(HANG_TIMEOUT_S):
             while True:
                 status, wait_s = await self._answer_once(request)
@@ -473,42 +385,6 @@
         return b"", 0.1
 
 
-async def _send(writer: asyncio.StreamWriter, data: bytes, step: int) -> None:
-    """Sends until all is sent, refused, or not read for a time."""
-    with contextlib.suppress(ConnectionError, TimeoutError):
-        async with asyncio.timeout(SEND_S):
-            for start in range(0, len(data), step):
-                writer.write(data[start : start + step])
-                await writer.drain()
-
-
-async def _run_crowd(
-    gateway: _Gateway,
-    crowd: Crowd,
-    *,
-    has_key: bool,
-    writers: list[asyncio.StreamWriter],
-    on_progress: Callable[[], None],
-) -> None:
-    """Lets all callers connect and send; their connections stay open."""
-    connecting = asyncio.Semaphore(CONCURRENT)
-
-    async def run() -> None:
-        async with connecting:
-            try:
-                async with asyncio.timeout(SEND_S):
-                    _, writer = await gateway.connect()
-            except (OSError, TimeoutError):
-                return
-            writers.append(writer)
-            writer.transport.set_write_buffer_limits(0)
-            step = PIECE_BYTES if crowd.in_pieces else 64 * 1024
-            await _send(writer, crowd.make(has_key), step)
-            on_progress()
-
-    await asyncio.gather(*(run() for _ in range(crowd.callers)))
-
-
 @pytest.mark.parametrize("has_key", [True, False], ids=["key", "no-key"])
 @pytest.mark.parametrize("name", list(CROWDS))
 @async_helpers.async_test
@@ -532,8 +408,8 @@
         idle_kb = gateway.peak_kb
         try:
             began_at = time.monotonic()
-            await _run_crowd(
-                gateway,
+            await crowds.run(
+                gateway.connect,
                 CROWDS[name],
                 has_key=has_key,
                 writers=writers,
