Test an entry's memory against crowds of callers, and read its limits

The project's own caller API holds bodies of up to 16 MiB for as many callers as come. Crowd and bounds are fixed here, before the product changes; the settings limits.memory_mb and limits.max_fds of an entry are read, but have no effect yet.

--- a/src/apricottrestle/settings.py
+++ b/src/apricottrestle/settings.py
@@ -13,7 +13,7 @@
 from typing import Any, Final, Literal, NamedTuple
 from urllib import parse as urllib_parse
 
-from apricottrestle import errors, transport
+from apricottrestle import errors, memory_account, transport
 
 UpstreamKind = Literal["engine", "service"]
 
@@ -54,6 +54,8 @@
         grace_s: Seconds that a drain gives running streams to finish.
         max_requests: Maximum number of open requests.
         audit_rows: Maximum number of audit rows kept while the log is down.
+        memory_mb: Memory of the machine, in MB.
+        max_fds: Descriptors that the process may open.
     """
 
     instance_id: str
@@ -67,6 +69,8 @@
     grace_s: float
     max_requests: int
     audit_rows: int
+    memory_mb: int
+    max_fds: int
 
 
 class UpstreamSettings(NamedTuple):
@@ -139,6 +143,12 @@
         grace_s=reader.get_number("grace_s", 30.0, low=0.0, high=3600.0),
         max_requests=reader.get_count("limits.max_requests", 20_000),
         audit_rows=reader.get_count("limits.audit_rows", 50_000),
+        memory_mb=reader.get_count(
+            "limits.memory_mb", int(memory_account.DEFAULT_MEMORY_MB)
+        ),
+        max_fds=reader.get_count(
+            "limits.max_fds", memory_account.DEFAULT_MAX_FDS
+        ),
     )
     _check_data_centres(reader, cfg.data_centre, cfg.data_centres)
     _check_distinct(reader, "addresses.callers", "addresses.ops")
--- a/src/apricottrestle_standins/fleet.py
+++ b/src/apricottrestle_standins/fleet.py
@@ -19,7 +19,7 @@
 import threading
 import time
 import urllib.parse
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from types import TracebackType
 from typing import Any, Final, NamedTuple, Self
 
@@ -363,11 +363,24 @@
             if not node.ops:
                 wait_for(functools.partial(_responds, node), f"{name} answers")
 
-    def start_entry(self, name: str, data_centre: str) -> Node:
-        """Starts an entry."""
+    def start_entry(
+        self,
+        name: str,
+        data_centre: str,
+        limits: Mapping[str, int] | None = None,
+    ) -> Node:
+        """Starts an entry.
+
+        Args:
+            name: Its name.
+            data_centre: Its data centre.
+            limits: Settings that differ from their defaults.
+        """
         callers, ops = free_ports(2)
         addresses = {"callers": callers, "ops": ops}
-        settings = self._write_settings(name, data_centre, addresses, {})
+        settings = self._write_settings(
+            name, data_centre, addresses, {}, limits or {}
+        )
         return self._start_daemon(
             "entry", name, settings, f"http://{HOST}:{callers}", ops, ""
         )
@@ -411,7 +424,7 @@
             table["service"] = service
         else:
             table["prefill_tokens_per_s"] = prefill_tokens_per_s
-        settings = self._write_settings(name, data_centre, addresses, table)
+        settings = self._write_settings(name, data_centre, addresses, table, {})
         return self._start_daemon(
             "agent", name, settings, "", addresses["ops"], url
         )
@@ -446,6 +459,7 @@
         data_centre: str,
         addresses: dict[str, int],
         upstream: dict[str, object],
+        limits: Mapping[str, int],
     ) -> str:
         others = [other for other in self.data_centres if other != data_centre]
         lines = [
@@ -468,6 +482,9 @@
             f"instances = {_to_toml(self.nodes['instances'].url)}",
             f"log_retention_s = {_LOG_RETENTION_S}",
         ]
+        if limits:
+            lines.append("[limits]")
+            lines += [f"{key} = {value}" for key, value in limits.items()]
         if upstream:
             lines.append("[upstream]")
             lines += [f"{key} = {_to_toml(upstream[key])}" for key in upstream]
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -27,6 +27,7 @@
         callers: Their number.
         make: Returns what one of them sends, given whether it has a key.
         in_pieces: Whether it is sent in small pieces.
+        piece_bytes: Their length.
         reads_log: Whether anyone reads the log of the process.
     """
 
@@ -34,6 +35,7 @@
     make: Callable[[bool], bytes]
     in_pieces: bool = False
     reads_log: bool = True
+    piece_bytes: int = PIECE_BYTES
 
 
 def make_request(
@@ -155,7 +157,7 @@
                 return
             writers.append(writer)
             writer.transport.set_write_buffer_limits(0)
-            step = PIECE_BYTES if crowd.in_pieces else 64 * 1024
+            step = crowd.piece_bytes if crowd.in_pieces else 64 * 1024
             await _send(writer, crowd.make(has_key), step)
             on_progress()
 
