Keep an entry within its machine's memory and descriptors

Cause: an entry read bodies of up to 16 MiB for as many callers as came. Closing their connections didn't help: on_connection_close replaced Tornado's method, whose wait for the body then kept handler, headers and body for ever.

The method calls Tornado's. Bodies are collected in one buffer.

The two rows of callers who leave failed before and pass now. Tests of the entry's HTTP interface pass.

--- a/src/apricottrestle/entry_daemon.py
+++ b/src/apricottrestle/entry_daemon.py
@@ -25,6 +25,7 @@
     entry_server,
     entry_tables,
     logs,
+    memory_account,
     messages,
     metrics,
     ops_http,
@@ -92,7 +93,8 @@
             cfg.ops,
             lambda: not_ready_reasons(tables, time.monotonic() - started_at),
         )
-        with entry_server.ApiServer(cfg.callers, ctx) as api, ops:
+        limits = memory_account.compute_limits(cfg.memory_mb, cfg.max_fds)
+        with entry_server.ApiServer(cfg.callers, ctx, limits) as api, ops:
             loops.start()
             await _serve_until_drained(core, api, loops)
         core.close()
--- a/src/apricottrestle/entry_http.py
+++ b/src/apricottrestle/entry_http.py
@@ -54,7 +54,9 @@
         """Stores the shared context."""
         self._ctx = ctx
         self._mailbox: entry_core.Mailbox | None = None
-        self._chunks: list[bytes] = []
+        # One growing buffer: a list would cost a caller's small pieces many
+        # times their length.
+        self._body = bytearray()
         self._body_bytes = 0
         self._last_byte_at = time.monotonic()
         self._stall_timer: object | None = None
@@ -104,12 +106,12 @@
         self._last_byte_at = time.monotonic()
         self._body_bytes += len(chunk)
         if self._body_bytes <= entry_accept.MAX_BODY_BYTES:
-            self._chunks.append(chunk)
+            self._body += chunk
         else:
-            self._chunks.clear()
+            self._body = bytearray()
 
     def take_body(self) -> bytes:
-        """Returns the body and frees its chunks.
+        """Returns the body, which is kept no longer.
 
         Raises:
             RequestError: The body is over the limit (413).
@@ -117,13 +119,15 @@
         self._stop_stall_timer()
         if self._body_bytes > entry_accept.MAX_BODY_BYTES:
             raise entry_accept.body_too_large_error(entry_accept.MAX_BODY_BYTES)
-        body = b"".join(self._chunks)
-        self._chunks.clear()
+        body, self._body = bytes(self._body), bytearray()
         return body
 
     def on_connection_close(self) -> None:
         """Tells the step that the caller has disconnected."""
+        # Ends Tornado's wait for the body, which would keep this handler.
+        super().on_connection_close()
         self._stop_stall_timer()
+        self._body = bytearray()
         self._close_mailbox()
 
     def on_finish(self) -> None:
--- a/src/apricottrestle/http_connections.py
+++ b/src/apricottrestle/http_connections.py
@@ -19,7 +19,7 @@
 from collections.abc import Callable
 from typing import Final, Literal, NamedTuple
 
-from tornado import iostream
+from tornado import httputil, iostream
 
 from apricottrestle import logs, memory_account, metrics
 
@@ -42,6 +42,17 @@
 """Time for which the rest of a refused request is read and dropped. Closing
 before would reset the connection, and the caller might not get the refusal."""
 
+MAX_UNFINISHED: Final = 64
+"""Connections that were closed inside a request, after which garbage is
+collected. Tornado's frames of such a request, with up to 20 kB of its body,
+refer to each other, and the collector would let thousands of them gather. A
+collection takes 15 ms."""
+
+_TORNADO_HEADERS: Final = frozenset(
+    ("Connection", "Content-Length", "Expect", "Transfer-Encoding")
+)
+"""Headers that Tornado reads again after the delegate has got them."""
+
 _LOG: Final = logging.getLogger(__name__)
 
 Phase = Literal["waiting", "head", "body", "responding"]
@@ -54,6 +65,19 @@
 """
 
 
+def drop_headers(headers: httputil.HTTPHeaders) -> None:
+    """Removes what Tornado doesn't need to read the rest of a request.
+
+    It keeps the headers until the response is written. Removing them one by one
+    would leave the size of the table as it is.
+    """
+    kept = httputil.HTTPHeaders()
+    for name in _TORNADO_HEADERS:
+        for value in headers.get_list(name):
+            kept.add(name, value)
+    httputil.HTTPHeaders.__init__(headers, kept)
+
+
 class ArrivalLimits(NamedTuple):
     """Time limits of the arrival of requests, in seconds.
 
@@ -69,6 +93,26 @@
     body_s: float
 
 
+class StreamOwner(abc.ABC):
+    """What a caller's stream belongs to: told of its bytes, and asked first."""
+
+    @abc.abstractmethod
+    def may_read(self) -> bool:
+        """Returns whether bytes that have arrived may be read."""
+
+    @abc.abstractmethod
+    def note_read(self, count: int) -> None:
+        """Counts bytes that have been read."""
+
+    @abc.abstractmethod
+    def note_unread(self, count: int) -> None:
+        """Counts bytes that have been written, but not sent.
+
+        Args:
+            count: All of them.
+        """
+
+
 class CallerStream(iostream.IOStream):
     """A caller's socket, which knows of bytes that no reader has got.
 
@@ -83,7 +127,7 @@
         """Wraps an accepted socket."""
         super().__init__(sock, max_buffer_size=max_buffer_size)
         self.last_read_at = time.monotonic()
-        self.owner: CallerConnection | None = None
+        self.owner: StreamOwner | None = None
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads from the socket if there is room, and notes the time."""
@@ -163,7 +207,7 @@
         """
 
 
-class CallerConnection:
+class CallerConnection(StreamOwner):
     """Owns the decision whether a caller's connection may be closed.
 
     Attributes:
@@ -279,18 +323,14 @@
         )
 
     def note_read(self, count: int) -> None:
-        """Counts bytes that have been read."""
+        """See StreamOwner.note_read."""
         if self._is_refused or self._holder.phase is None:
             return
         self._request_bytes += count
         self._hold("complete" if self.phase == "responding" else "incomplete")
 
     def note_unread(self, count: int) -> None:
-        """Counts bytes that have been written, but not sent.
-
-        Args:
-            count: All of them.
-        """
+        """See StreamOwner.note_unread."""
         if (count or self._unread_bytes) and self._holder.phase is not None:
             self._unread_bytes = count
             self._hold("unread" if self._is_answered and count else "complete")
--- a/src/apricottrestle/memory_account.py
+++ b/src/apricottrestle/memory_account.py
@@ -54,6 +54,15 @@
 """Bytes that are counted for each connection. With COPIES, 12 kB; 10 kB were
 measured for each of 2,500 connections without a byte."""
 
+ORDINARY_HEADERS: Final = 64
+"""Headers of a request up to which what they cost is part of what is counted
+for its connection; more than callers behind several proxies send."""
+
+HEADER_BYTES: Final = 400
+"""Bytes that are counted for each further header, beside its text. With COPIES,
+800 bytes; 780 were measured for each of 2,667 headers of a request under way:
+its name and value, their pair, and the copies that Tornado and libcurl send."""
+
 CONNECTIONS_SHARE: Final = 0.5
 """Largest share of the account for connections that hold nothing else."""
 
@@ -126,6 +135,11 @@
     return Limits(held_bytes, min(connections, affordable))
 
 
+def header_bytes(count: int) -> int:
+    """Returns what the headers of a request cost beside their text."""
+    return HEADER_BYTES * max(count - ORDINARY_HEADERS, 0)
+
+
 class Holder:
     """Something that holds memory.
 
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -64,24 +64,9 @@
 BUSY_READING: Final = "reading_too_much"
 """Reason of the refusal of a request that there is no room for."""
 
-MAX_UNFINISHED: Final = 64
-"""Connections that were closed inside a request, after which garbage is
-collected. Tornado's frames of such a request, with up to 20 kB of its body,
-refer to each other, and the collector would let thousands of them gather. A
-collection takes 15 ms."""
-
 TOO_SLOW: Final = calls.Refusal(408, "request_too_slow")
 """Refusal of a request whose head or body doesn't arrive in its time."""
 
-ORDINARY_HEADERS: Final = 64
-"""Headers of a request up to which what they cost is part of what is counted
-for its connection; more than callers behind several proxies send."""
-
-HEADER_BYTES: Final = 400
-"""Bytes that are counted for each further header, beside its text. With COPIES,
-800 bytes; 780 were measured for each of 2,667 headers of a request under way:
-its name and value, their pair, and the copies that Tornado and libcurl send."""
-
 MAX_SHARED_PARTS: Final = 128
 """Number of parts of a prompt that are kept, the first ones."""
 
@@ -98,10 +83,6 @@
 
 _LOG: Final = logging.getLogger(__name__)
 _BEARER_PREFIX: Final = "bearer "
-_TORNADO_HEADERS: Final = frozenset(
-    ("Connection", "Content-Length", "Expect", "Transfer-Encoding")
-)
-"""Headers that Tornado reads again after the delegate has got them."""
 
 
 def _parse_milliseconds(text: str | None) -> float | None:
@@ -218,19 +199,6 @@
     )
 
 
-def _drop_headers(headers: httputil.HTTPHeaders) -> None:
-    """Removes what Tornado doesn't need to read the rest of a request.
-
-    It keeps the headers until the response is written. Removing them one by one
-    would leave the size of the table as it is.
-    """
-    kept = httputil.HTTPHeaders()
-    for name in _TORNADO_HEADERS:
-        for value in headers.get_list(name):
-            kept.add(name, value)
-    httputil.HTTPHeaders.__init__(headers, kept)
-
-
 def _reason(status: int) -> str:
     try:
         return http.HTTPStatus(status).phrase
@@ -415,12 +383,9 @@
         self._expects_continue = "Expect" in headers
         # Tornado refuses any other length before it reads a body.
         body_bytes = codec.decode_length(headers.get("Content-Length", "")) or 0
-        header_bytes = 0
-        if len(self._req.headers) > ORDINARY_HEADERS:
-            _drop_headers(headers)
-            header_bytes = HEADER_BYTES * (
-                len(self._req.headers) - ORDINARY_HEADERS
-            )
+        header_bytes = memory_account.header_bytes(len(self._req.headers))
+        if header_bytes:
+            http_connections.drop_headers(headers)
         self._owner.head_read(header_bytes)
         self._check(body_bytes)
         if not self._refused and not self._owner.ensure_room(
@@ -732,7 +697,7 @@
         Also sets the metrics of the account, and frees what connections have
         left behind that were closed inside a request.
         """
-        if self._unfinished >= MAX_UNFINISHED:
+        if self._unfinished >= http_connections.MAX_UNFINISHED:
             self._unfinished = 0
             gc.collect()
         for phase, held_bytes in self.account.bytes_by_phase.items():
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import json
 import socket
 import time
@@ -18,6 +19,8 @@
     entry_events,
     entry_http,
     entry_server,
+    http_connections,
+    memory_account,
     messages,
     platform_instances,
 )
@@ -100,7 +103,9 @@
 
 
 @contextlib.asynccontextmanager
-async def _open(**limits: Any) -> AsyncIterator[_Api]:
+async def _open(
+    memory: memory_account.Limits | None = None, **limits: Any
+) -> AsyncIterator[_Api]:
     api = _Api()
     ctx = entry_http.ApiContext(
         api.core,
@@ -109,7 +114,7 @@
         weakref.WeakSet(),
         **limits,
     )
-    with entry_server.ApiServer("127.0.0.1:0", ctx) as server:
+    with entry_server.ApiServer("127.0.0.1:0", ctx, memory) as server:
         api.port = server.port
         api.server = server
         rows = [
@@ -556,3 +561,72 @@
             api.server.close_idle()
             async with asyncio.timeout(5):
                 assert await loop.sock_recv(sock, 65_536) == b""
+
+
+@pytest.mark.parametrize("body_bytes", [10, 1_000_000])
+@async_helpers.async_test
+async def test_caller_that_leaves_inside_its_body_is_forgotten(
+    body_bytes: int,
+) -> None:
+    """Guards against handlers and bodies that are kept for ever.
+
+    Tornado's wait for the rest of the body kept them.
+    """
+    async with _open() as api:
+        assert api.server is not None
+        for _ in range(5):
+            _, writer = await asyncio.open_connection("127.0.0.1", api.port)
+            writer.write(
+                _request("POST", "/v1/completions", _AUTH, b"x" * body_bytes)[
+                    :-1
+                ]
+            )
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+        account = api.server.account
+        await async_helpers.wait_until(lambda: not account.connections)
+        assert account.held_bytes == 0
+        gc.collect()
+        kept = [
+            item
+            for item in gc.get_objects()
+            if isinstance(item, entry_http.ApiHandler)
+        ]
+    assert kept == []
+
+
+@async_helpers.async_test
+async def test_full_account_closes_the_silent_and_serves_the_others() -> None:
+    """Guards against an entry that callers fill with unfinished requests."""
+    limits = memory_account.Limits(1_000_000, 100)
+    async with _open(memory=limits) as api:
+        assert api.server is not None
+        account = api.server.account
+        writers = []
+        for _ in range(20):
+            _, writer = await asyncio.open_connection("127.0.0.1", api.port)
+            writer.write(
+                _request("POST", "/v1/completions", _AUTH, b"x" * 100_000)[:-1]
+            )
+            writers.append(writer)
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        assert account.held_bytes <= 1_000_000 + http_connections.KEPT_BYTES
+        assert 0 < account.connections < 20
+        reply = await _send(api, "GET", "/v1/models")
+        assert reply.status == 200
+        for writer in writers:
+            writer.transport.abort()
+
+
+@async_helpers.async_test
+async def test_request_with_many_headers_is_served_in_calm() -> None:
+    """Guards against a limit that an ordinary caller meets."""
+    headers = _AUTH | {f"X-{n}": str(n) for n in range(1_000)}
+    async with _open() as api:
+        reply = await _send(api, "GET", "/v1/models", headers)
+        assert reply.status == 200
+        assert api.server is not None
+        account = api.server.account
+        await async_helpers.wait_until(lambda: not account.held_bytes)
--- a/tests/test_platform_caller_server.py
+++ b/tests/test_platform_caller_server.py
@@ -656,7 +656,7 @@
             await asyncio.sleep(0.02)
             # Counted, as this much can't be seen in the text of the head.
             assert server.account.held_bytes > (
-                len(lines) + 900 * caller_server.HEADER_BYTES
+                len(lines) + 900 * memory_account.HEADER_BYTES
             )
             writer.write(part)
         head = await reader.readuntil(b"\r\n\r\n")
