Close connections whose heads exceed the configured limit

Cause: heads of up to 64 KiB were read whatever max_header_bytes says, and Tornado takes about a microsecond a byte for short headers, on the event loop.

Change: the limit is the configuration's and 2 KiB, at most 64 KiB as before.

--- a/src/apricottrestle/gateway/daemon.py
+++ b/src/apricottrestle/gateway/daemon.py
@@ -82,6 +82,7 @@
     ) -> None:
         server.set_idle_timeout(config.limits.idle_timeout_s)
         server.set_head_timeout(config.limits.header_timeout_s)
+        server.set_max_head_bytes(config.limits.max_header_bytes)
 
     node.core.state.watch_config(on_config)
     logs.decision(
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -37,7 +37,12 @@
 from apricottrestle.platform import codec, names
 
 MAX_HEADER_BYTES: Final = 64 * 1024
-"""Limit of a request's headers, above any limit in the configuration."""
+"""Limit of a request's headers until there is a configuration, and of its limit
+then."""
+
+HEAD_SLACK_BYTES: Final = 2 * 1024
+"""Length by which a head may exceed the limit in the configuration: callers may
+count neither its first line nor the ends of its lines."""
 
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 """Limit of a request's body, above any limit in the configuration."""
@@ -691,6 +696,18 @@
         """Sets the time in which the head of a request must arrive."""
         self._limits = self._limits._replace(head_s=head_s)
 
+    def set_max_head_bytes(self, limit: int) -> None:
+        """Sets the length of a head above which its connection is closed.
+
+        Reading a head takes the event loop up to a microsecond a byte.
+
+        Args:
+            limit: Limit of the configuration.
+        """
+        self._http.conn_params.max_header_size = min(
+            limit + HEAD_SLACK_BYTES, MAX_HEADER_BYTES
+        )
+
     def make_room(self) -> None:
         """Cuts off answers that nobody reads, while others wait for room.
 
--- a/tests/test_platform_caller_server.py
+++ b/tests/test_platform_caller_server.py
@@ -671,3 +671,36 @@
     [req] = handler.requests
     assert req.body == b"body"
     assert set(MANY_HEADERS) <= set(req.headers)
+
+
+@pytest.mark.parametrize(
+    ("limit", "size", "answered"),
+    [
+        (16_384, 16_384, True),
+        (16_384, 16_384 + caller_server.HEAD_SLACK_BYTES, True),
+        (16_384, 16_385 + caller_server.HEAD_SLACK_BYTES, False),
+        (1_000, 16_384, False),
+        (1 << 20, 60_000, True),
+        (1 << 20, caller_server.MAX_HEADER_BYTES + 1, False),
+    ],
+)
+@async_helpers.async_test
+async def test_heads_over_the_limit_are_not_read(
+    limit: int, size: int, answered: bool
+) -> None:
+    """Guards against heads that hold up the event loop, and lost legal ones."""
+    handler = _Handler(_echo)
+    async with _serving(handler) as (server, reader, writer):
+        # The first request of a connection may be read under an earlier limit.
+        server.set_max_head_bytes(limit)
+        writer.write(GET)
+        await reader.readuntil(b"\r\n\r\n")
+        head = GET[:-2] + b"X-Fill: "
+        writer.write(head + b"x" * (size - len(head) - 4) + b"\r\n\r\n")
+        async with asyncio.timeout(5):
+            try:
+                line = await reader.readline()
+            except ConnectionError:
+                line = b""
+    assert line.startswith(b"HTTP/1.1 200 ") == answered
+    assert len(handler.requests) == 1 + answered
