Read on at an entry behind a request that is being served

Cause: with a full account an entry refused to read what a caller sent behind its request. The socket stayed readable and kept the event loop busy, and the caller's connection was reset after the answer.

Change: bytes behind a complete request are read, one chunk, as at a gateway. A constant has moved to its kind.

Measured: test_served_requests_stay_while_the_account_is_full, 1 of 2 rows failed before (connection reset), none now.

--- a/src/apricottrestle/entry_connections.py
+++ b/src/apricottrestle/entry_connections.py
@@ -126,6 +126,9 @@
 
     def may_read(self) -> bool:
         """See StreamOwner.may_read."""
+        if self.is_complete:
+            # Tornado reads once more, to notice that the caller leaves.
+            return True
         while not self._account.has_room(self._holder, 1, self._request_bytes):
             victim = self._account.choose_victim(self._holder, time.monotonic())
             if victim is None:
--- a/src/apricottrestle/gateway/upstream_response.py
+++ b/src/apricottrestle/gateway/upstream_response.py
@@ -28,13 +28,13 @@
 MAX_PLAIN_BODY_BYTES: Final = 16 * 1024 * 1024
 """Largest non-stream response; it is buffered until it is complete."""
 
-_HTTP_OK: Final = 200
-_HTTP_TOO_MANY_REQUESTS: Final = 429
-_HTTP_SERVER_ERROR: Final = 500
 COUNTED_EVENT_BYTES: Final = 16 * 1024
 """Length from which an event that hasn't ended is counted; nearly all events
 are smaller."""
 
+_HTTP_OK: Final = 200
+_HTTP_TOO_MANY_REQUESTS: Final = 429
+_HTTP_SERVER_ERROR: Final = 500
 _LOG: Final = logging.getLogger(__name__)
 
 
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -15,6 +15,7 @@
 
 from apricottrestle import (
     entry_accept,
+    entry_connections,
     entry_core,
     entry_events,
     entry_http,
@@ -630,3 +631,44 @@
         assert api.server is not None
         account = api.server.account
         await async_helpers.wait_until(lambda: not account.held_bytes)
+
+
+@pytest.mark.parametrize("sent_behind", [b"", b"GET "])
+@async_helpers.async_test
+async def test_served_requests_stay_while_the_account_is_full(
+    sent_behind: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against answers that are lost, or a loop that is kept busy.
+
+    The caller's bytes behind its request stay readable if nobody reads them.
+    """
+    asked = 0
+    may_read = entry_connections.ApiConnection.may_read
+
+    def count(conn: entry_connections.ApiConnection) -> bool:
+        nonlocal asked
+        asked += 1
+        return may_read(conn)
+
+    monkeypatch.setattr(entry_connections.ApiConnection, "may_read", count)
+    limits = memory_account.Limits(100_000, 100)
+    async with _open(memory=limits) as api:
+        assert api.server is not None
+        reader, writer = await asyncio.open_connection("127.0.0.1", api.port)
+        body = json.dumps(
+            {"model": "m", "prompt": [1, 2, 3], "max_tokens": 4}
+        ).encode()
+        request = _request("POST", "/v1/completions", _AUTH, body)
+        writer.write(request.replace(b"Connection: close\r\n", b""))
+        account = api.server.account
+        await async_helpers.wait_until(
+            lambda: account.bytes_by_phase["complete"] > 0
+        )
+        other = memory_account.Holder(is_connection=True)
+        account.hold(other, 100_000, "complete", 0.0)
+        writer.write(sent_behind)
+        await asyncio.sleep(0.05)
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 20)
+        assert head.startswith(b"HTTP/1.1 200 ")
+        assert asked < 10
+        writer.transport.abort()
