Send what crosses a time limit just before the timer's callback

Traced beside 14 busy processes: of 400 runs 16 failed, most with a caller's clock 1.8 ms or more behind the server's; of 400 more 15 failed, and in each the server had closed the connection before the caller had sent anything. So the closes were right, and the tests were wrong.

Change: the bytes are sent, and the loop is held up, right before the callback of the timer whose time is up. Rows and times are the same.

--- a/tests/test_platform_caller_closes.py
+++ b/tests/test_platform_caller_closes.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from apricottrestle import memory_account
+from apricottrestle import http_connections, memory_account
 from apricottrestle.gateway import calls
 from apricottrestle.platform import caller_server
 from tests import async_helpers
@@ -146,16 +146,20 @@
     return asyncio.get_running_loop().time()
 
 
-async def _hold_up(
+def _hold_up(
     caller: _Caller,
     shape: Shape,
     starts_at: float,
     held_up_s: float,
-    then: Callable[[], None],
-) -> None:
-    """Sends the rest of a shape while the loop is busy, at a time."""
+    then: Callable[[], None] = lambda: None,
+) -> "asyncio.Future[bytes]":
+    """Sends the rest of a shape while the loop is busy, at a time.
+
+    Returns:
+        What the kernel hasn't taken of it.
+    """
     loop = asyncio.get_running_loop()
-    rest = loop.create_future()
+    rest: asyncio.Future[bytes] = loop.create_future()
 
     def hold_up() -> None:
         unsent = caller.send(shape.late)
@@ -164,7 +168,65 @@
         rest.set_result(unsent)
 
     loop.call_at(starts_at, hold_up)
-    await caller.send_all(await rest)
+    return rest
+
+
+def _hold_up_timer(
+    monkeypatch: pytest.MonkeyPatch,
+    number: int,
+    caller: _Caller,
+    shape: Shape,
+    held_up_s: float,
+) -> "asyncio.Future[bytes]":
+    """Sends the rest of a shape, and holds up the loop, before a time is up.
+
+    The order of events is that of a loop that is busy when the time is up. It
+    doesn't depend on when the process is woken: a caller that sends by a clock
+    may be too late.
+
+    Args:
+        monkeypatch: Undoes the change.
+        number: Number of the connection's wait whose time is up. Half of its
+            time before that the early bytes are sent.
+        caller: Sends the shape.
+        shape: What is sent.
+        held_up_s: Time for which the loop is busy.
+
+    Returns:
+        What the kernel hasn't taken of the rest.
+    """
+    loop = asyncio.get_running_loop()
+    wait_until = http_connections.CallerConnection._wait_until
+    on_timer = http_connections.CallerConnection._on_timer
+    rest: asyncio.Future[bytes] = loop.create_future()
+    waits = 0
+
+    def count(conn: http_connections.CallerConnection, due_at: float) -> None:
+        nonlocal waits
+        wait_until(conn, due_at)
+        waits += 1
+        if waits == number and number == KEPT_WAIT:
+            loop.call_at(due_at - LIMIT_S / 2, caller.send, shape.early)
+
+    def hold_up(conn: http_connections.CallerConnection) -> None:
+        is_due = waits >= number and loop.time() >= conn._due_at
+        if is_due and not rest.done():
+            unsent = caller.send(shape.late)
+            time.sleep(held_up_s)
+            rest.set_result(unsent)
+        on_timer(conn)
+
+    monkeypatch.setattr(http_connections.CallerConnection, "_wait_until", count)
+    monkeypatch.setattr(http_connections.CallerConnection, "_on_timer", hold_up)
+    return rest
+
+
+KEPT_WAIT: Final = 4
+"""Number of the wait after the first answer: before it came those after the
+accept, for the first request and for its body."""
+
+BODY_WAIT: Final = KEPT_WAIT + 1
+"""Number of the wait for the second request's body."""
 
 
 @pytest.mark.parametrize(
@@ -178,21 +240,14 @@
 )
 @async_helpers.async_test
 async def test_requests_that_cross_the_idle_time_are_answered(
-    name: str, held_up_s: float
+    name: str, held_up_s: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against requests that are read, and dropped by the idle time."""
     shape = SHAPES[name]
     with _serving() as (_, handler, caller):
-        kept_at = await _call_once(caller)
-        await asyncio.sleep(LIMIT_S / 2)
-        await caller.send_all(shape.early)
-        await _hold_up(
-            caller,
-            shape,
-            kept_at + LIMIT_S - held_up_s / 2,
-            held_up_s,
-            lambda: None,
-        )
+        rest = _hold_up_timer(monkeypatch, KEPT_WAIT, caller, shape, held_up_s)
+        await _call_once(caller)
+        await caller.send_all(await rest)
         await caller.read_until(
             lambda received: _answers(received) == 1 + shape.requests
         )
@@ -221,13 +276,14 @@
             server.stop_listening()
             server.close_idle()
 
-        await _hold_up(
+        rest = _hold_up(
             caller,
             shape,
             asyncio.get_running_loop().time(),
             held_up_s,
             stop,
         )
+        await caller.send_all(await rest)
         await caller.read_until(
             lambda received: _answers(received) == 1 + shape.requests
         )
@@ -252,16 +308,10 @@
     shape = SHAPES[name]
     with _serving() as (server, handler, caller):
         server.set_idle_timeout(60.0)
+        rest = _hold_up_timer(monkeypatch, BODY_WAIT, caller, shape, held_up_s)
         await _call_once(caller)
-        sent_at = asyncio.get_running_loop().time()
         await caller.send_all(shape.early)
-        await _hold_up(
-            caller,
-            shape,
-            sent_at + LIMIT_S - held_up_s / 2,
-            held_up_s,
-            lambda: None,
-        )
+        await caller.send_all(await rest)
         await caller.read_until(lambda received: _answers(received) == 2)
     assert _answers(caller.received) == 2
     assert handler.handled == 2
@@ -287,13 +337,10 @@
         )
         await _call_once(caller)
         await caller.send_all(shape.early)
-        await _hold_up(
-            caller,
-            shape,
-            asyncio.get_running_loop().time(),
-            held_up_s,
-            lambda: None,
+        rest = _hold_up(
+            caller, shape, asyncio.get_running_loop().time(), held_up_s
         )
+        await caller.send_all(await rest)
         await caller.read_until(lambda received: b"_too_much" in received)
     assert b"HTTP/1.1 503 " in caller.received
     assert b"reading_too_much" in caller.received
