--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A worker takes orders, fails after that and answers 503."""
+"""Workers break off answers in whose heads the length is spoilt."""
 
 import asyncio
 import pathlib
@@ -10,25 +10,48 @@
 import standins  # noqa: E402
 
 WORKERS = 3
-"""One of them is in trouble."""
-
-FAILED_OF_TEN = 4
-"""Requests in ten that this one fails."""
-
-ORDERS = 120
-AT_ONCE = 6
-WORK_S = 0.0225
-PROMISES = (408, 421, 429, 503)
-
-
-class Ledger:
-    """Takes orders, and counts them as an application would."""
+"""Of each service; one of the three is in trouble."""
+
+SPOILED_EVERY = 50
+"""One answer in so many of a worker in trouble: 2 in 100."""
+
+REQUESTS = 450
+"""Of each kind."""
+
+AT_ONCE = 12
+EVENTS = 8
+SPOILT = (
+    "Content-Length: {length}0000000000000000000\r\n",
+    "Content-Length: {length}\r\nTransfer-Encoding: identity\r\n",
+)
+"""Lines that tell the length in such a head, by turns. A sound head has the
+first line of the second one."""
+
+PLAIN_PARTS = [b"%04d" % number * 50 for number in range(4)]
+EVENT_PARTS = [
+    b"id: %d\ndata: part %d\n\n" % (number, number)
+    for number in range(1, EVENTS + 1)
+]
+PROMPT = {
+    "Apricottrestle-Model": "m",
+    "Apricottrestle-Token-Usage": "2000,400",
+    "Apricottrestle-Prompt-Prefix": "5c1e07a2:40,91bd3f06:1960",
+}
+BODIES = {
+    "order": b"".join(PLAIN_PARTS),
+    "look": b"".join(PLAIN_PARTS),
+    "note": b"".join(EVENT_PARTS),
+}
+
+
+class Answers:
+    """Counts the answers of the workers in trouble, and spoils some."""
 
     def __init__(self, *, trouble: bool) -> None:
         """Creates it; without trouble all answers are sound."""
-        self.taken: dict[str, list[str]] = {}
+        self.spoiled: dict[str, str] = {}
         self._trouble = trouble
-        self._count = 0
+        self._counts: dict[str, int] = {}
 
     async def answer(
         self,
@@ -39,22 +62,34 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Answers a request; see standins.Script."""
-        worker.run(headers[standins.ID])
-        self.taken.setdefault(body.decode(), []).append(headers[standins.ID])
-        await asyncio.sleep(WORK_S)
-        if self._trouble and worker.name == "ledger-0":
-            self._count += 1
-            if self._count % 10 < FAILED_OF_TEN:
-                # It doesn't say that it has not run the request.
-                answer = b"the receipt can't be stored\n"
-                framing = f"Content-Length: {len(answer)}\r\n"
-                status = "503 Service Unavailable"
-                writer.write(standins.head(headers, framing, status) + answer)
-                return True
-        writer.write(
-            standins.head(headers, "Content-Length: 800\r\n") + b"x" * 800
-        )
-        return True
+        request_id = headers[standins.ID]
+        worker.runs.append((request_id, 0.0))
+        is_stream = "/note/" in line
+        parts = EVENT_PARTS if is_stream else PLAIN_PARTS
+        parts = parts[int(headers.get("last-event-id", "0")) :]
+        is_spoiled = False
+        if self._trouble and worker.name.endswith("-0"):
+            count = self._counts[worker.name] = (
+                self._counts.get(worker.name, 0) + 1
+            )
+            is_spoiled = count % SPOILED_EVERY == 0
+        whole = b"".join(parts)
+        framing = f"Content-Length: {len(whole)}\r\n"
+        if is_spoiled:
+            pattern = SPOILT[len(self.spoiled) % len(SPOILT)]
+            framing = pattern.format(length=len(whole))
+            self.spoiled[request_id] = worker.name
+            worker.record.note(
+                f"{request_id}: {worker.name} breaks off after {framing!r}"
+            )
+            parts = parts[: len(parts) // 2]
+        if is_stream:
+            framing += "Content-Type: text/event-stream\r\n"
+        writer.write(standins.head(headers, framing))
+        for part in parts:
+            await asyncio.sleep(0.01)
+            writer.write(part)
+        return not is_spoiled
 
 
 async def run(
@@ -64,57 +99,57 @@
     store = standins.Store()
     await store.start()
     store.put("keyed.op", "config", standins.config())
-    ledger = Ledger(trouble=trouble)
-    for number in range(WORKERS):
-        worker = standins.Worker(
-            store, f"ledger-{number}", "ledger", ledger.answer, record, slots=6
-        )
-        await worker.start()
-        worker.register()
+    answers = Answers(trouble=trouble)
+    for service in ("ledger", "assist"):
+        for number in range(WORKERS):
+            worker = standins.Worker(
+                store, f"{service}-{number}", service, answers.answer, record
+            )
+            await worker.start()
+            worker.register()
     gateway = standins.Gateway(0, store.address, temporary)
+    mixed: list[str] = []
+    whole = 0
     room = asyncio.Semaphore(AT_ONCE)
-    refused: list[str] = []
-    answered = 0
 
-    async def order(number: int) -> None:
-        """Sends an order; as clients do, once more after a promise."""
-        nonlocal answered
+    async def call(kind: str, number: int) -> None:
+        nonlocal whole
+        request_id = f"{kind}-{number}"
         async with room:
-            for attempt in range(2):
-                request_id = f"order-{number}-attempt-{attempt}"
-                answer = await standins.send(
-                    gateway.front,
-                    "/order/1",
-                    request_id,
-                    body=str(number).encode(),
-                    deadline_ms=1_500,
-                )
-                signed = "apricottrestle-server-signature" in answer.headers
-                record.note(
-                    f"answer {request_id} {answer.status}, signed: {signed}"
-                )
-                if answer.status not in PROMISES:
-                    answered += answer.status == 200
-                    return
-                if request_id in ledger.taken.get(str(number), []):
-                    refused.append(request_id)
+            answer = await standins.send(
+                gateway.front,
+                f"/{kind}/1",
+                request_id,
+                extra=PROMPT if kind == "note" else {},
+            )
+        if answer.status != 200 or not answer.complete:
+            record.note(
+                f"{request_id}: {answer.status}, complete: {answer.complete}"
+            )
+        elif answer.body == BODIES[kind]:
+            whole += 1
+        else:
+            mixed.append(request_id)
+            record.note(
+                f"{request_id}: 200, complete, with {len(answer.body)} of"
+                f" {len(BODIES[kind])} bytes"
+            )
 
     try:
         gateway.start()
         if not await gateway.wait_ready():
             return None
-        await asyncio.gather(*(order(number) for number in range(ORDERS)))
+        for kind in BODIES:
+            await asyncio.gather(*(call(kind, n) for n in range(REQUESTS)))
     finally:
         gateway.end()
-    twice = [name for name, ids in ledger.taken.items() if len(ids) > 1]
     record.note(
-        f"orders answered with success {answered}; attempts answered with a"
-        f" promise though they had run {len(refused)}; orders taken twice"
-        f" after their client had trusted it {len(twice)}"
+        f"whole answers {whole}; spoiled by workers {len(answers.spoiled)};"
+        f" parts that clients got as complete answers {len(mixed)}: {mixed}"
     )
-    if answered < ORDERS // 2:
+    if whole < REQUESTS or (trouble and not answers.spoiled):
         return None
-    return not refused
+    return not mixed
 
 
 standins.main(FOLDER, run)
