--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -606,6 +606,12 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def bounded(temporary: pathlib.Path) -> bool | None:
+        task = asyncio.current_task()
+        assert task is not None
+        # The processes are ended in any case.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         async with asyncio.timeout(limit_s):
             return await run(record, temporary, trouble)
 
@@ -613,7 +619,7 @@
     with tempfile.TemporaryDirectory() as name:
         try:
             held = asyncio.run(bounded(pathlib.Path(name)))
-        except Exception as exc:
+        except (Exception, asyncio.CancelledError, KeyboardInterrupt) as exc:
             record.note(f"the case could not run: {exc!r}")
     if held is None:
         record.note("result: could not run")
