--- a/review/13/case.py
+++ b/review/13/case.py
@@ -107,7 +107,9 @@
             )
             await worker.start()
             worker.register()
-    gateway = standins.Gateway(0, store.address, temporary)
+    gateway = standins.Gateway(
+        0, store.address, temporary, bounds=standins.GROWN_BOUNDS
+    )
     mixed: list[str] = []
     whole = 0
     room = asyncio.Semaphore(AT_ONCE)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -19,8 +19,8 @@
 EVENTS = 8
 EVENT_S = 0.5
 CRASH_AFTER_S = 1.6
-CONFIG_MS = 2_000
-SETTLE_MS = 3_000
+CONFIG_MS = 3_000
+SETTLE_MS = 4_000
 LATER = 40
 LATER_GAP_S = 0.5
 
@@ -69,7 +69,7 @@
     await asyncio.sleep(BACK_S)
     for number, gone in enumerate(rack):
         back = standins.Worker(
-            store, f"i-back-{number}", "assist", stream, record, slots=8
+            store, f"i-back-{number}", "assist", stream, record, slots=6
         )
         await back.start()
         back.register()
@@ -82,16 +82,27 @@
     """Runs the case."""
     store = standins.Store()
     await store.start()
-    first = standins.config()
+    engine = {**standins.ENGINE, "slots": 6, "kv_capacity": 267_750}
+    first = standins.config(
+        services=[
+            {"name": "assist", "max_conns": 378, "engine": engine},
+            {"name": "ledger", "max_conns": 230},
+        ]
+    )
     store.put("keyed.op", "config", first)
     workers = [
-        standins.Worker(store, f"i-{n}", "assist", stream, record, slots=8)
+        standins.Worker(store, f"i-{n}", "assist", stream, record, slots=6)
         for n in range(WORKERS)
     ]
     for worker in workers:
         await worker.start()
         worker.register()
-    gateways = [standins.Gateway(n, store.address, temporary) for n in range(2)]
+    gateways = [
+        standins.Gateway(
+            n, store.address, temporary, bounds=standins.GROWN_BOUNDS
+        )
+        for n in range(2)
+    ]
     served = dict.fromkeys(PARTS, 0)
 
     async def call(kind: str, name: str, gateway: standins.Gateway) -> bool:
@@ -122,7 +133,7 @@
             gateway.start()
         if not all([await gateway.wait_ready() for gateway in gateways]):
             return None
-        await asyncio.sleep(2)
+        await asyncio.sleep(SETTLE_MS / 1000 - 2)
         store.put(
             "keyed.op",
             "config",
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -96,7 +96,13 @@
     for worker in workers:
         await worker.start()
         worker.register()
-    gateway = standins.Gateway(0, store.address, temporary, memory_mb=552)
+    gateway = standins.Gateway(
+        0,
+        store.address,
+        temporary,
+        memory_mb=552,
+        bounds=standins.GROWN_BOUNDS,
+    )
     left: dict[str, float] = {}
     try:
         gateway.start()
--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -451,7 +451,11 @@
     ) -> None:
         """Writes the settings file; the process is started later."""
         # An address of its own: the port of the metrics is fixed.
-        hosts = [f"127.0.{octet}.{10 + number}" for octet in range(20, 250)]
+        # Scripts that run at the same time begin at different ones.
+        hosts = [
+            f"127.0.{20 + (os.getpid() + offset) % 230}.{10 + number}"
+            for offset in range(230)
+        ]
         self.host = next(host for host in hosts if is_free(host, 9464))
         front, ready, control, internal = free_ports(self.host, 4)
         self.front = f"{self.host}:{front}"
@@ -542,6 +546,12 @@
             self.process.wait()
 
 
+GROWN_BOUNDS: dict[str, object] = {
+    "settle_window_ms": 4000, "ack_ms": 6000, "catch_up_s": 6,
+    "drain_ms": 3000, "config_ms": 3000, "recovery_s": 15, "pass_ms": 200,
+}  # fmt: skip
+"""What the grown sites and those of the new customers set differently."""
+
 ENGINE = {
     "slots": 8, "kv_capacity": 315000, "step_ms": 0.85, "per_seq_ms": 0.00425,
     "context_per_k": 0.00285, "read_per_s": 177000.0, "pairs_per_m": 0.184,
