Read the chunks of answers in a strict reader

Cause: libcurl found the chunks, and it takes the hexadecimal digits at the start of a line for a size and skips the rest. The project's checks saw only what came out of it, where nothing tells framing from body.

Change: libcurl's transfer decoding is off. It passes chunks on as they came, and http_chunks.py reads them by the grammar of RFC 9112. A call succeeds only if that reader has seen the last chunk and the trailers. The reader is in the one HTTP client of the product, so it also serves probes, reservations, the platform's services, agents and engines. libcurl doesn't notice bytes behind the last chunk in this mode; the client then closes the connection. Services are no longer asked for compressed answers, as libcurl would decompress the chunks with their framing.

--- a/src/apricottrestle/errors.py
+++ b/src/apricottrestle/errors.py
@@ -114,6 +114,10 @@
     """An upstream failed, rejected a call or violated the protocol."""
 
 
+class BrokenAnswerError(ApricottrestleError):
+    """An HTTP answer is malformed, so that it isn't known what was sent."""
+
+
 class ReleaseError(ApricottrestleError):
     """A release note is malformed or inconsistent with its base state.
 
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -17,7 +17,7 @@
 import pycurl
 from tornado import curl_httpclient, httpclient, httputil
 
-from apricottrestle import errors, http_answers
+from apricottrestle import errors, http_answers, http_head
 from apricottrestle.gateway import calls
 from apricottrestle.platform import codec, names
 
@@ -67,9 +67,6 @@
 """Limit of the answer to a question or reservation, which is buffered; a report
 with as many reservations as an engine grants is a tenth as long."""
 
-MAX_HEAD_BYTES: Final = 32 * 1024
-"""Limit of a response's status line and headers; far above any real head."""
-
 MAX_UNDELIVERED_BYTES: Final = 32 * 1024
 """Bytes of an answer that tornado may hold before it passes them on; several
 reads of libcurl. Nothing counts them, and its own limit is 1 MiB."""
@@ -104,12 +101,8 @@
 are logged once."""
 
 
-_HEADER_LINE: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:|[ \t]")
-"""Start of a header line, or of the continuation of one."""
-
-
-class CancellableCurlClient(curl_httpclient.CurlAsyncHTTPClient):
-    """Tornado's curl client, extended by cancelling and pausing a transfer."""
+class CancellableCurlClient(http_answers.StrictCurlClient):
+    """The strict curl client, extended by cancelling and pausing a transfer."""
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
         """Bounds the connections that are kept."""
@@ -188,17 +181,10 @@
         self._client = client
         self._sink = sink
         self._call = call
-        self._header_lines: list[str] = []
-        self._head_bytes = 0
-        self._is_informational = False
-        self._head_complete = False
         self._head_delivered = False
-        self._invalid_line: bytes | None = None
-        self._is_framed = False
-        self._upload = http_answers.Upload(call.req.body)
+        self._answer: http_answers.Answer | None = None
         self._cancelled = False
         self._curl: Any = None
-        self._is_paused = False
         self._http_req = self._make_request()
         fut = client.fetch(self._http_req, raise_error=False)
         fut.add_done_callback(self._on_done)
@@ -211,20 +197,15 @@
 
     def pause(self) -> None:
         """See Transfer.pause."""
-        self._is_paused = True
+        if self._answer is not None:
+            self._answer.is_paused = True
 
     def resume(self) -> None:
         """See Transfer.resume."""
-        self._is_paused = False
-        if self._curl is not None:
+        if self._answer is not None:
+            self._answer.is_paused = False
             self._client.resume(self._curl, self._http_req)
 
-    def _write(self, chunk: bytes) -> int:
-        """Takes a part of the body, unless the transfer is paused."""
-        if self._is_paused:
-            return int(pycurl.WRITEFUNC_PAUSE)
-        return int(self._curl.info["streaming_buffer"].write(chunk))
-
     def _make_request(self) -> httpclient.HTTPRequest:
         call = self._call
         req = call.req
@@ -244,15 +225,10 @@
 
     def _set_curl_options(self, curl: Any) -> None:
         self._curl = curl
+        self._answer = curl.info["answer"]
         curl.info["streaming_buffer"].max_buffer_size = MAX_UNDELIVERED_BYTES
-        curl.setopt(pycurl.WRITEFUNCTION, self._write)
         # Sets the target verbatim; libcurl normalises dot segments of a URL.
         curl.setopt(pycurl.REQUEST_TARGET, self._call.req.target)
-        if call_has_body(self._call.req):
-            self._upload.attach(curl)
-        # Replaces tornado's header callback, which runs after the data callback
-        # when headers and data arrive together.
-        curl.setopt(pycurl.HEADERFUNCTION, self._on_header_line)
         curl.setopt(pycurl.SOCKOPTFUNCTION, set_dead_peer_timeouts)
         curl.setopt(pycurl.TCP_KEEPALIVE, 1)
         curl.setopt(pycurl.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
@@ -261,61 +237,12 @@
         if self._call.new_connection:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
 
-    def _on_header_line(self, line: bytes) -> int | None:
-        """Stores a header line; must do no more inside libcurl's callback.
-
-        Returns -1 to make libcurl fail the transfer at the first line that
-        can't belong to the head of an answer.
-        """
-        if self._head_complete:
-            # A trailer.
-            return None
-        if not self._is_valid_line(line):
-            self._invalid_line = line
-            return -1
-        self._head_bytes += len(line)
-        text = line.decode("latin-1")
-        if text.strip():
-            self._header_lines.append(text)
-        elif self._is_informational:
-            self._header_lines = []
-            self._head_bytes = 0
-        else:
-            self._head_complete = True
-        return None
-
-    def _is_valid_line(self, line: bytes) -> bool:
-        """Returns whether a line may follow those of the head so far."""
-        if not self._header_lines:
-            status = http_answers.STATUS_LINE.match(line)
-            self._is_informational = status is not None and status[1] == b"1"
-            return status is not None
-        if self._head_bytes + len(line) > MAX_HEAD_BYTES:
-            return False
-        return not line.strip() or _HEADER_LINE.match(line) is not None
-
     def _deliver_head(self) -> None:
         """Passes the response head to the sink, once, before data or end."""
-        if self._head_delivered or not self._head_complete or self._cancelled:
-            return
-        try:
-            head = parse_response_head(self._header_lines)
-        except (ValueError, httputil.HTTPInputError) as exc:
-            _LOG.warning(
-                "upstream sent a malformed response head",
-                extra={
-                    "request_id": self._call.req.request_id,
-                    "upstream": self._call.upstream_id,
-                    "reason": str(exc),
-                },
-            )
-            # Asked for again with each part of the body and at the end.
-            self._head_complete = False
-            return
-        if head is not None:
+        head = self._answer.head if self._answer is not None else None
+        if head is not None and not (self._head_delivered or self._cancelled):
             self._head_delivered = True
-            self._is_framed = head.framed
-            self._sink.on_head(head)
+            self._sink.on_head(decode_head(head))
 
     def _on_data(self, data: bytes) -> None:
         self._deliver_head()
@@ -342,14 +269,8 @@
         self, exc: BaseException | None
     ) -> tuple[calls.EndKind, str]:
         if exc is None and self._head_delivered and not self._cancelled:
-            if not self._is_framed and not self._upload.is_sent:
-                # libcurl also ends here after a reset that a write has seen.
-                return "broken", "connection ended during the upload"
             return "complete", ""
         detail = str(exc) if exc is not None else "no valid answer"
-        if self._invalid_line is not None:
-            line = self._invalid_line[:MAX_LOGGED_CHARS]
-            detail = f"invalid line in a head: {line!r}"
         if not isinstance(exc, curl_httpclient.CurlError):
             # Tornado rejects a malformed method or header before it connects.
             is_invalid_request = isinstance(exc, ValueError)
@@ -392,18 +313,11 @@
     return headers
 
 
-def parse_response_head(lines: list[str]) -> calls.ResponseHead | None:
-    """Decodes status line and headers; None for an informational response.
-
-    Raises:
-        ValueError: The lines are malformed.
-    """
-    start = httputil.parse_response_start_line(lines[0].strip())
-    if start.code < _HTTP_OK:
-        return None
-    headers = httputil.HTTPHeaders.parse("".join(lines[1:]))
+def decode_head(head: http_head.Head) -> calls.ResponseHead:
+    """Decodes status and headers of a response."""
+    headers = head.headers
     return calls.ResponseHead(
-        start.code,
+        head.status,
         tuple(
             (name, value)
             for name, value in headers.get_all()
@@ -411,17 +325,17 @@
         ),
         headers.get(names.REQUEST_ID),
         names.SERVER_SIGNATURE in headers,
-        names.NOT_RUN in headers or start.code == _HTTP_MISDIRECTED_REQUEST,
+        names.NOT_RUN in headers or head.status == _HTTP_MISDIRECTED_REQUEST,
         "Content-Encoding" in headers,
         headers.get(names.FAILED_ADDRESS),
-        http_answers.is_framed(start.code, headers),
+        head.framing != "close",
         _parse_limit(headers.get_list(names.REQUEST_LIMIT)),
         _parse_leaving(headers.get_list(names.LEAVING)),
         _parse_wait_s(headers.get_list(names.RETRY_AFTER))
-        if start.code == _HTTP_UNAVAILABLE
+        if head.status == _HTTP_UNAVAILABLE
         else None,
         _parse_cold_s(headers.get_list(names.COLD_MS)),
-        codec.decode_length(headers.get("Content-Length", "")),
+        head.length if head.framing == "length" else None,
     )
 
 
--- a/src/apricottrestle/service_client.py
+++ b/src/apricottrestle/service_client.py
@@ -11,7 +11,7 @@
 import pycurl
 from tornado import curl_httpclient, httpclient, httputil
 
-from apricottrestle import agent_events, agent_upstream, http_answers
+from apricottrestle import agent_events, agent_upstream
 
 _NOT_SENT_ERRORS: Final = frozenset(
     (
@@ -32,15 +32,13 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
-        "content-encoding",
         "accept-encoding",
-        "x-http-reason",
     )
 )
 """Headers that are not passed on between entry and service.
 
-They are hop-by-hop headers, headers that curl sets or tornado adds, and those
-of the content encoding, which curl decodes.
+They are hop-by-hop headers and headers that curl sets. No content coding is
+asked for; a service that uses one nevertheless says so to the caller.
 """
 
 
@@ -58,13 +56,6 @@
         headers = httputil.HTTPHeaders()
         for name, value in _forwardable(cmd.headers):
             headers.add(name, value)
-        upload = http_answers.Upload(cmd.body)
-
-        def prepare(curl: pycurl.Curl) -> None:
-            agent_upstream.disable_connection_reuse(curl)
-            if cmd.body:
-                upload.attach(curl)
-
         req = httpclient.HTTPRequest(
             f"{self._url}/{cmd.path.lstrip('/')}",
             method=cmd.method,
@@ -74,7 +65,7 @@
             connect_timeout=agent_upstream.CONNECT_TIMEOUT_S,
             request_timeout=cmd.timeout_s,
             follow_redirects=False,
-            prepare_curl_callback=prepare,
+            prepare_curl_callback=agent_upstream.disable_connection_reuse,
         )
         try:
             response = await self._client.fetch(req, raise_error=False)
@@ -87,14 +78,6 @@
                 agent_events.ServiceFailed(cmd.call_id, "bad_request", False)
             )
             return
-        if not upload.is_sent and not http_answers.is_framed(
-            response.code, response.headers
-        ):
-            # The connection ended during the upload, and the answer with it.
-            self._emit(
-                agent_events.ServiceFailed(cmd.call_id, "answer_lost", True)
-            )
-            return
         self._emit(
             agent_events.ServiceAnswer(
                 cmd.call_id,
