Let sound prompts refute a verdict against them

All answers of the route were cut, on sound workers too, and each later prompt got 503 crashes_engines with a Retry-After of an hour: 0 of 40, without end and over restarts.

Cause: three crashes are a verdict against the part that the prompts share. It ended the answers that were about to show it wrong, and refused each request that could do so later.

Fix: answers of which callers have a part go on, and single refused requests are sent as trials, one second after the last crash and in turns of the gateways, until two trials have crashed their engine. These are marked in the evidence and saved first, so that a restart doesn't open a final verdict. Verdicts are made as early as before.

Two tests recognised this refusal by its Retry-After, which is no longer the same for each; they look at its reason now, so that they see all of them.

--- a/src/apricottrestle/gateway/crash_evidence.py
+++ b/src/apricottrestle/gateway/crash_evidence.py
@@ -88,11 +88,13 @@
         begun: Whether the crash may have come with the beginning of the answer:
             the head of a stream had arrived, or it was a plain call.
         past_beginning: Whether the answer had got past its beginning.
+        on_trial: Whether it was sent in spite of a verdict, as a trial.
     """
 
     parts: tuple[str, ...]
     begun: bool
     past_beginning: bool = False
+    on_trial: bool = False
 
     def weight(self, part: str) -> float:
         """Returns the weight of the crash against one of the parts."""
@@ -128,11 +130,13 @@
             if no crash and no sound answer tells them apart.
         crash_ids: Crashes that speak against the parts, oldest first.
         weight: Their weight.
+        failed_trials: Those of the crashes that ended a trial of the parts.
     """
 
     parts: frozenset[str]
     crash_ids: tuple[str, ...]
     weight: float
+    failed_trials: tuple[str, ...] = ()
 
 
 class _Crash:
@@ -200,12 +204,14 @@
         else:
             is_new = False
         before = crash.state()
-        # Gateways that know the same choose the same; requests whose answer had
-        # just begun are the more likely cause.
+        # Gateways that know the same choose the same. A failed trial must not
+        # be forgotten; requests whose answer had just begun are the more likely
+        # cause.
         crash.suspects = set(
             sorted(
                 crash.suspects.union(report.suspects),
                 key=lambda suspect: (
+                    not suspect.on_trial,
                     suspect.past_beginning,
                     not suspect.begun,
                     suspect,
@@ -249,11 +255,16 @@
         return exonerated
 
     def verdict_on(self, parts: Collection[str]) -> Verdict | None:
-        """Returns the verdict that a prompt's parts fall under, or None."""
-        for verdict in self.verdicts:
-            if verdict.parts.issubset(parts):
-                return verdict
-        return None
+        """Returns the first verdict that a prompt's parts fall under."""
+        return next(iter(self.verdicts_on(parts)), None)
+
+    def verdicts_on(self, parts: Collection[str]) -> list[Verdict]:
+        """Returns all verdicts that a prompt's parts fall under."""
+        return [
+            verdict
+            for verdict in self.verdicts
+            if verdict.parts.issubset(parts)
+        ]
 
     def reports(
         self, now: float, crash_ids: Iterable[str] | None = None
@@ -277,6 +288,11 @@
             self._crashes[crash_id].at for crash_id in verdict.crash_ids
         )
 
+    def span_s(self, verdict: Verdict) -> float:
+        """Returns the time between the first and the last of its crashes."""
+        times = [self._crashes[crash_id].at for crash_id in verdict.crash_ids]
+        return max(times) - min(times)
+
     def expire(self, now: float) -> None:
         """Drops old records that support no verdict."""
         supporting = self._supporting_ids()
@@ -379,8 +395,19 @@
         crash_ids.sort(
             key=lambda crash_id: (self._crashes[crash_id].at, crash_id)
         )
+        failed_trials = [
+            crash_id
+            for crash_id in crash_ids
+            if any(
+                suspect.on_trial and part in suspect.parts
+                for suspect in self._crashes[crash_id].suspects
+            )
+        ]
         return Verdict(
-            frozenset(accompanying or (part,)), tuple(crash_ids), weight
+            frozenset(accompanying or (part,)),
+            tuple(crash_ids),
+            weight,
+            tuple(failed_trials),
         )
 
     def _required_weight(self, crash_ids: Collection[str]) -> float:
--- a/src/apricottrestle/gateway/crash_guard.py
+++ b/src/apricottrestle/gateway/crash_guard.py
@@ -13,7 +13,12 @@
 from typing import Final
 
 from apricottrestle import logs, metrics
-from apricottrestle.gateway import calls, clock, crash_evidence
+from apricottrestle.gateway import (
+    calls,
+    clock,
+    crash_evidence,
+    prompt_trials,
+)
 
 CONFIRM_TIMEOUT_S: Final = 10.0
 """Time for which broken requests wait for the upstream list to confirm that
@@ -56,6 +61,7 @@
         on_changed: Called with the ids of crashes of which this gateway knows
             something that its peers don't.
         on_verdict: Called after a new verdict.
+        placement_rank: Orders the live gateways, see prompt_trials.
     """
 
     def __init__(self, client: calls.UpstreamClient) -> None:
@@ -67,7 +73,9 @@
         self.evidence = crash_evidence.CrashEvidence()
         self.on_changed: Callable[[list[str]], None] = lambda _crash_ids: None
         self.on_verdict: Callable[[], None] = lambda: None
+        self.placement_rank: prompt_trials.PlacementRank = lambda _key: 0
         self._client = client
+        self._trials = prompt_trials.PromptTrials()
         self._pending: dict[str, _Pending] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._known_verdicts: set[frozenset[str]] = set()
@@ -80,6 +88,53 @@
             return None
         return self.evidence.verdict_on(crash_evidence.parts_of(req))
 
+    def is_refused(self, req: calls.CallerRequest) -> bool:
+        """Returns whether a verdict speaks against sending a request.
+
+        One that has begun as a trial may be sent once.
+        """
+        return any(
+            not self._trials.is_running(verdict, req.request_id)
+            for verdict in self._verdicts_on(req)
+        )
+
+    def begin_trial(self, req: calls.CallerRequest) -> bool:
+        """Begins a trial of a refused request; returns whether it may be sent.
+
+        All verdicts that it falls under must allow it.
+        """
+        now = clock.now()
+        verdicts = self._verdicts_on(req)
+        if not all(
+            prompt_trials.is_own_turn(
+                verdict,
+                self.evidence.newest_age_s(verdict, now),
+                self.placement_rank,
+            )
+            for verdict in verdicts
+        ):
+            return False
+        may_send = self._trials.begin(verdicts, req.request_id, now)
+        if may_send:
+            logs.decision(
+                _LOG,
+                "prompt tried",
+                request_id=req.request_id,
+                **describe(verdicts[0], self.evidence, now),
+            )
+        return may_send
+
+    def end_trial(self, req: calls.CallerRequest, *, was_sent: bool) -> bool:
+        """Ends the trial of a request; returns whether it was one."""
+        return self._trials.end(req.request_id, clock.now(), was_sent=was_sent)
+
+    def _verdicts_on(
+        self, req: calls.CallerRequest
+    ) -> list[crash_evidence.Verdict]:
+        if not self.evidence.verdicts:
+            return []
+        return self.evidence.verdicts_on(crash_evidence.parts_of(req))
+
     def answer_begun(self, req: calls.CallerRequest) -> None:
         """Records that an answer has got past its beginning."""
         self._record_sound(req.shared_parts)
@@ -233,6 +288,7 @@
             verdict.parts: verdict for verdict in self.evidence.verdicts
         }
         for parts in self._known_verdicts - verdicts.keys():
+            self._trials.forget(parts)
             self._log_verdict(parts, None, now)
         new = verdicts.keys() - self._known_verdicts
         for parts in new:
@@ -269,4 +325,6 @@
         "crash_count": len(verdict.crash_ids),
         "newest_crash_age_s": round(evidence.newest_age_s(verdict, now), 3),
         "weight": verdict.weight,
+        "within_s": round(evidence.span_s(verdict), 3),
+        "failed_trials": verdict.failed_trials,
     }
--- a/src/apricottrestle/gateway/crash_store.py
+++ b/src/apricottrestle/gateway/crash_store.py
@@ -115,8 +115,13 @@
         """Returns the records to write and the ids of those to delete."""
         wanted: dict[str, None] = {}
         for verdict in self._guard.evidence.verdicts:
+            failed_trials = verdict.failed_trials
             by_preference = sorted(
-                verdict.crash_ids, key=lambda name: name not in self._saved
+                verdict.crash_ids,
+                key=lambda name: (
+                    name not in failed_trials,
+                    name not in self._saved,
+                ),
             )
             wanted.update(dict.fromkeys(by_preference[:MAX_SAVED_PER_VERDICT]))
         unsaved = [
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -36,6 +36,7 @@
     explanation,
     fleet_state,
     health_records,
+    prompt_trials,
     retry_budget,
     retry_policy,
     run_listener,
@@ -106,6 +107,10 @@
 """Retry-After of such a refusal: no engine will run the prompt before someone
 has looked into it."""
 
+OPEN_VERDICT_RETRY_AFTER_S: Final = 3.0
+"""Retry-After while a trial may still show that the prompt is sound: the pause
+before a trial and one turn."""
+
 _LOG: Final = logging.getLogger(__name__)
 
 
@@ -155,6 +160,7 @@
         self.crashes = crash_guard.CrashGuard(client)
         self.crashes.on_changed = self._on_crashes_changed
         self.crashes.on_verdict = self._end_bad_prompts
+        self.crashes.placement_rank = self._placement_rank
         self.limits = upstream_limits.UpstreamLimits(incarnation)
         self.notices = upstream_notices.UpstreamNotices()
         self.cold = cold_upstreams.ColdUpstreams(
@@ -439,9 +445,15 @@
             req, decision
         ):
             return self._refuse_stopping(req)
-        if isinstance(decision, accept.Accepted) and self.is_bad_prompt(req):
+        if (
+            isinstance(decision, accept.Accepted)
+            and self.is_bad_prompt(req)
+            and not self.crashes.begin_trial(req)
+        ):
             return accept.Refused(
-                accept.UNAVAILABLE, BAD_PROMPT, BAD_PROMPT_RETRY_AFTER_S
+                accept.UNAVAILABLE,
+                BAD_PROMPT,
+                self._bad_prompt_retry_after_s(req),
             )
         return decision
 
@@ -456,7 +468,13 @@
 
     def is_bad_prompt(self, req: calls.CallerRequest) -> bool:
         """See QueueHost.is_bad_prompt."""
-        return self.crashes.verdict_on(req) is not None
+        return self.crashes.is_refused(req)
+
+    def _bad_prompt_retry_after_s(self, req: calls.CallerRequest) -> float:
+        verdict = self.crashes.verdict_on(req)
+        if verdict is not None and prompt_trials.is_open(verdict):
+            return OPEN_VERDICT_RETRY_AFTER_S
+        return BAD_PROMPT_RETRY_AFTER_S
 
     def _describe_verdict(self, req: calls.CallerRequest) -> dict[str, object]:
         """Returns the evidence against a prompt, for the log."""
@@ -468,15 +486,15 @@
     def _end_bad_prompts(self) -> None:
         """Ends requests that would crash engines, before they do.
 
-        Answers that have got past their beginning go on: they show that their
-        prompts are sound.
+        Answers of which callers have a part go on: if they get past their
+        beginning, they show that their prompts are sound.
         """
         for request in list(self.active):
             if not self.is_bad_prompt(request.req):
                 continue
             if request in self._queue:
                 self._queue.refuse_bad_prompt(request)
-            elif request.is_beginning:
+            elif not request.response_started:
                 request.end_with_error(accept.UNAVAILABLE, BAD_PROMPT, None)
 
     def end_bad_prompt(self, request: exchange.Exchange) -> None:
@@ -489,7 +507,9 @@
         )
         metrics.REFUSALS.labels(BAD_PROMPT).inc()
         request.end_with_error(
-            accept.UNAVAILABLE, BAD_PROMPT, BAD_PROMPT_RETRY_AFTER_S
+            accept.UNAVAILABLE,
+            BAD_PROMPT,
+            self._bad_prompt_retry_after_s(request.req),
         )
 
     def _refuse_stopping(self, req: calls.CallerRequest) -> accept.Refused:
@@ -571,9 +591,12 @@
 
     def place_request(self, request: exchange.Exchange) -> None:
         """See ExchangeHost.place_request."""
-        if request.tried_upstreams and self.is_bad_prompt(request.req):
-            request.end_with_error(
-                accept.UNAVAILABLE, BAD_PROMPT, BAD_PROMPT_RETRY_AFTER_S
+        # A trial, too, is sent to one upstream only.
+        if request.tried_upstreams and self.crashes.verdict_on(request.req):
+            request.refuse(
+                accept.UNAVAILABLE,
+                BAD_PROMPT,
+                self._bad_prompt_retry_after_s(request.req),
             )
             return
         if request.accepted.service.engine is None or request.req.size is None:
@@ -606,6 +629,9 @@
     ) -> None:
         """See ExchangeHost.on_exchange_ended."""
         self.active.discard(request)
+        self.crashes.end_trial(
+            request.req, was_sent=bool(request.tried_upstreams)
+        )
         metrics.REQUESTS.labels(str(request.accepted.priority), outcome).inc()
         self._queue.end_request(request)
 
@@ -715,7 +741,9 @@
             attempt.upstream_id,
             attempt.address,
             attempt.process_started_at_ms,
-            suspect,
+            suspect._replace(
+                on_trial=self.crashes.end_trial(request.req, was_sent=True)
+            ),
         )
 
     def probe_upstream(
--- a/src/apricottrestle_standins/platform/ledger.py
+++ b/src/apricottrestle_standins/platform/ledger.py
@@ -189,6 +189,7 @@
         sent_s: Time at which it was sent.
         resume_after: Id of the last event of earlier attempts, or 0.
         status: HTTP status of the response, or None without a response.
+        refusal: Reason of a refusal, or empty.
         retry_after_s: Retry-After of a refusal, or None.
         event_ids: Ids of the received events, in order of arrival.
         event_times: Times at which they were received.
@@ -212,6 +213,7 @@
         self.sent_s = sent_s
         self.resume_after = 0
         self.status: int | None = None
+        self.refusal = ""
         self.retry_after_s: float | None = None
         self.event_ids: list[int] = []
         self.event_times: list[float] = []
--- a/src/apricottrestle_standins/platform/world.py
+++ b/src/apricottrestle_standins/platform/world.py
@@ -189,6 +189,7 @@
         """See Responder.refuse."""
         if not self.closed:
             self.attempt.status = status
+            self.attempt.refusal = message
             self.attempt.retry_after_s = retry_after_s
             self._end()
 
--- a/tests/test_gateway_crash_guard.py
+++ b/tests/test_gateway_crash_guard.py
@@ -154,6 +154,36 @@
     assert left == []
 
 
+def test_crashes_by_trials_are_saved_before_others() -> None:
+    """Guards against a verdict that a restart of all gateways opens again."""
+    trials = {"c8", "c9"}
+
+    async def main() -> list[crash_evidence.Verdict]:
+        log = virtual_store.SharedLog()
+        for is_first in (True, False):
+            guard = crash_guard.CrashGuard(_Client("ended"))
+            saver = crash_store.CrashStore(
+                virtual_store.VirtualStore(log), guard, lambda: True
+            )
+            saver.start()
+            for number in range(20 if is_first else 0):
+                name = f"c{number}"
+                suspect = BAD._replace(on_trial=name in trials)
+                guard.merge(
+                    [crash_evidence.CrashReport(name, 0.0, (suspect,))],
+                    "gateway-2",
+                )
+            for _ in range(60):
+                saver.tick()
+                await asyncio.sleep(0.1)
+            saver.stop()
+        return guard.evidence.verdicts
+
+    (verdict,) = virtual_time.run(main())
+    assert len(verdict.crash_ids) == crash_store.MAX_SAVED_PER_VERDICT
+    assert set(verdict.failed_trials) == trials
+
+
 @pytest.mark.parametrize("outage", [False, True])
 def test_verdict_survives_the_restart_of_all_gateways(outage: bool) -> None:
     """Guards against engines lost anew after a restart of the fleet.
--- a/tests/test_world_crashing_prompts.py
+++ b/tests/test_world_crashing_prompts.py
@@ -223,7 +223,151 @@
         attempt.request_id
         for attempts in run_ledger.requests
         for attempt in attempts
-        if attempt.retry_after_s == gateway.BAD_PROMPT_RETRY_AFTER_S
+        if attempt.refusal == gateway.BAD_PROMPT
     ]
     assert stopped == []
     assert ledger.find_violations(run_ledger) == []
+
+
+class GroupCase(NamedTuple):
+    """Engines that crash together while prompts of a new kind begin on them.
+
+    Attributes:
+        crashes: Engines that crash, of those that run such prompts; None for
+            all of these.
+        prompts: Prompts of the new kind that are under way.
+        site: Deployment.
+        faults: Injects faults from the moment of the crashes on, or None.
+        seed: Seed of the fleet.
+    """
+
+    crashes: int | None = None
+    prompts: int = 8
+    site: workload.Site = SMALL
+    faults: Faults | None = None
+    seed: int = 1
+
+
+GROUP_CASES: Final = {
+    "others_under_way": GroupCase(crashes=3, prompts=24),
+    "none_under_way": GroupCase(),
+    "none_under_way_other_seed": GroupCase(seed=2),
+    "many_gateways": GroupCase(site=GROWN._replace(gateways=28)),
+    "gateways_restart": GroupCase(
+        faults=lambda fleet: world_faults.restart_all(fleet, 2.0, 1.0)
+    ),
+}
+NEW_KIND: Final = ("instructions",)
+BATCH_S: Final = 3.0
+LATER_S: Final = 14.0
+END_S: Final = 34.0
+
+
+def _new_kind_arrivals(case: GroupCase) -> list[workload.Arrival]:
+    """Returns a batch of prompts with one shared part, and later ones."""
+    kind = case.site.kinds[0]
+    rng = random.Random(case.seed)
+    later = workload.generate_prompts(
+        kind,
+        rng,
+        per_s=3.0,
+        start_s=LATER_S,
+        end_s=END_S,
+        team=BAD_TEAM,
+        shared_parts=NEW_KIND,
+        data_centres=case.site.data_centres,
+    )
+    batch = [
+        later[0]._replace(
+            at_s=BATCH_S,
+            tokens=int(kind.max_tokens) // 2,
+            events=40,
+            data_centre=number % case.site.data_centres,
+            body=f"batch-{number}".encode(),
+        )
+        for number in range(case.prompts)
+    ]
+    return sorted(
+        workload.generate_arrivals(case.site, END_S, rng) + batch + later,
+        key=lambda arrival: arrival.at_s,
+    )
+
+
+def _begun_answers(engine: virtual_upstreams.EngineUpstream) -> list[str]:
+    """Returns the ids of requests of the new kind that have one event."""
+    return [
+        request_id
+        for request_id, (job, incoming) in engine.jobs.items()
+        if incoming.call.req.shared_parts == NEW_KIND and job.next_event == 2
+    ]
+
+
+async def _crash_group(fleet: world.World, case: GroupCase) -> list[str]:
+    """Crashes engines at one moment, when all answers of the batch have begun.
+
+    An engine that has begun one pauses until then, and for half a second more.
+
+    Returns:
+        The ids of the requests whose answers go on, on other engines.
+    """
+    loop = asyncio.get_running_loop()
+    begun: dict[virtual_upstreams.EngineUpstream, list[str]] = {}
+    async with asyncio.timeout(BATCH_S + 8.0):
+        while sum(map(len, begun.values())) < case.prompts:
+            await asyncio.sleep(0.001)
+            begun = {e: _begun_answers(e) for e in fleet.engines}
+            for engine, request_ids in begun.items():
+                if request_ids:
+                    engine.silent_until = loop.time() + 0.5
+    running = [engine for engine, request_ids in begun.items() if request_ids]
+    crashed = running[: case.crashes]
+    assert len(crashed) >= 3
+    faults = [case.faults(fleet)] if case.faults else []
+    await asyncio.gather(
+        *(fleet.crash_and_replace(engine, 4.5) for engine in crashed), *faults
+    )
+    return [
+        request_id
+        for engine, request_ids in begun.items()
+        if engine not in crashed
+        for request_id in request_ids
+    ]
+
+
+@pytest.mark.parametrize("name", GROUP_CASES)
+def test_prompts_are_served_after_engines_crash_together(name: str) -> None:
+    """Guards against a part that is refused for ever after a rack's failure.
+
+    All engines that crash run a prompt with the part, which isn't the cause.
+    Answers that have begun on other engines go on.
+    """
+    case = GROUP_CASES[name]
+
+    async def main() -> tuple[ledger.Ledger, list[str]]:
+        fleet = world.World(case.site, case.seed)
+        begun_elsewhere: list[str] = []
+
+        async def crash_group() -> None:
+            begun_elsewhere.extend(await _crash_group(fleet, case))
+
+        run_ledger = await fleet.run_workload(
+            _new_kind_arrivals(case), crash_group()
+        )
+        return run_ledger, begun_elsewhere
+
+    run_ledger, begun_elsewhere = virtual_time.run(main())
+    attempts = {
+        attempt.request_id: attempt
+        for attempts in run_ledger.requests
+        for attempt in attempts
+    }
+    later = [
+        attempts[-1].complete
+        for attempts in run_ledger.requests
+        if attempts[0].arrival.shared_parts == NEW_KIND
+        and attempts[0].arrival.at_s >= LATER_S
+    ]
+    cut = [name for name in begun_elsewhere if not attempts[name].complete]
+    assert cut == []
+    assert sum(later) >= 0.9 * len(later)
+    assert ledger.find_violations(run_ledger) == []
--- a/tests/test_world_crashing_requests.py
+++ b/tests/test_world_crashing_requests.py
@@ -176,7 +176,7 @@
         f"{attempt.request_id} at {attempt.sent_s:.2f} s"
         for attempts in run_ledger.requests
         for attempt in attempts
-        if attempt.retry_after_s == gateway.BAD_PROMPT_RETRY_AFTER_S
+        if attempt.refusal == gateway.BAD_PROMPT
         and attempt.arrival.body.decode() not in causes
         and not causes.intersection(attempt.arrival.shared_parts)
         and attempt.sent_s > judged_s + 2 * SETTLE_S
@@ -252,7 +252,7 @@
 
     run_ledger = virtual_time.run(main())
     assert not any(
-        attempt.retry_after_s == gateway.BAD_PROMPT_RETRY_AFTER_S
+        attempt.refusal == gateway.BAD_PROMPT
         for attempts in run_ledger.requests
         for attempt in attempts
     )
