Let no call wait inside the HTTP clients

Cause: tornado queues calls beyond its curl handles, of which there were 256 for transfers, 64 for reports and reservations, and twice the slots in an agent. For the gateway these were sent; may_send is asked before, and nobody asked again on their turn.

Fix: handles are opened on demand, so that a call begins when it is made and the gateway's queue is the only place where requests wait. What transfers cost beyond 256 comes out of the callers' share of memory and descriptors. Calls of the platform's services still wait for one of four handles, but one that was given up there is no longer sent later.

The scripted upstream of the tests gets a longer listen backlog, without which the kernel dropped some of 400 connections at once.

--- a/src/apricottrestle/agent_daemon.py
+++ b/src/apricottrestle/agent_daemon.py
@@ -97,7 +97,7 @@
         if upstream.kind == "engine"
         else service_client.ServiceClient
     )
-    return client_class(upstream.url, upstream.slots, emit)
+    return client_class(upstream.url, emit)
 
 
 class AgentDaemon:
--- a/src/apricottrestle/agent_upstream.py
+++ b/src/apricottrestle/agent_upstream.py
@@ -15,7 +15,6 @@
 from apricottrestle import agent_events, http_answers
 
 CONNECT_TIMEOUT_S: Final = 1.0
-_SPARE_CONNECTIONS: Final = 16
 
 EventSink = Callable[[agent_events.Event], None]
 
@@ -26,22 +25,20 @@
     It is a context manager that owns the HTTP client and the running commands.
     """
 
-    def __init__(self, url: str, slots: int, emit: EventSink) -> None:
+    def __init__(self, url: str, emit: EventSink) -> None:
         """Creates the client; nothing is opened yet.
 
         Args:
             url: Base URL of the upstream.
-            slots: Maximum number of concurrent runs or calls.
             emit: Called with each event.
         """
         self._url = url.rstrip("/")
-        self._slots = slots
         self._emit = emit
         self._tasks: set[asyncio.Task[None]] = set()
 
     def __enter__(self) -> Self:
         """Opens the HTTP client; must run on the event loop."""
-        self._client = new_http_client(_max_connections(self._slots))
+        self._client = new_http_client()
         return self
 
     def __exit__(
@@ -83,11 +80,9 @@
         """
 
 
-def new_http_client(max_clients: int) -> http_answers.StrictCurlClient:
-    """Returns an HTTP client with at most `max_clients` connections."""
-    return http_answers.StrictCurlClient(
-        force_instance=True, max_clients=max_clients
-    )
+def new_http_client() -> http_answers.StrictCurlClient:
+    """Returns an HTTP client, in which no call waits for others."""
+    return http_answers.StrictCurlClient(force_instance=True)
 
 
 def disable_connection_reuse(curl: pycurl.Curl) -> None:
@@ -98,13 +93,3 @@
     """
     curl.setopt(pycurl.FRESH_CONNECT, 1)
     curl.setopt(pycurl.FORBID_REUSE, 1)
-
-
-def _max_connections(slots: int) -> int:
-    """Returns the connection limit for a number of slots.
-
-    It exceeds the slots because an abandoned run or call may keep its
-    connection for a while. It isn't higher because a curl handle is created for
-    each connection at the start.
-    """
-    return 2 * slots + _SPARE_CONNECTIONS
--- a/src/apricottrestle/engine_client.py
+++ b/src/apricottrestle/engine_client.py
@@ -19,7 +19,6 @@
 POLL_TIMEOUT_S: Final = 1.5
 CONTROL_TIMEOUT_S: Final = 3.0
 ORDER_TIMEOUT_S: Final = 2.0
-_MAX_CONTROL_CONNECTIONS: Final = 16
 _JSON: Final = {"Content-Type": "application/json"}
 _PEER: Final = "engine"
 _FETCH_ERRORS: Final = (
@@ -132,20 +131,16 @@
     and control requests.
     """
 
-    def __init__(
-        self, url: str, slots: int, emit: agent_upstream.EventSink
-    ) -> None:
+    def __init__(self, url: str, emit: agent_upstream.EventSink) -> None:
         """Creates the client; see UpstreamClient."""
-        super().__init__(url, slots, emit)
+        super().__init__(url, emit)
         self._open_polls: set[type] = set()
         self._cancelled_ids: set[str] = set()
         self._running_ids: set[str] = set()
 
     def __enter__(self) -> Self:
         """Opens the HTTP clients; must run on the event loop."""
-        self._control_client = agent_upstream.new_http_client(
-            _MAX_CONTROL_CONNECTIONS
-        )
+        self._control_client = agent_upstream.new_http_client()
         return super().__enter__()
 
     def __exit__(
--- a/src/apricottrestle/gateway/calls.py
+++ b/src/apricottrestle/gateway/calls.py
@@ -351,9 +351,12 @@
     Attributes:
         on_cold: Called when the answer to a probe says how long the upstream is
             cold, or None.
+        on_transfers: Called with the number of calls that are under way when it
+            has changed, or None.
     """
 
     on_cold: OnCold | None = None
+    on_transfers: Callable[[int], None] | None = None
 
     @abc.abstractmethod
     def send(self, call: UpstreamCall, sink: ResponseSink) -> Transfer:
--- a/src/apricottrestle/gateway/gateway.py
+++ b/src/apricottrestle/gateway/gateway.py
@@ -228,10 +228,15 @@
         self._hold_until = now + START_HOLD_S
         self.cold.start(now)
         self._client.on_cold = self.cold_records.record_answer
+        self._client.on_transfers = self._on_transfers
         self.probation.add_all(now)
         self.state.watch_ready(self._release_held)
         asyncio.get_running_loop().call_later(START_HOLD_S, self._release_held)
 
+    def _on_transfers(self, count: int) -> None:
+        metrics.UPSTREAM_TRANSFERS.set(count)
+        self.account.set_transfers(count)
+
     def apply_settings(self, cfg: settings.GatewaySettings) -> None:
         """Applies new settings to future requests."""
         self._cfg = cfg
--- a/src/apricottrestle/http_answers.py
+++ b/src/apricottrestle/http_answers.py
@@ -18,6 +18,9 @@
 
 from apricottrestle import errors, http_chunks, http_head
 
+MAX_SPARE_HANDLES: Final = 64
+"""Handles without a call that a client keeps for the next calls."""
+
 _FAIL_HEADER: Final = -1
 _FAIL_WRITE: Final = 0
 """Results of libcurl's callbacks that make it fail the call."""
@@ -121,9 +124,69 @@
 class StrictCurlClient(curl_httpclient.CurlAsyncHTTPClient):
     """Tornado's curl client; fails each call whose answer isn't whole.
 
-    It asks for no content coding, and decodes none.
+    It asks for no content coding, and decodes none. Without `max_clients`, each
+    call begins at once: nobody decides again about one that waits here.
     """
 
+    def initialize(  # type: ignore[override]
+        self, max_clients: int | None = None, **kwargs: Any
+    ) -> None:
+        """Creates the client.
+
+        Args:
+            max_clients: Largest number of calls under way; further ones wait.
+                None for no limit.
+            **kwargs: See CurlAsyncHTTPClient.
+        """
+        super().initialize(max_clients=max_clients or 0, **kwargs)
+        self._max_clients = max_clients
+
+    @property
+    def calls_under_way(self) -> int:
+        """Number of calls that have begun and not ended."""
+        return len(self._curls) - len(self._free_list)
+
+    def cancel_waiting(self, req: httpclient.HTTPRequest) -> bool:
+        """Cancels a call that hasn't begun; returns whether it was one."""
+        for queued in self._requests:
+            if is_same_request(queued[0], req):
+                self._requests.remove(queued)
+                queued[1](
+                    httpclient.HTTPResponse(
+                        request=req, code=599, error=_cancelled_error()
+                    )
+                )
+                return True
+        return False
+
+    def cancel(self, req: httpclient.HTTPRequest) -> None:
+        """Cancels a call; its fetch fails with E_ABORTED_BY_CALLBACK."""
+        if self.cancel_waiting(req):
+            return
+        for curl in self._curls:
+            info = getattr(curl, "info", None)
+            if info is not None and is_same_request(info["request"], req):
+                self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
+                self._process_queue()
+                return
+
+    def _process_queue(self) -> None:
+        """Begins calls; those that have to wait do so in their order."""
+        if self._max_clients is None:
+            for _ in range(len(self._requests) - len(self._free_list)):
+                curl = self._curl_create()
+                self._curls.append(curl)
+                self._free_list.append(curl)
+        super()._process_queue()
+
+    def _drop_spare_handles(self) -> None:
+        while self._max_clients is None and (
+            len(self._free_list) > MAX_SPARE_HANDLES
+        ):
+            curl = self._free_list.pop()
+            self._curls.remove(curl)
+            curl.close()
+
     def _curl_setup_request(
         self,
         curl: pycurl.Curl,
@@ -197,6 +260,16 @@
             curl_error = pycurl.E_PARTIAL_FILE
             curl_message = cut
         super()._finish(curl, curl_error, curl_message)
+        self._drop_spare_handles()
+
+
+def is_same_request(candidate: object, req: httpclient.HTTPRequest) -> bool:
+    """Returns whether a request held by tornado is `req` or its proxy."""
+    return getattr(candidate, "request", candidate) is req
+
+
+def _cancelled_error() -> curl_httpclient.CurlError:
+    return curl_httpclient.CurlError(pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
 
 
 def _read_line(info: dict[str, Any], answer: Answer, line: bytes) -> int | None:
--- a/src/apricottrestle/memory_account.py
+++ b/src/apricottrestle/memory_account.py
@@ -30,7 +30,14 @@
 
 REST_BYTES: Final = 65 * BYTES_PER_MB
 """Memory of a process beside what is counted: 49 MB were measured at rest, and
-16 MB for the 256 transfers to upstreams that may be under way."""
+16 MB for COVERED_TRANSFERS."""
+
+COVERED_TRANSFERS: Final = 256
+"""Transfers to upstreams that REST_BYTES and UPSTREAM_FDS have room for.
+Further ones use room of the callers."""
+
+TRANSFER_BYTES: Final = 32 * 1024
+"""Bytes that are counted for each further transfer. With COPIES, 64 kB."""
 
 COPIES: Final = 2.0
 """Resident bytes per byte that is counted: a body is copied once when it is
@@ -43,7 +50,7 @@
 """Descriptors that the platform reserves for files."""
 
 UPSTREAM_FDS: Final = 400
-"""Descriptors for upstreams: 256 transfers, 64 reports, and kept ones."""
+"""Descriptors for upstreams: COVERED_TRANSFERS, 64 reports, and kept ones."""
 
 PEER_FDS: Final = 128
 """Descriptors for other gateways and the store; two for each gateway."""
@@ -193,6 +200,25 @@
         self._waiting: collections.OrderedDict[Holder, _Waiter] = (
             collections.OrderedDict()
         )
+        self._further_transfers = 0
+
+    @property
+    def max_held_bytes(self) -> int:
+        """Bytes that all holders may hold now."""
+        held_bytes = self.limits.held_bytes
+        return max(
+            held_bytes - self._further_transfers * TRANSFER_BYTES,
+            min(held_bytes, MIN_BYTES),
+        )
+
+    @property
+    def max_connections(self) -> int:
+        """Connections that callers may have now."""
+        return max(self.limits.connections - self._further_transfers, 1)
+
+    def set_transfers(self, count: int) -> None:
+        """Sets the number of transfers to upstreams that are under way."""
+        self._further_transfers = max(count - COVERED_TRANSFERS, 0)
 
     def hold(
         self, holder: Holder, count: int, phase: Phase, now: float
@@ -243,7 +269,7 @@
             count: Number of the further bytes.
             total: Bytes of the whole request, as far as is known.
         """
-        limit = self.limits.held_bytes
+        limit = self.max_held_bytes
         if total > SMALL_BYTES:
             limit = int(limit * LARGE_SHARE)
         return self.held_bytes + count <= limit or self._is_alone(holder)
@@ -337,9 +363,8 @@
         return False
 
     def _fits_answer(self, holder: Holder, count: int) -> bool:
-        return (
-            self.held_bytes + count <= self.limits.held_bytes
-            or self._is_alone(holder)
+        return self.held_bytes + count <= self.max_held_bytes or self._is_alone(
+            holder
         )
 
     def _serve_waiting(self, now: float) -> None:
--- a/src/apricottrestle/metrics.py
+++ b/src/apricottrestle/metrics.py
@@ -38,6 +38,10 @@
 HELD_BYTES_LIMIT = Gauge(
     "apricottrestle_held_bytes_limit", "Size of a gateway's memory account"
 )
+UPSTREAM_TRANSFERS = Gauge(
+    "apricottrestle_upstream_transfers",
+    "Requests that a gateway has sent to upstreams and that haven't ended",
+)
 REQUESTS = Counter(
     "apricottrestle_requests", "Requests by outcome", ["priority", "outcome"]
 )
--- a/src/apricottrestle/platform/caller_server.py
+++ b/src/apricottrestle/platform/caller_server.py
@@ -627,7 +627,7 @@
 
         Closes the connection that matters least if there are too many.
         """
-        if self.account.connections >= self.account.limits.connections:
+        if self.account.connections >= self.account.max_connections:
             victim = self.account.choose_connection(
                 lambda holder: holder.owner.is_quiet, clock.now()
             )
@@ -719,7 +719,7 @@
             gc.collect()
         for phase, held_bytes in self.account.bytes_by_phase.items():
             metrics.HELD_BYTES.labels(phase).set(held_bytes)
-        metrics.HELD_BYTES_LIMIT.set(self.account.limits.held_bytes)
+        metrics.HELD_BYTES_LIMIT.set(self.account.max_held_bytes)
         while self.account.has_waiting:
             victim = self.account.choose_unread(clock.now())
             if victim is None:
--- a/src/apricottrestle/platform/upstream_client.py
+++ b/src/apricottrestle/platform/upstream_client.py
@@ -11,6 +11,7 @@
 import logging
 import re
 import socket
+from collections.abc import Callable
 from typing import Any, Final
 
 import msgspec
@@ -55,12 +56,6 @@
 exchange cancels the transfer at the deadline; libcurl, which looks at the clock
 before it reads, must not end it first after a delay of the event loop."""
 
-MAX_CONCURRENT_TRANSFERS: Final = 256
-"""Number of concurrent transfers; tornado queues further transfers."""
-
-MAX_CONCURRENT_REPORTS: Final = 64
-"""Number of concurrent questions and reservations; further ones wait."""
-
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 
 MAX_REPORT_BYTES: Final = 256 * 1024
@@ -101,36 +96,20 @@
 are logged once."""
 
 
-class CancellableCurlClient(http_answers.StrictCurlClient):
-    """The strict curl client, extended by cancelling and pausing a transfer."""
+class PausableCurlClient(http_answers.StrictCurlClient):
+    """The strict curl client, extended by pausing a transfer."""
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
         """Bounds the connections that are kept."""
         super().initialize(*args, **kwargs)
         self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_KEPT_CONNECTIONS)
 
-    def cancel(self, req: httpclient.HTTPRequest) -> None:
-        """Cancels a transfer; its fetch fails with E_ABORTED_BY_CALLBACK."""
-        for queued in list(self._requests):
-            if _is_same(queued[0], req):
-                self._requests.remove(queued)
-                queued[1](
-                    httpclient.HTTPResponse(
-                        request=req, code=599, error=_cancelled_error()
-                    )
-                )
-                return
-        for curl in self._curls:
-            info = getattr(curl, "info", None)
-            if info is not None and _is_same(info["request"], req):
-                self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
-                self._process_queue()
-                return
-
     def resume(self, curl: Any, req: httpclient.HTTPRequest) -> None:
         """Resumes a paused transfer, if it hasn't ended."""
         info = getattr(curl, "info", None)
-        if info is None or not _is_same(info["request"], req):
+        if info is None or not http_answers.is_same_request(
+            info["request"], req
+        ):
             return
         # A transfer that failed while it was paused says so here; its end is
         # reported as usual.
@@ -139,15 +118,6 @@
         self._set_timeout(0)
 
 
-def _is_same(candidate: object, req: httpclient.HTTPRequest) -> bool:
-    """Returns whether a request held by tornado is `req` or its proxy."""
-    return getattr(candidate, "request", candidate) is req
-
-
-def _cancelled_error() -> curl_httpclient.CurlError:
-    return curl_httpclient.CurlError(pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
-
-
 def set_dead_peer_timeouts(fd: int, _purpose: int = 0) -> int:
     """Bounds the time in which a socket detects an unreachable peer.
 
@@ -174,12 +144,14 @@
 
     def __init__(
         self,
-        client: CancellableCurlClient,
+        client: PausableCurlClient,
         call: calls.UpstreamCall,
         sink: calls.ResponseSink,
+        on_ended: Callable[[], None],
     ) -> None:
         self._client = client
         self._sink = sink
+        self._on_ended = on_ended
         self._call = call
         self._head_delivered = False
         self._answer: http_answers.Answer | None = None
@@ -263,6 +235,7 @@
         # References in circles would keep the request until a collection.
         self._http_req.streaming_callback = None
         self._http_req.prepare_curl_callback = None
+        self._on_ended()
         self._sink.on_end(kind, detail)
 
     def _classify_end(
@@ -403,14 +376,12 @@
 
     def __init__(self) -> None:
         """Creates the client; must run on the event loop."""
-        self._client = CancellableCurlClient(
+        self._client = PausableCurlClient(
             force_instance=True,
-            max_clients=MAX_CONCURRENT_TRANSFERS,
             max_body_size=MAX_BODY_BYTES,
         )
         self._reports = http_answers.StrictCurlClient(
             force_instance=True,
-            max_clients=MAX_CONCURRENT_REPORTS,
             max_body_size=MAX_REPORT_BYTES,
         )
 
@@ -423,7 +394,13 @@
         self, call: calls.UpstreamCall, sink: calls.ResponseSink
     ) -> calls.Transfer:
         """See UpstreamClient.send."""
-        return _HttpTransfer(self._client, call, sink)
+        transfer = _HttpTransfer(self._client, call, sink, self._tell_transfers)
+        self._tell_transfers()
+        return transfer
+
+    def _tell_transfers(self) -> None:
+        if self.on_transfers is not None:
+            self.on_transfers(self._client.calls_under_way)
 
     async def probe(
         self, upstream_id: str, address: str, started_at_ms: int
--- a/src/apricottrestle/platform_http.py
+++ b/src/apricottrestle/platform_http.py
@@ -2,7 +2,8 @@
 
 Invariants: a call with `appends` raises a plain PlatformError only if the
 service can't have processed it, and is sent once. Each call ends within its
-time limit, and when the client is closed.
+time limit, and when the client is closed. One that was given up before it began
+isn't sent.
 """
 
 import asyncio
@@ -20,7 +21,9 @@
 """Time after a call's limit at which it is given up if libcurl hasn't ended
 it."""
 
-_MAX_CONCURRENT_CALLS: Final = 4
+MAX_CONCURRENT_CALLS: Final = 4
+"""Calls under way; further ones wait, within their time limits."""
+
 _MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 """Limit of a response's body; several times the largest page of records."""
 
@@ -55,7 +58,7 @@
         self._url = url.rstrip("/")
         self._peer = peer
         self._timeout_s = timeout_s
-        self._client: httpclient.AsyncHTTPClient | None = None
+        self._client: http_answers.StrictCurlClient | None = None
         self._closed: asyncio.Future[None] | None = None
 
     async def call(
@@ -155,6 +158,7 @@
                 return fut.result()
         finally:
             fut.cancel()
+            client.cancel_waiting(req)
         reason = "client closed" if closed.done() else "no response in time"
         raise httpclient.HTTPError(_NO_RESPONSE, reason)
 
@@ -169,13 +173,13 @@
         if self._closed is not None and not self._closed.done():
             self._closed.set_result(None)
 
-    def _get_client(self) -> httpclient.AsyncHTTPClient:
+    def _get_client(self) -> http_answers.StrictCurlClient:
         # Created at first use, because the client needs the running event loop.
         if self._client is None:
             self._closed = asyncio.get_running_loop().create_future()
             self._client = http_answers.StrictCurlClient(
                 force_instance=True,
-                max_clients=_MAX_CONCURRENT_CALLS,
+                max_clients=MAX_CONCURRENT_CALLS,
                 max_body_size=_MAX_BODY_BYTES,
             )
         return self._client
--- a/tests/scripted_upstream.py
+++ b/tests/scripted_upstream.py
@@ -103,7 +103,9 @@
 async def running(script: Script) -> AsyncIterator[Upstream]:
     """Runs an upstream on a free port of the loopback address."""
     upstream = Upstream(script)
-    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+    server = await asyncio.start_server(
+        upstream.serve, "127.0.0.1", 0, backlog=1024
+    )
     host, port = server.sockets[0].getsockname()[:2]
     upstream.address = f"{host}:{port}"
     try:
--- a/tests/test_agent_clients.py
+++ b/tests/test_agent_clients.py
@@ -24,6 +24,7 @@
 from tests import async_helpers
 
 _HOST: Final = "127.0.0.1"
+_CALLS_AT_ONCE: Final = 60
 _OK: Final = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 _STREAM: Final = (
     b": comment\n\n"
@@ -96,7 +97,7 @@
 async def _calls(url: str, count: int) -> list[agent_events.Event]:
     """Executes calls one after the other; returns their events."""
     events: list[agent_events.Event] = []
-    with service_client.ServiceClient(url, 1, events.append) as client:
+    with service_client.ServiceClient(url, events.append) as client:
         for index in range(count):
             assert client.execute(_call(str(index)))
             await client.wait_for_commands(10)
@@ -104,12 +105,38 @@
     return events
 
 
+@async_helpers.async_test
+async def test_no_call_waits_for_others() -> None:
+    """Guards against a call that is sent after its service has left.
+
+    It waited in the client for calls that the service still ran.
+    """
+    requests = 0
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal requests
+        await reader.readuntil(b"\r\n\r\n")
+        requests += 1
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, _HOST, 0)
+    url = f"http://{_HOST}:{server.sockets[0].getsockname()[1]}"
+    with service_client.ServiceClient(url, lambda _event: None) as client:
+        for index in range(_CALLS_AT_ONCE):
+            client.execute(_call(str(index)))
+        await async_helpers.wait_until(lambda: requests == _CALLS_AT_ONCE)
+    server.close()
+
+
 async def _execute(
     url: str, *commands: agent_events.Command
 ) -> list[agent_events.Event]:
     """Executes engine commands concurrently; returns their events."""
     events: list[agent_events.Event] = []
-    with engine_client.EngineClient(url, 1, events.append) as client:
+    with engine_client.EngineClient(url, events.append) as client:
         for cmd in commands:
             assert client.execute(cmd)
         await client.wait_for_commands(10)
--- a/tests/test_agent_early_answers.py
+++ b/tests/test_agent_early_answers.py
@@ -44,7 +44,7 @@
     events: list[agent_events.Event] = []
     async with gateway_on_sockets.listening(upstream) as address:
         with service_client.ServiceClient(
-            f"http://{address}", 1, events.append
+            f"http://{address}", events.append
         ) as client:
             for number, body in enumerate(bodies):
                 client.execute(
@@ -226,7 +226,7 @@
     events: list[agent_events.Event] = []
     async with gateway_on_sockets.listening(upstream) as address:
         with engine_client.EngineClient(
-            f"http://{address}", 1, events.append
+            f"http://{address}", events.append
         ) as client:
             client.execute(agent_events.PollLoad())
             await client.wait_for_commands(10)
@@ -258,7 +258,7 @@
     events: list[agent_events.Event] = []
     async with gateway_on_sockets.listening(upstream) as address:
         with engine_client.EngineClient(
-            f"http://{address}", 1, events.append
+            f"http://{address}", events.append
         ) as client:
             for _ in range(2):
                 client.execute(agent_events.PollLoad())
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -43,6 +43,33 @@
     assert limits == memory_account.Limits(held_bytes, connections)
 
 
+@pytest.mark.parametrize(
+    ("transfers", "held_bytes", "connections"),
+    [
+        (0, 57_500_000, 1_272),
+        (256, 57_500_000, 1_272),
+        (257, 57_467_232, 1_271),
+        (1_000, 33_120_608, 528),
+        (5_000, memory_account.MIN_BYTES, 1),
+    ],
+)
+def test_many_transfers_leave_less_to_callers(
+    transfers: int, held_bytes: int, connections: int
+) -> None:
+    """Guards against a burst that takes a process over its memory."""
+    account = memory_account.MemoryAccount(
+        memory_account.Limits(57_500_000, 1_272)
+    )
+    account.set_transfers(transfers)
+    assert account.max_held_bytes == held_bytes
+    assert account.max_connections == connections
+    holder = _holder(account, held_bytes, "incomplete", 0.0)
+    _holder(account, 0, "complete", 0.0)
+    assert not account.has_room(holder, 1, 1)
+    account.set_transfers(0)
+    assert account.max_held_bytes == 57_500_000
+
+
 def test_bytes_follow_each_holder() -> None:
     """Guards against bytes that stay counted, or that are never counted."""
     account = _account()
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -19,7 +19,7 @@
     platform_weights,
 )
 from apricottrestle_standins import log_service
-from tests import broken_answers, fake_log
+from tests import async_helpers, broken_answers, fake_log
 
 _CONNECTION_CLOSED = b""
 
@@ -282,6 +282,47 @@
     asyncio.run(main())
 
 
+def test_call_that_was_given_up_before_it_began_is_not_sent() -> None:
+    """Guards against a write that reaches the store after a later one."""
+    received: list[bytes] = []
+    release = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                received.append(await reader.readuntil(b"\r\n\r\n"))
+                await release.wait()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        writer.close()
+
+    async def main() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = platform_http.PlatformHttpClient(
+            f"http://127.0.0.1:{port}", "store", 20.0
+        )
+        under_way = [
+            asyncio.ensure_future(client.call("GET", "/slow", "read"))
+            for _ in range(platform_http.MAX_CONCURRENT_CALLS)
+        ]
+        await async_helpers.wait_until(lambda: len(received) == len(under_way))
+        with pytest.raises(errors.PlatformError):
+            await client.call("GET", "/given-up", "read", timeout_s=0.1)
+        release.set()
+        await asyncio.gather(*under_way)
+        await client.call("GET", "/later", "read")
+        client.close()
+        server.close()
+
+    asyncio.run(main())
+    paths = [head.split()[1] for head in received]
+    assert paths == [b"/slow"] * platform_http.MAX_CONCURRENT_CALLS + [
+        b"/later"
+    ]
+
+
 def test_client_works_after_it_was_closed() -> None:
     """Guards against a client that fails all calls after it was closed."""
 
--- a/tests/test_platform_upstream_client.py
+++ b/tests/test_platform_upstream_client.py
@@ -3,7 +3,9 @@
 import asyncio
 import functools
 import socket
+from collections.abc import Callable, Coroutine
 from typing import Any
+from unittest import mock
 
 import pytest
 
@@ -12,6 +14,8 @@
 from apricottrestle.platform import upstream_client
 from tests import async_helpers, gateway_parts, scripted_upstream
 
+CALLS_AT_ONCE = 400
+
 
 class _Sink(calls.ResponseSink):
     def __init__(self) -> None:
@@ -367,6 +371,77 @@
         await getattr(client, request_kind)(reservation)
 
 
+def _send_silent(
+    client: upstream_client.HttpUpstreamClient, address: str
+) -> None:
+    client.send(_call(address, time_left_s=20.0), _Sink())
+
+
+async def _probe_silent(
+    client: upstream_client.HttpUpstreamClient, address: str
+) -> None:
+    await client.probe("up-1", address, 5)
+
+
+async def _reserve_silent(
+    client: upstream_client.HttpUpstreamClient, address: str
+) -> None:
+    await client.reserve(calls.Reservation("r", address, "up-1", 1, 1.0))
+
+
+@pytest.mark.parametrize(
+    "begin", [_send_silent, _probe_silent, _reserve_silent]
+)
+@async_helpers.async_test
+async def test_no_call_waits_for_others(
+    begin: Callable[
+        [upstream_client.HttpUpstreamClient, str],
+        Coroutine[Any, Any, None] | None,
+    ],
+) -> None:
+    """Guards against requests that reach an upstream after it has left.
+
+    They waited inside the client for others to end, after the last check
+    whether their upstream takes any.
+    """
+    tasks = []
+    async with scripted_upstream.running(_stay_silent) as upstream:
+        client = upstream_client.HttpUpstreamClient()
+        with (
+            mock.patch.object(upstream_client, "PROBE_TIMEOUT_S", 20.0),
+            mock.patch.object(upstream_client, "RESERVATION_TIMEOUT_S", 20.0),
+        ):
+            for _ in range(CALLS_AT_ONCE):
+                if (coroutine := begin(client, upstream.address)) is not None:
+                    tasks.append(asyncio.ensure_future(coroutine))
+            deadline = asyncio.get_running_loop().time() + 10.0
+            while (
+                len(upstream.received) < CALLS_AT_ONCE
+                and asyncio.get_running_loop().time() < deadline
+            ):
+                await asyncio.sleep(0.02)
+        received = len(upstream.received)
+        for task in tasks:
+            task.cancel()
+        client.close()
+    assert received == CALLS_AT_ONCE
+
+
+@async_helpers.async_test
+async def test_transfers_under_way_are_told() -> None:
+    """Guards against transfers whose memory nothing counts."""
+    told: list[int] = []
+    sinks = [_Sink() for _ in range(3)]
+    async with scripted_upstream.running(_complete) as upstream:
+        client = upstream_client.HttpUpstreamClient()
+        client.on_transfers = told.append
+        for sink in sinks:
+            client.send(_call(upstream.address), sink)
+        await async_helpers.wait_until(lambda: all(s.ends for s in sinks))
+    assert told[:3] == [1, 2, 3]
+    assert told[-1] == 0
+
+
 async def _answer_report(
     received: scripted_upstream.Received, conn: scripted_upstream.Connection
 ) -> None:
