Join the small parts of a buffered answer

Cause: each part of a body is an object of some 56 bytes beside its content, and the memory account expects two bytes for each that it counts.

Fix: parts are joined up to 4 KiB.

Evidence: of test_body_in_small_parts_costs_what_is_counted, the row of two bytes fails on (873,280 bytes held, 40,000 counted), and all six pass.

--- a/src/apricottrestle/gateway/upstream_response.py
+++ b/src/apricottrestle/gateway/upstream_response.py
@@ -28,6 +28,10 @@
 MAX_PLAIN_BODY_BYTES: Final = 16 * 1024 * 1024
 """Largest non-stream response; it is buffered until it is complete."""
 
+JOINED_BYTES: Final = 4 * 1024
+"""Length up to which parts of a body are joined: each costs 56 bytes beside its
+content, and may have one byte only."""
+
 COUNTED_EVENT_BYTES: Final = 16 * 1024
 """Length from which an event that hasn't ended is counted; nearly all events
 are smaller."""
@@ -214,7 +218,10 @@
             self._log_dropped("body too long", head)
             self._cancel_invalid()
             return
-        self._body.append(data)
+        if self._body and len(self._body[-1]) + len(data) <= JOINED_BYTES:
+            self._body[-1] += data
+        else:
+            self._body.append(data)
         self._count(self._body_bytes)
 
     def _count(self, total: int) -> None:
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -1,6 +1,7 @@
 """Tests of what the caller of an exchange gets when upstreams fail."""
 
 import asyncio
+import tracemalloc
 from collections.abc import Callable
 from typing import Any, Literal, NamedTuple
 
@@ -518,6 +519,41 @@
     virtual_time.run(main())
 
 
+@pytest.mark.parametrize(
+    "sizes", [(2,), (2, 100), (2, 4_095), (2, 4_096), (3_000,), (1 << 14,)]
+)
+def test_body_in_small_parts_costs_what_is_counted(
+    sizes: tuple[int, ...],
+) -> None:
+    """Guards against small parts that take a gateway over its memory.
+
+    Its account counted two bytes where two bytes and an object were held.
+    """
+
+    async def main() -> tuple[_Caller, int, int]:
+        host = _Host()
+        caller = await _run_exchange(gateway_parts.UNSAFE, [], host)
+        sink = host.transfers[0].sink
+        sink.on_head(HEAD)
+        tracemalloc.start()
+        try:
+            for number in range(20_000):
+                if host.account.held_bytes >= 1 << 18:
+                    break
+                sink.on_data(bytes(sizes[number % len(sizes)]))
+            held_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        counted_bytes = host.account.held_bytes
+        sink.on_end("complete", "")
+        return caller, held_bytes, counted_bytes
+
+    caller, held_bytes, counted_bytes = virtual_time.run(main())
+    assert len(caller.body) == counted_bytes
+    assert caller.endings == ["complete"]
+    assert held_bytes <= memory_account.COPIES * counted_bytes
+
+
 @pytest.mark.parametrize("length", [None, 1 << 20])
 @pytest.mark.parametrize("ends_by", ["room", "deadline"])
 def test_answer_waits_while_memory_is_full(
