--- a/tests/test_world_crashing_prompts.py
+++ b/tests/test_world_crashing_prompts.py
@@ -236,6 +236,8 @@
         crashes: Engines that crash, of those that run such prompts; None for
             all of these.
         prompts: Prompts of the new kind that are under way.
+        callers_leave: Whether their callers leave after the crashes, so that no
+            answer is resumed elsewhere.
         site: Deployment.
         faults: Injects faults from the moment of the crashes on, or None.
         seed: Seed of the fleet.
@@ -243,13 +245,15 @@
 
     crashes: int | None = None
     prompts: int = 8
+    callers_leave: bool = True
     site: workload.Site = SMALL
     faults: Faults | None = None
     seed: int = 1
 
 
 GROUP_CASES: Final = {
-    "others_under_way": GroupCase(crashes=3, prompts=24),
+    "others_under_way": GroupCase(crashes=3, prompts=24, callers_leave=False),
+    "answers_resumed": GroupCase(callers_leave=False),
     "none_under_way": GroupCase(),
     "none_under_way_other_seed": GroupCase(seed=2),
     "many_gateways": GroupCase(site=GROWN._replace(gateways=28)),
@@ -302,6 +306,15 @@
     ]
 
 
+async def _leave_soon(fleet: world.World) -> None:
+    """Disconnects the callers of the batch, before an answer is resumed."""
+    await asyncio.sleep(0.2)
+    for row in fleet.gateways.values():
+        for caller in list(row.responders):
+            if caller.attempt.arrival.shared_parts == NEW_KIND:
+                caller.disconnect()
+
+
 async def _crash_group(fleet: world.World, case: GroupCase) -> list[str]:
     """Crashes engines at one moment, when all answers of the batch have begun.
 
@@ -323,6 +336,8 @@
     crashed = running[: case.crashes]
     assert len(crashed) >= 3
     faults = [case.faults(fleet)] if case.faults else []
+    if case.callers_leave:
+        faults.append(_leave_soon(fleet))
     await asyncio.gather(
         *(fleet.crash_and_replace(engine, 4.5) for engine in crashed), *faults
     )
